--- /dev/null
+++ b/packages/courier/src/codec.ts
@@ -0,0 +1,41 @@
+import { fromBinary, toBinary } from '@bufbuild/protobuf';
+import { fault, type Fault } from '@rainrun/nacelle';
+import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
+import { FrameSchema, type Frame } from './gen/rainrun_pb.js';
+
+/** Version of the frames on the wire; nodes of another version are not understood. */
+export const WIRE = 1;
+
+/** No frame is larger. */
+export const FRAME_MAX_BYTES = 8 * 1024 * 1024;
+
+/**
+ * A frame as bytes.
+ * @example
+ * const bytes = pack(create(FrameSchema, { wire: WIRE, deployment: 'd', from: 'a' }));
+ */
+export function pack(frame: Frame): Uint8Array {
+  return toBinary(FrameSchema, frame);
+}
+
+/**
+ * Bytes as a frame of this deployment, or why not.
+ * @example
+ * unpack(new Uint8Array([255]), 'd').isErr; // true
+ */
+export function unpack(bytes: Uint8Array, deployment: string): Result<Frame, Fault> {
+  if (bytes.length > FRAME_MAX_BYTES) return Result.err(fault('wire', `frame of ${bytes.length} bytes`));
+  const read = tryOrElse(
+    (thrown) => fault('wire', String(thrown)),
+    () => fromBinary(FrameSchema, bytes),
+  );
+  if (read.isErr) return read;
+  const frame = read.value;
+  if (frame.wire !== WIRE) return Result.err(fault('wire', `wire version ${frame.wire}, expected ${WIRE}`));
+  if (frame.deployment !== deployment) {
+    return Result.err(fault('foreign', `frame of deployment "${frame.deployment}"`));
+  }
+  if (frame.from === '' || frame.body.case === undefined) return Result.err(fault('wire', 'frame without sender or body'));
+  return Result.ok(frame);
+}
--- /dev/null
+++ b/packages/farm/src/index.ts
@@ -0,0 +1,7 @@
+export * from './acceptor.js';
+export * from './causal.js';
+export * from './coordinator.js';
+export * from './grants.js';
+export * from './group.js';
+export * from './play.js';
+export * from './times.js';
--- /dev/null
+++ b/packages/hub/src/demand.ts
@@ -0,0 +1,105 @@
+import type { GroupMeasure, Observation } from '@rainrun/courier';
+import type { ModelDemand } from '@rainrun/yaw';
+
+const HALF_LIFE_S = 10;
+
+/** What a group measured over the fleet, smoothed. */
+export interface GroupPicture {
+  readonly group: string;
+  readonly kind: string;
+  served: number;
+  refused: number;
+  prompt: number;
+  waitMs: number;
+  inFlight: number;
+  backlog: number;
+}
+
+/**
+ * Observations of all edges, smoothed into demand per model and measures per group.
+ * @example
+ * demand.take('life-1', observation, nowMs);
+ * demand.models(nowMs).get('gearbox-7b')?.arrivalsPerS;
+ */
+export class DemandBook {
+  #models = new Map<string, { perS: number; adapters: Map<string, number>; atMs: number }>();
+  #backlogs = new Map<string, Map<string, number>>();
+  #groups = new Map<string, Map<string, GroupMeasure>>();
+  #totals = new Map<string, GroupPicture>();
+
+  take(sender: string, observation: Observation, nowMs: number): void {
+    const backlogs = new Map<string, number>();
+    for (const { model, adapter, arrivals, backlog } of observation.demands) {
+      backlogs.set(model, (backlogs.get(model) ?? 0) + backlog);
+      if (arrivals === 0) continue;
+      const known = this.#model(model, nowMs);
+      const perS = (arrivals * Math.LN2) / HALF_LIFE_S;
+      known.perS += perS;
+      if (adapter !== '') known.adapters.set(adapter, (known.adapters.get(adapter) ?? 0) + perS);
+    }
+    this.#backlogs.set(sender, backlogs);
+    this.#groups.set(sender, new Map(observation.groups.map((one) => [`${one.group}/${one.kind}`, one])));
+    for (const measure of observation.groups) this.#count(measure);
+  }
+
+  keepOnly(lives: ReadonlySet<string>): void {
+    for (const life of this.#backlogs.keys()) if (!lives.has(life)) this.#backlogs.delete(life);
+    for (const life of this.#groups.keys()) if (!lives.has(life)) this.#groups.delete(life);
+  }
+
+  models(nowMs: number): Map<string, ModelDemand> {
+    const demands = new Map<string, ModelDemand>();
+    for (const model of this.#models.keys()) {
+      const known = this.#model(model, nowMs);
+      if (known.perS < 0.001) continue;
+      demands.set(model, { arrivalsPerS: known.perS, backlog: 0, adapters: known.adapters });
+    }
+    for (const backlogs of this.#backlogs.values()) {
+      for (const [model, backlog] of backlogs) {
+        const demand = demands.get(model);
+        if (demand !== undefined) demand.backlog += backlog;
+        else if (backlog > 0) demands.set(model, { arrivalsPerS: 0, backlog, adapters: new Map() });
+      }
+    }
+    return demands;
+  }
+
+  /** Totals since this node began to listen, with what stands in flight and backlog now. */
+  groups(): GroupPicture[] {
+    const pictures = new Map<string, GroupPicture>();
+    for (const [key, total] of this.#totals) pictures.set(key, { ...total, inFlight: 0, backlog: 0 });
+    for (const measures of this.#groups.values()) {
+      for (const [key, measure] of measures) {
+        const picture = pictures.get(key);
+        if (picture === undefined) continue;
+        picture.inFlight += measure.inFlight;
+        picture.backlog += measure.backlog;
+      }
+    }
+    return [...pictures.values()];
+  }
+
+  #count(measure: GroupMeasure): void {
+    const { group, kind } = measure;
+    const key = `${group}/${kind}`;
+    const known = this.#totals.get(key) ?? { group, kind, served: 0, refused: 0, prompt: 0, waitMs: 0, inFlight: 0, backlog: 0 };
+    known.served += measure.served;
+    known.refused += measure.refused;
+    known.prompt += measure.prompt;
+    if (measure.served > 0) known.waitMs += (measure.waitMs - known.waitMs) * Math.min(1, measure.served / 20);
+    this.#totals.set(key, known);
+  }
+
+  #model(model: string, nowMs: number): { perS: number; adapters: Map<string, number>; atMs: number } {
+    let known = this.#models.get(model);
+    if (known === undefined) {
+      known = { perS: 0, adapters: new Map(), atMs: nowMs };
+      this.#models.set(model, known);
+    }
+    const fade = 0.5 ** ((nowMs - known.atMs) / 1000 / HALF_LIFE_S);
+    known.perS *= fade;
+    for (const [adapter, weight] of known.adapters) known.adapters.set(adapter, weight * fade);
+    known.atMs = nowMs;
+    return known;
+  }
+}
--- /dev/null
+++ b/packages/hub/src/hub.ts
@@ -0,0 +1,269 @@
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
+import {
+  NewsBoard,
+  ObservationSchema,
+  OperationSchema,
+  WorkerListSchema,
+  WorkerStateSchema,
+  type Answer,
+  type Entry,
+  type Frame,
+  type NewsItem,
+  type Observation,
+  type Seat,
+  type WorkerList,
+} from '@rainrun/courier';
+import { Group, type Acceptor, type GroupTimes, type Held, type Outcome, type Play } from '@rainrun/farm';
+import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, type Stage } from '@rainrun/marquee';
+import { fault, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
+import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type Order, type OrderReply } from '@rainrun/yaw';
+import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
+import { DemandBook, type GroupPicture } from './demand.js';
+import { Roster, type RosterWorker } from './roster.js';
+
+const STAGE_PLAY: Play<Stage> = {
+  empty: () => EMPTY_STAGE,
+  encode: encodeStage,
+  decode: decodeStage,
+  apply(state, operation): { state: Stage; outcome: Outcome } {
+    const { id, kind } = operation;
+    return applyToStage(state, { id, kind, payload: new TextDecoder().decode(operation.payload) });
+  },
+};
+
+const NEWS_BEAT_MS = 200;
+const PLACE_BEAT_MS = 1000;
+const NEWS_LIST = 'list';
+const NEWS_WORKER = 'worker/';
+
+/** What a node of the system is given by its program, or by the simulator. */
+export interface HubGear {
+  readonly name: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly deployment: string;
+  readonly seeds: readonly string[];
+  readonly founders: readonly string[];
+  readonly clock: Clock;
+  readonly chance: Chance;
+  readonly times: GroupTimes;
+  readonly acceptor: Acceptor | undefined;
+  post(address: string, frame: Frame): void;
+  /** Sends one order to a worker. */
+  order(address: string, order: Order, done: (reply: Result<OrderReply, Fault>) => void): void;
+  /** Called when a version has come into force here. */
+  changed(held: Held<Stage>, entry: Entry | undefined): void;
+  /** Called for each observation delivered here. */
+  heard(sender: string, observation: Observation): void;
+  /** Called at each change of standing, for the logs. */
+  reborn(life: string): void;
+}
+
+/**
+ * One node: its place in the group, the agreed stage, news, and, where it
+ * holds the duty, placement and orders. No socket, timer or file of its own.
+ * @example
+ * const hub = new Hub(gear);
+ * hub.beat(); // every 50 ms
+ * hub.receive(frame);
+ */
+export class Hub {
+  #gear: HubGear;
+  #group: Group<Stage>;
+  #news: NewsBoard;
+  #roster = new Roster();
+  #demand = new DemandBook();
+  #placer = new Placer(PLACE_SETTINGS);
+  #orderer: Orderer;
+  #waiting = new Map<string, (answer: Answer) => void>();
+  #newsBeatMs = -Infinity;
+  #placeBeatMs = -Infinity;
+  #placing: string | undefined;
+  #tellings = 0;
+  #counter = 0;
+
+  constructor(gear: HubGear) {
+    this.#gear = gear;
+    this.#news = new NewsBoard(gear.chance, (item) => this.#hear(item));
+    this.#orderer = new Orderer({
+      dutyEpoch: () => this.#group.dutyEpoch(),
+      order: (order, done) => this.#order(order, done),
+      learned: (worker, known) => this.#learned(worker, known),
+    });
+    this.#group = new Group<Stage>({
+      ...gear,
+      play: STAGE_PLAY,
+      audience: {
+        onVersion: (held, entry) => this.#onVersion(held, entry),
+        onCast: (sender, payload) => this.#onCast(sender, payload),
+        onAnswer: (answer) => this.#onAnswer(answer),
+        onReborn: (life) => gear.reborn(life),
+        onFrame: (from, body) => this.#onFrame(from, body),
+      },
+      post: (address, frame) => gear.post(address, frame),
+    });
+  }
+
+  get group(): Group<Stage> {
+    return this.#group;
+  }
+
+  get stage(): Stage {
+    return this.#group.held?.play ?? EMPTY_STAGE;
+  }
+
+  get groups(): GroupPicture[] {
+    return this.#demand.groups();
+  }
+
+  get edgeCount(): number {
+    return Math.max(1, (this.#group.view?.members ?? []).filter((member) => member.disk === '').length);
+  }
+
+  workers(): RosterWorker[] {
+    return this.#roster.workers(this.stage, this.#group.seat.life, this.#now());
+  }
+
+  /** Why a model stands where it does, if this node decided it. */
+  reason(model: string): string | undefined {
+    return this.#placer.reason(model);
+  }
+
+  /** Takes the platform's list; an older generation than the known one is left aside. */
+  learnList(list: WorkerList): void {
+    this.#news.tell(NEWS_LIST, list.generation, 0, toBinary(WorkerListSchema, list));
+  }
+
+  /** Casts what this edge saw. */
+  observe(observation: Observation): void {
+    this.#group.cast(toBinary(ObservationSchema, observation));
+  }
+
+  /**
+   * Submits an operation. `done` is called once with the agreed answer; a
+   * caller that cannot wait asks later by the id.
+   */
+  submit(id: string, kind: string, payload: string, done: (answer: Answer) => void): Result<string, Fault> {
+    const operation = create(OperationSchema, { id, kind, payload: new TextEncoder().encode(payload) });
+    this.#waiting.set(id, done);
+    if (this.#group.submit(operation)) return Result.ok(id);
+    this.#waiting.delete(id);
+    return Result.err(fault('unreached', 'no coordinator can be reached; nothing was sent'));
+  }
+
+  receive(frame: Frame): void {
+    this.#group.receive(frame);
+  }
+
+  beat(): void {
+    const nowMs = this.#now();
+    this.#group.beat();
+    if (nowMs - this.#newsBeatMs >= NEWS_BEAT_MS) {
+      this.#newsBeatMs = nowMs;
+      const self = this.#group.seat.life;
+      const lives = (this.#group.view?.members ?? []).map((member) => member.life).filter((life) => life !== self);
+      for (const { to, body } of this.#news.beat(lives)) this.#group.postTo(to, body);
+    }
+    this.#place(nowMs);
+  }
+
+  #now(): number {
+    return this.#gear.clock.nowMs();
+  }
+
+  #place(nowMs: number): void {
+    const epoch = this.#group.dutyEpoch();
+    const spec = this.stage.spec?.spec;
+    if (epoch === undefined || spec === undefined) return;
+    const workers = this.workers().filter((worker) => worker.kind === 'model');
+    const staying = workers.filter((worker) => !worker.leaving);
+    this.#orderer.beat(spec, this.stage.placement, staying, nowMs);
+    if (nowMs - this.#placeBeatMs < PLACE_BEAT_MS || this.#placing !== undefined) return;
+    this.#placeBeatMs = nowMs;
+    const seen = workers.map((worker) => ({
+      ...worker,
+      usable: !worker.leaving && !worker.emptied && (this.#orderer.known(worker.name)?.reachable ?? false),
+      holdings: this.stage.placement[worker.name] ?? [],
+    }));
+    const changes: Record<string, unknown> = this.#placer.step(spec, seen, this.#demand.models(nowMs), nowMs);
+    const listed = new Set(workers.map((worker) => worker.name));
+    for (const name of Object.keys(this.stage.placement)) if (!listed.has(name)) changes[name] = [];
+    if (Object.keys(changes).length === 0) return;
+    this.#counter += 1;
+    const id = `place-${epoch}-${this.#group.seat.life}-${this.#counter}`;
+    this.#placing = id;
+    const sent = this.submit(id, 'place', JSON.stringify({ epoch, workers: changes }), () => {
+      this.#placing = undefined;
+    });
+    if (sent.isErr) this.#placing = undefined;
+  }
+
+  #order(order: Order, done: (reply: Result<OrderReply, Fault>) => void): void {
+    const entry = this.workers().find((worker) => worker.name === order.worker);
+    if (entry === undefined) return done(Result.err(fault('not-found', `worker ${order.worker}`)));
+    this.#gear.order(entry.address, order, done);
+  }
+
+  #learned(worker: string, known: KnownWorker): void {
+    this.#tellings += 1;
+    const state = create(WorkerStateSchema, {
+      worker,
+      reachable: known.reachable,
+      loadNumber: known.loadNumber,
+      holdings: known.holdings.map(({ model, adapters }) => ({
+        $typeName: 'rainrun.v1.Holding' as const,
+        model,
+        adapters: [...adapters],
+      })),
+    });
+    const epoch = this.#group.epoch;
+    const item = this.#news.get(NEWS_WORKER + worker);
+    const bytes = toBinary(WorkerStateSchema, state);
+    if (item !== undefined && item.major === epoch && Buffer.compare(item.value, bytes) === 0) return;
+    this.#news.tell(NEWS_WORKER + worker, epoch, this.#tellings, bytes);
+  }
+
+  #hear(item: NewsItem): void {
+    const nowMs = this.#now();
+    if (item.key === NEWS_LIST) {
+      const list = tryOrElse(() => undefined, () => fromBinary(WorkerListSchema, item.value));
+      if (list.isOk) this.#roster.takeList(list.value);
+    } else if (item.key.startsWith(NEWS_WORKER)) {
+      const state = tryOrElse(() => undefined, () => fromBinary(WorkerStateSchema, item.value));
+      if (state.isOk) this.#roster.takeState(state.value, nowMs);
+    }
+  }
+
+  #onVersion(held: Held<Stage>, entry: Entry | undefined): void {
+    const lives = new Set(held.view.members.map((member) => member.life));
+    this.#roster.keepOnly(lives);
+    this.#demand.keepOnly(lives);
+    this.#gear.changed(held, entry);
+  }
+
+  #onCast(sender: Seat, payload: Uint8Array): void {
+    const read = tryOrElse(() => undefined, () => fromBinary(ObservationSchema, payload));
+    if (read.isErr) return;
+    this.#roster.takeObservation(sender.life, read.value, this.#now());
+    this.#demand.take(sender.life, read.value, this.#now());
+    this.#gear.heard(sender.life, read.value);
+  }
+
+  #onAnswer(answer: Answer): void {
+    const done = this.#waiting.get(answer.id);
+    this.#waiting.delete(answer.id);
+    done?.(answer);
+  }
+
+  #onFrame(from: string, body: Frame['body']): void {
+    if (body.case === 'news') this.#news.takeNews(body.value);
+    else if (body.case === 'digest') {
+      const mend = this.#news.takeDigest(body.value);
+      if (mend !== undefined) this.#group.postTo(from, { case: 'mend', value: mend });
+    } else if (body.case === 'mend') {
+      const mend = this.#news.takeMend(body.value);
+      if (mend !== undefined) this.#group.postTo(from, { case: 'mend', value: mend });
+    }
+  }
+}
--- /dev/null
+++ b/packages/hub/src/index.ts
@@ -0,0 +1,3 @@
+export * from './demand.js';
+export * from './hub.js';
+export * from './roster.js';
--- /dev/null
+++ b/packages/hub/src/roster.ts
@@ -0,0 +1,109 @@
+import type { Observation, WorkerList, WorkerState } from '@rainrun/courier';
+import type { HoldingTarget, Spec, Stage } from '@rainrun/marquee';
+
+/** A worker as this node knows it. */
+export interface RosterWorker {
+  readonly name: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly kind: string;
+  readonly pool: string;
+  readonly leaving: boolean;
+  readonly emptied: boolean;
+  readonly reachable: boolean;
+  readonly roomMb: number;
+  readonly slots: number;
+  readonly holdings: readonly HoldingTarget[];
+  /** When this node first knew each holding, by model and by model/adapter. */
+  readonly sinceMs: ReadonlyMap<string, number>;
+  /** Requests in flight from other edges, as last observed. */
+  readonly othersInFlight: number;
+}
+
+interface Load {
+  readonly atMs: number;
+  readonly inFlight: ReadonlyMap<string, number>;
+}
+
+const LOAD_MS = 5000;
+
+/**
+ * What the platform lists, what workers replied and what other edges carry,
+ * put together for the data plane and for placement.
+ * @example
+ * roster.takeList(list);
+ * roster.workers(stage, 'life-1', nowMs); // every listed worker
+ */
+export class Roster {
+  #list: WorkerList | undefined;
+  #states = new Map<string, WorkerState>();
+  #sinceMs = new Map<string, Map<string, number>>();
+  #loads = new Map<string, Load>();
+
+  get generation(): number {
+    return this.#list?.generation ?? 0;
+  }
+
+  takeList(list: WorkerList): void {
+    this.#list = list;
+  }
+
+  takeState(state: WorkerState, nowMs: number): void {
+    const before = this.#sinceMs.get(state.worker) ?? new Map<string, number>();
+    const reset = !(this.#states.get(state.worker)?.reachable ?? false);
+    const since = new Map<string, number>();
+    for (const { model, adapters } of state.holdings) {
+      for (const key of [model, ...adapters.map((adapter) => `${model}/${adapter}`)]) {
+        since.set(key, reset ? nowMs : (before.get(key) ?? nowMs));
+      }
+    }
+    this.#states.set(state.worker, state);
+    this.#sinceMs.set(state.worker, since);
+  }
+
+  takeObservation(sender: string, observation: Observation, nowMs: number): void {
+    const inFlight = new Map(observation.loads.map((load) => [load.worker, load.inFlight]));
+    this.#loads.set(sender, { atMs: nowMs, inFlight });
+  }
+
+  /** Drops what was observed by nodes that are no longer in the view. */
+  keepOnly(lives: ReadonlySet<string>): void {
+    for (const life of this.#loads.keys()) if (!lives.has(life)) this.#loads.delete(life);
+  }
+
+  workers(stage: Stage, self: string, nowMs: number): RosterWorker[] {
+    const spec = stage.spec?.spec;
+    return (this.#list?.workers ?? []).map((entry) => {
+      const state = this.#states.get(entry.name);
+      const { roomMb, slots } = roomOf(spec, entry.name);
+      return {
+        name: entry.name,
+        address: entry.address,
+        zone: entry.zone,
+        kind: entry.kind,
+        pool: entry.pool,
+        leaving: entry.leaving,
+        emptied: stage.emptied.includes(entry.zone),
+        reachable: entry.kind === 'lookup' || (state?.reachable ?? false),
+        roomMb,
+        slots,
+        holdings: state?.holdings ?? [],
+        sinceMs: this.#sinceMs.get(entry.name) ?? new Map<string, number>(),
+        othersInFlight: this.#othersInFlight(entry.name, self, nowMs),
+      };
+    });
+  }
+
+  #othersInFlight(worker: string, self: string, nowMs: number): number {
+    let sum = 0;
+    for (const [life, load] of this.#loads) {
+      if (life !== self && nowMs - load.atMs < LOAD_MS) sum += load.inFlight.get(worker) ?? 0;
+    }
+    return sum;
+  }
+}
+
+function roomOf(spec: Spec | undefined, name: string): { roomMb: number; slots: number } {
+  if (spec === undefined) return { roomMb: 0, slots: 1 };
+  return spec.workers.named.find((worker) => worker.name === name) ?? spec.workers;
+}
--- /dev/null
+++ b/packages/marquee/src/index.ts
@@ -0,0 +1,2 @@
+export * from './spec.js';
+export * from './stage.js';
--- /dev/null
+++ b/packages/marquee/src/spec.ts
@@ -0,0 +1,170 @@
+import { fault, type Fault } from '@rainrun/nacelle';
+import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
+import * as v from 'valibot';
+
+/** No spec text is longer. */
+export const SPEC_MAX_BYTES = 2 * 1024 * 1024;
+
+const Name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9._-]{0,63}$/, 'a name of a-z, 0-9, ".", "_", "-"'));
+const Positive = v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(100_000_000));
+const Fraction = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
+
+const KindSchema = v.strictObject({
+  name: Name,
+  /** How promptly the first piece of an answer should come. */
+  targetMs: Positive,
+  /** A request that has waited so long is refused. */
+  patienceMs: Positive,
+});
+
+const GroupSchema = v.strictObject({
+  name: Name,
+  share: v.pipe(v.number(), v.minValue(0.01), v.maxValue(1000)),
+  kinds: v.pipe(v.array(KindSchema), v.minLength(1)),
+  /** Models this group may use; "*" stands for all. */
+  models: v.pipe(v.array(v.union([Name, v.literal('*')])), v.minLength(1)),
+});
+
+const SpecSchema = v.strictObject({
+  deployment: Name,
+  zones: v.pipe(v.array(Name), v.minLength(1), v.maxLength(64)),
+  store: v.strictObject({ pullsPerMinute: Positive, concurrentPulls: Positive }),
+  retries: v.optional(v.strictObject({ ratio: Fraction, allowance: v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(1000)) }), {
+    ratio: 0.2,
+    allowance: 10,
+  }),
+  workers: v.strictObject({
+    roomMb: Positive,
+    slots: v.pipe(Positive, v.maxValue(4096)),
+    named: v.optional(v.array(v.strictObject({ name: Name, roomMb: Positive, slots: v.pipe(Positive, v.maxValue(4096)) })), []),
+  }),
+  models: v.pipe(v.array(v.strictObject({ name: Name, sizeMb: Positive })), v.minLength(1)),
+  adapters: v.array(v.strictObject({ name: Name, model: Name, sizeMb: Positive })),
+  groups: v.pipe(v.array(GroupSchema), v.minLength(1)),
+  routes: v.pipe(
+    v.array(
+      v.strictObject({
+        path: v.pipe(v.string(), v.regex(/^\/[A-Za-z0-9/_.-]{0,200}$/, 'a path such as /v1/lookup/turbines')),
+        serve: v.picklist(['chat', 'lookup']),
+        pool: v.optional(Name, 'models'),
+      }),
+    ),
+    v.minLength(1),
+  ),
+});
+
+/** A checked spec. */
+export type Spec = v.InferOutput<typeof SpecSchema>;
+export type SpecGroup = Spec['groups'][number];
+export type SpecKind = SpecGroup['kinds'][number];
+
+/** One thing wrong with a spec, and where. */
+export interface SpecFault {
+  readonly path: string;
+  readonly message: string;
+}
+
+function doubles(path: string, names: readonly string[]): SpecFault[] {
+  const seen = new Set<string>();
+  const faults: SpecFault[] = [];
+  names.forEach((name, place) => {
+    if (seen.has(name)) faults.push({ path: `${path}.${place}`, message: `"${name}" stands here a second time` });
+    seen.add(name);
+  });
+  return faults;
+}
+
+function crossFaults(spec: Spec): SpecFault[] {
+  const models = new Set(spec.models.map((model) => model.name));
+  const largestMb = Math.max(spec.workers.roomMb, ...spec.workers.named.map((worker) => worker.roomMb));
+  const sizes = new Map(spec.models.map((model) => [model.name, model.sizeMb]));
+  const faults = [
+    ...doubles('zones', spec.zones),
+    ...doubles('models', spec.models.map((model) => model.name)),
+    ...doubles('adapters', spec.adapters.map((adapter) => adapter.name)),
+    ...doubles('groups', spec.groups.map((group) => group.name)),
+    ...doubles('routes', spec.routes.map((route) => route.path)),
+    ...doubles('workers.named', spec.workers.named.map((worker) => worker.name)),
+  ];
+  spec.models.forEach((model, place) => {
+    if (model.sizeMb <= largestMb) return;
+    faults.push({ path: `models.${place}.sizeMb`, message: `${model.sizeMb} MB is more than any worker's room of ${largestMb} MB` });
+  });
+  spec.adapters.forEach((adapter, place) => {
+    const modelMb = sizes.get(adapter.model);
+    if (modelMb === undefined) faults.push({ path: `adapters.${place}.model`, message: `unknown model "${adapter.model}"` });
+    else if (modelMb + adapter.sizeMb > largestMb) {
+      faults.push({ path: `adapters.${place}.sizeMb`, message: `with its model ${modelMb + adapter.sizeMb} MB, more than any worker's room` });
+    }
+  });
+  spec.groups.forEach((group, place) => {
+    faults.push(...doubles(`groups.${place}.kinds`, group.kinds.map((kind) => kind.name)));
+    group.models.forEach((name, at) => {
+      if (name !== '*' && !models.has(name)) faults.push({ path: `groups.${place}.models.${at}`, message: `unknown model "${name}"` });
+    });
+  });
+  return faults;
+}
+
+/**
+ * Reads and checks a spec whole; on failure every fault with its path.
+ * @example
+ * readSpec('{}').isErr; // true
+ */
+export function readSpec(text: string): Result<Spec, SpecFault[]> {
+  if (Buffer.byteLength(text) > SPEC_MAX_BYTES) {
+    return Result.err([{ path: '', message: `longer than ${SPEC_MAX_BYTES} bytes` }]);
+  }
+  if (text.trim() === '') return Result.err([{ path: '', message: 'the spec is empty' }]);
+  return tryOrElse(
+    (thrown) => [{ path: '', message: `not JSON: ${String(thrown)}` }],
+    () => JSON.parse(text) as unknown,
+  ).andThen((data) => {
+    const parsed = v.safeParse(SpecSchema, data);
+    if (!parsed.success) {
+      return Result.err<Spec, SpecFault[]>(
+        parsed.issues.map((issue) => ({ path: v.getDotPath(issue) ?? '', message: issue.message })),
+      );
+    }
+    const faults = crossFaults(parsed.output);
+    return faults.length > 0 ? Result.err<Spec, SpecFault[]>(faults) : Result.ok<Spec, SpecFault[]>(parsed.output);
+  });
+}
+
+/**
+ * Faults as one text, a line each.
+ * @example
+ * specFaultText([{ path: 'zones', message: 'missing' }]); // 'zones: missing'
+ */
+export function specFaultText(faults: readonly SpecFault[]): string {
+  return faults.map((one) => `${one.path === '' ? 'spec' : one.path}: ${one.message}`).join('\n');
+}
+
+/**
+ * A change as a merge patch: null takes a key away, objects are merged, all else replaces.
+ * @example
+ * mergePatch({ a: 1, b: 2 }, { b: null }); // { a: 1 }
+ */
+export function mergePatch(target: unknown, patch: unknown): unknown {
+  if (typeof patch !== 'object' || patch === null || Array.isArray(patch)) return patch;
+  const base = typeof target === 'object' && target !== null && !Array.isArray(target) ? target : {};
+  const merged: Record<string, unknown> = { ...base };
+  for (const [key, value] of Object.entries(patch)) {
+    if (value === null) delete merged[key];
+    else if (key !== '__proto__') merged[key] = mergePatch(merged[key], value);
+  }
+  return merged;
+}
+
+/**
+ * A JSON text as a value, or a fault.
+ * @example
+ * readJson('{"a":1}').isOk; // true
+ */
+export function readJson(text: string): Result<unknown, Fault> {
+  return tryOrElse(
+    (thrown) => fault('bad-request', `not JSON: ${String(thrown)}`),
+    () => JSON.parse(text) as unknown,
+  );
+}
--- /dev/null
+++ b/packages/nacelle/src/chance.ts
@@ -0,0 +1,36 @@
+/** A source of numbers in [0, 1). */
+export interface Chance {
+  next(): number;
+}
+
+/**
+ * Seeded chance: the same seed gives the same row of numbers.
+ * @example
+ * new Dice(7).next() === new Dice(7).next(); // true
+ */
+export class Dice implements Chance {
+  #state: number;
+
+  constructor(seed: number) {
+    this.#state = seed >>> 0;
+  }
+
+  next(): number {
+    this.#state = (this.#state + 0x6d2b79f5) >>> 0;
+    let mixed = this.#state;
+    mixed = Math.imul(mixed ^ (mixed >>> 15), mixed | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296;
+  }
+}
+
+/**
+ * A short random word, as used for lives, disk ids and operation ids.
+ * @example
+ * word(new Dice(1)).length; // 12
+ */
+export function word(chance: Chance): string {
+  let text = '';
+  for (let digit = 0; digit < 12; digit += 1) text += Math.floor(chance.next() * 16).toString(16);
+  return text;
+}
--- /dev/null
+++ b/packages/nacelle/src/index.ts
@@ -0,0 +1,9 @@
+export * from './kinds.js';
+export * from './chance.js';
+export * from './slab.js';
+export * from './register.js';
+
+/** A clock that never goes back. */
+export interface Clock {
+  nowMs(): number;
+}
--- /dev/null
+++ b/packages/park/src/index.ts
@@ -0,0 +1,5 @@
+export * from './oracle.js';
+export * from './site.js';
+export * from './timeline.js';
+export * from './trial.js';
+export * from './world.js';
--- /dev/null
+++ b/packages/park/src/oracle.ts
@@ -0,0 +1,161 @@
+import { hashText } from '@rainrun/courier';
+import { toVersion, type Held, type Play } from '@rainrun/farm';
+import { encodeStage, type Stage } from '@rainrun/marquee';
+import { EntrySchema, StateSchema } from '@rainrun/courier';
+import { create, toBinary } from '@bufbuild/protobuf';
+
+/** Something that must never happen and did. */
+export interface Breach {
+  readonly rule: string;
+  readonly detail: string;
+  readonly atMs: number;
+}
+
+interface AgreedNote {
+  readonly number: number;
+  readonly atMs: number;
+}
+
+/** What a process has delivered in one view. */
+interface ViewNote {
+  readonly casts: string[];
+}
+
+const IN_FORCE_MS = 2000;
+
+const NO_PLAY: Play<Stage> = {
+  empty: () => {
+    return { spec: undefined, history: [], emptied: [], placedBy: 0, placement: {} };
+  },
+  encode: encodeStage,
+  decode: () => {
+    throw new Error('the oracle decodes nothing');
+  },
+  apply: (state) => ({ state, outcome: { kind: 'agreed', detail: '' } }),
+};
+
+function digestOf(held: Held<Stage>): string {
+  const state = toVersion(NO_PLAY, held, create(EntrySchema)).state ?? create(StateSchema);
+  return hashText(Buffer.from(toBinary(StateSchema, state)).toString('latin1')).toString(16);
+}
+
+/**
+ * Watches every node from outside and checks the invariants at every step.
+ * It knows nothing of how the nodes do it.
+ * @example
+ * oracle.version('core-a', 'life-1', held, true, nowMs);
+ * oracle.breaches; // empty while all is well
+ */
+export class Oracle {
+  breaches: Breach[] = [];
+  agreedCount = 0;
+  versions = 0;
+  casts = 0;
+  #digests = new Map<number, { digest: string; by: string }>();
+  #newest = new Map<string, number>();
+  #agreed: AgreedNote[] = [];
+  #cutSets = new Map<number, { casts: string; by: string }>();
+  #open = new Map<string, Map<number, ViewNote>>();
+  #counts = new Map<string, Map<string, number>>();
+  #answers = new Map<string, string>();
+  #orders = new Map<string, { by: string; epoch: number }>();
+
+  breach(rule: string, detail: string, atMs: number): void {
+    if (this.breaches.length < 20) this.breaches.push({ rule, detail, atMs });
+  }
+
+  /** A version came into force; `whole` when it came by state transfer. */
+  version(life: string, held: Held<Stage>, whole: boolean, atMs: number): void {
+    this.versions += 1;
+    const { number } = held;
+    const digest = digestOf(held);
+    const known = this.#digests.get(number);
+    if (known === undefined) this.#digests.set(number, { digest, by: life });
+    else if (known.digest !== digest) {
+      this.breach('one history', `version ${number} is ${known.digest} at ${known.by} and ${digest} at ${life}`, atMs);
+    }
+    const before = this.#newest.get(life) ?? 0;
+    if (number <= before) this.breach('versions never go back', `${life} went from ${before} to ${number}`, atMs);
+    this.#newest.set(life, number);
+    if (!whole) this.#closeViews(life, held.view.number, atMs);
+  }
+
+  #closeViews(life: string, viewNumber: number, atMs: number): void {
+    for (const [view, note] of this.#open.get(life) ?? []) {
+      if (view >= viewNumber) continue;
+      this.#open.get(life)?.delete(view);
+      const casts = [...note.casts].sort().join(' ');
+      const known = this.#cutSets.get(view);
+      if (known === undefined) this.#cutSets.set(view, { casts, by: life });
+      else if (known.casts !== casts) {
+        this.breach('same casts in a view', `view ${view} ended differently at ${known.by} and ${life}`, atMs);
+      }
+    }
+  }
+
+  /** Opens a view at a life, so that an empty set counts too. */
+  enter(life: string, view: number): void {
+    const views = this.#open.get(life) ?? new Map<number, ViewNote>();
+    this.#open.set(life, views);
+    if (!views.has(view)) {
+      views.set(view, { casts: [] });
+      this.#counts.set(life, new Map());
+    }
+  }
+
+  /** The context a sender should write into its payload: what it has delivered in this view. */
+  contextOf(life: string): Record<string, number> {
+    return Object.fromEntries(this.#counts.get(life) ?? []);
+  }
+
+  cast(life: string, view: number, sender: string, sequence: number, context: Record<string, number>, atMs: number): void {
+    this.casts += 1;
+    const counts = this.#counts.get(life) ?? new Map<string, number>();
+    for (const [other, count] of Object.entries(context)) {
+      if ((counts.get(other) ?? 0) < count) {
+        this.breach('causal order', `${life} delivered ${sender}:${sequence} before ${other}:${count}`, atMs);
+      }
+    }
+    if ((counts.get(sender) ?? 0) >= sequence) this.breach('once each', `${life} delivered ${sender}:${sequence} again`, atMs);
+    counts.set(sender, sequence);
+    this.#counts.set(life, counts);
+    this.#open.get(life)?.get(view)?.casts.push(`${sender}:${sequence}`);
+  }
+
+  /** An operator was told. */
+  answered(id: string, kind: string, number: number, atMs: number): void {
+    const known = this.#answers.get(id);
+    if (known !== undefined && known !== `${kind}@${number}`) {
+      this.breach('one answer', `${id} was ${known} and then ${kind}@${number}`, atMs);
+    }
+    this.#answers.set(id, `${kind}@${number}`);
+    this.agreedCount += 1;
+    this.#agreed.push({ number, atMs });
+  }
+
+  /** A node admits a visitor now. */
+  admits(life: string, number: number, atMs: number): void {
+    for (const agreed of this.#agreed) {
+      if (agreed.number > number && atMs > agreed.atMs + IN_FORCE_MS) {
+        this.breach('in force within 2 s', `${life} admits at ${number}, ${agreed.number} was agreed at ${agreed.atMs.toFixed(0)}`, atMs);
+      }
+    }
+    this.#agreed = this.#agreed.slice(-8);
+  }
+
+  duty(holders: readonly string[], atMs: number): void {
+    if (holders.length > 1) this.breach('one holder of the duty', holders.join(' and '), atMs);
+  }
+
+  orderBegins(worker: string, by: string, epoch: number, atMs: number): void {
+    const flying = this.#orders.get(worker);
+    if (flying !== undefined && flying.by !== by) {
+      this.breach('one node orders a worker', `${by} orders ${worker} while ${flying.by} does`, atMs);
+    }
+    this.#orders.set(worker, { by, epoch });
+  }
+
+  orderEnds(worker: string): void {
+    this.#orders.delete(worker);
+  }
+}
--- /dev/null
+++ b/packages/park/src/seeds.ts
@@ -0,0 +1,46 @@
+import meow from 'meow';
+import { runTrial } from './trial.js';
+
+const cli = meow(
+  `
+  Runs the simulator over a row of seeds.
+
+  Usage
+    $ node packages/park/dist/seeds.js --from 1 --count 100
+
+  Options
+    --from    first seed (default 1)
+    --count   how many seeds (default 20)
+    --show    print the timeline of every seed, not only of failing ones
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      from: { type: 'number', default: 1 },
+      count: { type: 'number', default: 20 },
+      show: { type: 'boolean', default: false },
+    },
+  },
+);
+
+let failed = 0;
+let slowestMs = 0;
+let agreed = 0;
+let versions = 0;
+let casts = 0;
+for (let seed = cli.flags.from; seed < cli.flags.from + cli.flags.count; seed += 1) {
+  const result = runTrial(seed);
+  slowestMs = Math.max(slowestMs, result.recoveredMs);
+  agreed += result.agreed;
+  versions += result.versions;
+  casts += result.casts;
+  if (result.breaches.length > 0) {
+    failed += 1;
+    console.log(`seed ${seed} FAILED after: ${result.faults.join('; ')}`);
+    for (const { rule, detail, atMs } of result.breaches) console.log(`  ${atMs.toFixed(0)} ms  ${rule}: ${detail}`);
+  }
+  if (result.breaches.length > 0 || cli.flags.show) console.log(result.timeline);
+}
+console.log(`operations answered ${agreed}, versions delivered ${versions}, casts delivered ${casts}, slowest recovery ${slowestMs.toFixed(0)} ms`);
+console.log(`seeds: ${cli.flags.count - failed} passed, ${failed} failed`);
+process.exitCode = failed === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/park/src/trial.ts
@@ -0,0 +1,261 @@
+import type { Breach } from './oracle.js';
+import { Site, type Machine, type SiteSize } from './site.js';
+import { renderTimeline } from './timeline.js';
+import { type Cut } from './world.js';
+
+/** How one seed went. */
+export interface TrialResult {
+  readonly seed: number;
+  readonly breaches: readonly Breach[];
+  readonly agreed: number;
+  readonly versions: number;
+  readonly casts: number;
+  readonly frames: number;
+  readonly bytes: number;
+  readonly recoveredMs: number;
+  readonly faults: readonly string[];
+  readonly timeline: string;
+}
+
+const START_MS = 8000;
+const FAULTS_END_MS = 38_000;
+const RECOVER_MS = 12_000;
+
+export const SITE: SiteSize = { cores: 3, edges: 5, workers: 4, zones: ['north', 'east', 'west'] };
+
+/**
+ * The small spec that trials begin with.
+ * @example
+ * trialSpec(0).models.length; // 8
+ */
+export function trialSpec(turn: number): { models: { name: string; sizeMb: number }[] } & Record<string, unknown> {
+  return {
+    deployment: 'park',
+    zones: ['north', 'east', 'west'],
+    store: { pullsPerMinute: 60, concurrentPulls: 2 },
+    workers: { roomMb: 50_000, slots: 4 },
+    models: Array.from({ length: 8 }, (_, place) => ({ name: `model-${place}`, sizeMb: 9000 + place * 1000 })),
+    adapters: [{ name: 'adapter-0', model: 'model-0', sizeMb: 200 }],
+    groups: [{ name: 'technicians', share: 1 + turn, kinds: [{ name: 'question', targetMs: 800, patienceMs: 5000 }], models: ['*'] }],
+    routes: [{ path: '/v1/chat/completions', serve: 'chat' }],
+  };
+}
+
+/**
+ * Runs one seed: start, random faults, all repaired, recovery.
+ * @example
+ * const result = runTrial(17);
+ * result.breaches.length; // 0
+ */
+export function runTrial(seed: number, size: SiteSize = SITE): TrialResult {
+  const site = new Site(seed, size, 0.01);
+  const trial = new Trial(site);
+  return trial.run(seed);
+}
+
+class Trial {
+  #site: Site;
+  #faults: string[] = [];
+  #mended: (() => void)[] = [];
+  #turn = 0;
+
+  constructor(site: Site) {
+    this.#site = site;
+  }
+
+  run(seed: number): TrialResult {
+    const { time, oracle, net, machines } = this.#site;
+    for (const machine of machines) time.after(this.#upTo(1500), () => this.#site.boot(machine));
+    time.runUntil(START_MS);
+    const broken = this.#site.whole();
+    if (broken !== undefined) oracle.breach('starts in 8 s', broken, time.nowMs());
+    this.#site.submit(this.#any(), 'spec.put', { base: 0, text: JSON.stringify(trialSpec(0)) });
+    time.runUntil(START_MS + 2000);
+    if (oracle.agreedCount === 0) oracle.breach('a spec is agreed', 'not within 2 s of a quiet start', time.nowMs());
+    this.#operate();
+    this.#break();
+    time.runUntil(FAULTS_END_MS);
+    for (const mend of this.#mended) mend();
+    for (const machine of machines) this.#site.boot(machine);
+    this.#site.note('', 'all mended');
+    const recoveredMs = this.#recover();
+    return {
+      seed,
+      breaches: oracle.breaches,
+      agreed: oracle.agreedCount,
+      versions: oracle.versions,
+      casts: oracle.casts,
+      frames: net.frames,
+      bytes: net.bytes,
+      recoveredMs,
+      faults: this.#faults,
+      timeline: renderTimeline(machines.map((machine) => machine.name), this.#site.timeline),
+    };
+  }
+
+  #recover(): number {
+    const { time, oracle } = this.#site;
+    const mendedMs = time.nowMs();
+    while (time.nowMs() < mendedMs + RECOVER_MS && this.#site.whole() !== undefined) time.runUntil(time.nowMs() + 100);
+    const recoveredMs = time.nowMs() - mendedMs;
+    const broken = this.#site.whole();
+    if (broken !== undefined) oracle.breach('back within 12 s', broken, time.nowMs());
+    const before = oracle.agreedCount;
+    this.#site.submit(this.#any(), 'zone.empty', { zone: 'north' });
+    time.runUntil(time.nowMs() + 3000);
+    if (oracle.agreedCount === before) oracle.breach('agreement after recovery', 'no answer within 3 s', time.nowMs());
+    return recoveredMs;
+  }
+
+  #upTo(most: number): number {
+    return this.#site.dice.next() * most;
+  }
+
+  #pick<T>(items: readonly T[]): T {
+    return items[Math.floor(this.#upTo(items.length))] as T;
+  }
+
+  #any(): Machine {
+    return this.#pick(this.#site.machines);
+  }
+
+  #operate(): void {
+    const { time } = this.#site;
+    if (time.nowMs() > FAULTS_END_MS) return;
+    this.#turn += 1;
+    const machine = this.#any();
+    const version = machine.running?.hub.stage.spec?.version ?? 0;
+    const kind = this.#upTo(4);
+    if (kind < 2) this.#site.submit(machine, 'spec.put', { base: version, text: JSON.stringify(trialSpec(this.#turn)) });
+    else if (kind < 3) this.#site.submit(machine, 'zone.empty', { zone: this.#pick(this.#site.zones) });
+    else this.#site.submit(machine, 'zone.restore', { zone: this.#pick(this.#site.zones) });
+    time.after(this.#upTo(800), () => this.#operate());
+  }
+
+  #break(): void {
+    const { time } = this.#site;
+    if (time.nowMs() > FAULTS_END_MS - 3000) return;
+    const acts = [
+      () => this.#killOne(),
+      () => this.#killCore(),
+      () => this.#freezeOne(),
+      () => this.#cutOne(),
+      () => this.#cutZone(),
+      () => this.#cutOneWay(),
+      () => this.#cutCores(),
+      () => this.#stallDisk(),
+      () => this.#replaceCore(),
+      () => this.#killAll(),
+      () => this.#killCoordinator(),
+    ];
+    this.#pick(acts)();
+    time.after(500 + this.#upTo(6000), () => this.#break());
+  }
+
+  #later(waitMs: number, mend: () => void): void {
+    let done = false;
+    const once = (): void => {
+      if (!done) mend();
+      done = true;
+    };
+    this.#mended.push(once);
+    this.#site.time.after(waitMs, once);
+  }
+
+  #fault(text: string): void {
+    this.#faults.push(text);
+    this.#site.note('', text);
+  }
+
+  #killFor(machine: Machine, waitMs: number): void {
+    this.#fault(`kill ${machine.name}`);
+    this.#site.kill(machine);
+    this.#later(waitMs, () => this.#site.boot(machine));
+  }
+
+  #killOne(): void {
+    this.#killFor(this.#any(), this.#upTo(5000));
+  }
+
+  #killCore(): void {
+    this.#killFor(this.#pick(this.#cores()), this.#upTo(5000));
+  }
+
+  #killCoordinator(): void {
+    const leader = this.#site.machines.find((machine) => machine.running?.hub.group.leading === true);
+    if (leader !== undefined) this.#killFor(leader, this.#upTo(4000));
+  }
+
+  #killAll(): void {
+    for (const machine of this.#site.machines) this.#killFor(machine, this.#upTo(1500));
+  }
+
+  #cores(): Machine[] {
+    return this.#site.machines.filter((machine) => machine.disk !== undefined);
+  }
+
+  #freezeOne(): void {
+    const machine = this.#any();
+    this.#fault(`freeze ${machine.name}`);
+    this.#site.freeze(machine, 300 + this.#upTo(6000));
+  }
+
+  #cut(text: string, cut: Cut): void {
+    this.#fault(text);
+    this.#site.net.cut(cut);
+    this.#later(500 + this.#upTo(6000), () => {
+      this.#site.note('', `healed: ${text}`);
+      this.#site.net.heal(cut);
+    });
+  }
+
+  #cutOne(): void {
+    const { name } = this.#any();
+    this.#cut(`cut off ${name}`, (from, to) => (from === name) !== (to === name));
+  }
+
+  #cutOneWay(): void {
+    const { name } = this.#any();
+    this.#cut(`${name} cannot send`, (from) => from === name);
+  }
+
+  #cutZone(): void {
+    const zone = this.#pick(this.#site.zones);
+    const inside = new Set(this.#site.machines.filter((machine) => machine.zone === zone).map((machine) => machine.name));
+    this.#cut(`cut off zone ${zone}`, (from, to) => inside.has(from) !== inside.has(to));
+  }
+
+  #cutCores(): void {
+    const cores = new Set(this.#cores().map((machine) => machine.name));
+    if (this.#upTo(2) < 1) {
+      this.#cut('cut the core off', (from, to) => cores.has(from) !== cores.has(to));
+      return;
+    }
+    const { name } = this.#pick(this.#cores());
+    this.#cut(`cut ${name} from the other cores`, (from, to) => cores.has(from) && cores.has(to) && (from === name) !== (to === name));
+  }
+
+  #stallDisk(): void {
+    const machine = this.#pick(this.#cores());
+    if (machine.disk === undefined) return;
+    this.#fault(`disk of ${machine.name} stalls`);
+    machine.disk.stallUntilMs = this.#site.time.nowMs() + this.#upTo(6000);
+    this.#mended.push(() => {
+      if (machine.disk !== undefined) machine.disk.stallUntilMs = 0;
+    });
+  }
+
+  /** A core machine is replaced by an empty one at a new address; the old disk is gone. One at a time. */
+  #replaceCore(): void {
+    const electorsUp = this.#site.whole();
+    if (electorsUp !== undefined) return;
+    const machine = this.#pick(this.#cores());
+    this.#fault(`replace ${machine.name} by an empty one`);
+    this.#site.kill(machine);
+    machine.disk?.wipe();
+    this.#site.time.after(200, () => {
+      machine.address = `${machine.name}:${machine.boots}`;
+      this.#site.boot(machine);
+    });
+  }
+}
--- /dev/null
+++ b/packages/park/src/world.ts
@@ -0,0 +1,196 @@
+import { pack, unpack, type Frame } from '@rainrun/courier';
+import type { RecordKind, Records, Vault } from '@rainrun/ledger';
+import { fault, type Chance, type Fault } from '@rainrun/nacelle';
+import { Result, type Unit } from 'true-myth';
+
+interface Due {
+  readonly atMs: number;
+  readonly order: number;
+  readonly act: () => void;
+}
+
+/**
+ * Virtual time: acts in the order of their times, ties in the order of asking.
+ * @example
+ * const time = new VirtualTime();
+ * time.after(10, () => note('ten'));
+ * time.runUntil(20);
+ */
+export class VirtualTime {
+  #nowMs = 0;
+  #orders = 0;
+  #heap: Due[] = [];
+
+  nowMs(): number {
+    return this.#nowMs;
+  }
+
+  after(waitMs: number, act: () => void): void {
+    this.#orders += 1;
+    const due: Due = { atMs: this.#nowMs + waitMs, order: this.#orders, act };
+    const heap = this.#heap;
+    let place = heap.push(due) - 1;
+    while (place > 0) {
+      const parent = (place - 1) >> 1;
+      const above = heap[parent];
+      if (above === undefined || !before(due, above)) break;
+      heap[place] = above;
+      place = parent;
+    }
+    heap[place] = due;
+  }
+
+  runUntil(endMs: number): void {
+    for (;;) {
+      const next = this.#heap[0];
+      if (next === undefined || next.atMs > endMs) break;
+      this.#pop();
+      this.#nowMs = next.atMs;
+      next.act();
+    }
+    this.#nowMs = endMs;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let place = 0;
+    for (;;) {
+      let child = place * 2 + 1;
+      const right = heap[child + 1];
+      const left = heap[child];
+      if (left === undefined) break;
+      if (right !== undefined && before(right, left)) child += 1;
+      const least = heap[child];
+      if (least === undefined || !before(least, last)) break;
+      heap[place] = least;
+      place = child;
+    }
+    heap[place] = last;
+  }
+}
+
+function before(one: Due, other: Due): boolean {
+  return one.atMs !== other.atMs ? one.atMs < other.atMs : one.order < other.order;
+}
+
+/** Whether a frame from one node name to another gets through now. */
+export type Cut = (from: string, to: string) => boolean;
+
+/**
+ * The network between addresses: late, lossy, doubled, cut.
+ * @example
+ * const net = new Net(time, dice, { lossRatio: 0.01, leastMs: 0.2, mostMs: 3 });
+ */
+export class Net {
+  #time: VirtualTime;
+  #chance: Chance;
+  #lossRatio: number;
+  #ports = new Map<string, { name: string; take: (frame: Frame) => void }>();
+  #cuts = new Set<Cut>();
+  frames = 0;
+  bytes = 0;
+
+  constructor(time: VirtualTime, chance: Chance, lossRatio: number) {
+    this.#time = time;
+    this.#chance = chance;
+    this.#lossRatio = lossRatio;
+  }
+
+  open(address: string, name: string, take: (frame: Frame) => void): void {
+    this.#ports.set(address, { name, take });
+  }
+
+  close(address: string): void {
+    this.#ports.delete(address);
+  }
+
+  cut(cut: Cut): void {
+    this.#cuts.add(cut);
+  }
+
+  heal(cut: Cut): void {
+    this.#cuts.delete(cut);
+  }
+
+  post(from: string, address: string, frame: Frame): void {
+    const bytes = pack(frame);
+    this.frames += 1;
+    this.bytes += bytes.length;
+    const copies = this.#chance.next() < this.#lossRatio ? 0 : this.#chance.next() < this.#lossRatio ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const slow = this.#chance.next() < 0.01 ? 60 : 0;
+      this.#time.after(0.2 + this.#chance.next() * 3 + slow, () => this.#arrive(from, address, bytes, frame.deployment));
+    }
+  }
+
+  #arrive(from: string, address: string, bytes: Uint8Array, deployment: string): void {
+    const port = this.#ports.get(address);
+    if (port === undefined) return;
+    for (const cut of this.#cuts) if (cut(from, port.name)) return;
+    const frame = unpack(bytes, deployment);
+    if (frame.isOk) port.take(frame.value);
+  }
+}
+
+/**
+ * A disk that outlives its process: writes take time, may stall, and those
+ * not yet synced at a loss of power are gone.
+ * @example
+ * const disk = new SimDisk(time, dice);
+ * disk.store('promise', bytes, (result) => reply(result));
+ */
+export class SimDisk implements Vault {
+  #time: VirtualTime;
+  #chance: Chance;
+  #records: Records = {};
+  #generation = 0;
+  #freeMs = 0;
+  stallUntilMs = 0;
+  writes = 0;
+
+  constructor(time: VirtualTime, chance: Chance) {
+    this.#time = time;
+    this.#chance = chance;
+  }
+
+  get records(): Records {
+    return { ...this.#records };
+  }
+
+  /** The process is gone: what was not synced may or may not be there, what was is. */
+  losePower(): void {
+    this.#generation += 1;
+  }
+
+  wipe(): void {
+    this.losePower();
+    this.#records = {};
+  }
+
+  store(kind: RecordKind, bytes: Uint8Array, done: (result: Result<Unit, Fault>) => void): void {
+    const generation = this.#generation;
+    const nowMs = this.#time.nowMs();
+    this.writes += 1;
+    this.#freeMs = Math.max(this.#freeMs, nowMs, this.stallUntilMs) + 1 + this.#chance.next() * 6;
+    this.#time.after(this.#freeMs - nowMs, () => {
+      if (generation !== this.#generation) return;
+      this.#records[kind] = bytes;
+      this.#time.after(0.1, () => {
+        if (generation === this.#generation) done(Result.ok());
+      });
+    });
+  }
+}
+
+/**
+ * A disk that refuses every write, as a full one does.
+ * @example
+ * new FullDisk().store('promise', bytes, (result) => result.isErr); // true
+ */
+export class FullDisk implements Vault {
+  store(_kind: RecordKind, _bytes: Uint8Array, done: (result: Result<Unit, Fault>) => void): void {
+    done(Result.err(fault('disk', 'no space left')));
+  }
+}
--- /dev/null
+++ b/packages/yaw/src/index.ts
@@ -0,0 +1,3 @@
+export * from './loop.js';
+export * from './orderer.js';
+export * from './placer.js';
--- /dev/null
+++ b/packages/yaw/src/loop.ts
@@ -0,0 +1,48 @@
+/** Settings of one feedback loop. */
+export interface LoopSettings {
+  readonly gain: number;
+  readonly integralPerS: number;
+  readonly least: number;
+  readonly most: number;
+  /** The output moves by no more than this factor in a second. */
+  readonly stepPerS: number;
+  /** Errors smaller than this are left alone. */
+  readonly deadBand: number;
+}
+
+/**
+ * A proportional-integral loop held near a set point. Its output is bounded,
+ * moves in bounded steps, and the integral stands still while the output is
+ * at a bound, so that it does not wind up.
+ * @example
+ * const loop = new Loop({ gain: 1, integralPerS: 0.2, least: 0.25, most: 4, stepPerS: 0.5, deadBand: 0.05 });
+ * loop.move(1.5, 1); // an output above 1: measured is 1.5 times the set point
+ */
+export class Loop {
+  #settings: LoopSettings;
+  #integral = 0;
+  #output = 1;
+
+  constructor(settings: LoopSettings) {
+    this.#settings = settings;
+  }
+
+  get output(): number {
+    return this.#output;
+  }
+
+  /** Moves by the ratio of the measured value to the set point over `elapsedS`. */
+  move(ratio: number, elapsedS: number): number {
+    const { gain, integralPerS, least, most, stepPerS, deadBand } = this.#settings;
+    const raw = Math.log(Math.max(ratio, 0.01));
+    const error = Math.abs(raw) < deadBand ? 0 : Math.max(-1, Math.min(1, raw));
+    const wanted = Math.exp(gain * error + this.#integral);
+    const bounded = Math.max(least, Math.min(most, wanted));
+    const stuck = (wanted > most && error > 0) || (wanted < least && error < 0);
+    if (!stuck) this.#integral += integralPerS * error * elapsedS;
+    if (error === 0) this.#integral *= Math.max(0, 1 - 0.05 * elapsedS);
+    const step = 1 + stepPerS * elapsedS;
+    this.#output = Math.max(this.#output / step, Math.min(this.#output * step, bounded));
+    return this.#output;
+  }
+}
--- /dev/null
+++ b/packages/yaw/src/orderer.ts
@@ -0,0 +1,206 @@
+import type { HoldingTarget, Spec } from '@rainrun/marquee';
+import type { Fault } from '@rainrun/nacelle';
+import type { Result } from 'true-myth';
+
+/** One order to a worker. The epoch fences it: a worker has seen the highest. */
+export interface Order {
+  readonly worker: string;
+  readonly epoch: number;
+  readonly sequence: number;
+  readonly action: 'inventory' | 'load' | 'unload';
+  readonly model: string;
+  readonly adapter: string;
+}
+
+/** What a worker says in reply. */
+export interface OrderReply {
+  readonly holdings: readonly HoldingTarget[];
+  /** True while an earlier load still goes on. */
+  readonly busy: boolean;
+}
+
+/** What the orderer knows of a worker from its replies. */
+export interface KnownWorker {
+  readonly holdings: readonly HoldingTarget[];
+  readonly reachable: boolean;
+  readonly loadNumber: number;
+}
+
+/** What the orderer needs from its node. */
+export interface OrderDesk {
+  /** The epoch this node may act in; asked just before each order. */
+  dutyEpoch(): number | undefined;
+  order(order: Order, done: (reply: Result<OrderReply, Fault>) => void): void;
+  learned(worker: string, known: KnownWorker): void;
+}
+
+interface Bay {
+  known: KnownWorker | undefined;
+  epoch: number;
+  flying: boolean;
+  notBeforeMs: number;
+  faults: number;
+  askedMs: number;
+}
+
+const CHECK_MS = 5000;
+
+/** How many pulls the store allows: a bucket that starts empty, so that a new holder of the duty waits. */
+class PullBucket {
+  #pulls = 0;
+  #filledMs: number;
+  #flying = 0;
+
+  constructor(nowMs: number) {
+    this.#filledMs = nowMs;
+  }
+
+  take(spec: Spec, nowMs: number): boolean {
+    const perMs = spec.store.pullsPerMinute / 60_000;
+    const most = Math.max(1, Math.floor(spec.store.pullsPerMinute / 60));
+    this.#pulls = Math.min(most, this.#pulls + (nowMs - this.#filledMs) * perMs);
+    this.#filledMs = nowMs;
+    if (this.#pulls < 1 || this.#flying >= spec.store.concurrentPulls) return false;
+    this.#pulls -= 1;
+    this.#flying += 1;
+    return true;
+  }
+
+  ended(): void {
+    this.#flying = Math.max(0, this.#flying - 1);
+  }
+}
+
+/**
+ * Brings workers to their agreed targets, one order at a time to each. It
+ * asks a worker what it holds before the first order of an epoch, unloads
+ * before it loads, and never lets a worker hold more than its room.
+ * @example
+ * const orderer = new Orderer(desk);
+ * orderer.beat(spec, placement, rooms, nowMs);
+ */
+export class Orderer {
+  #desk: OrderDesk;
+  #bays = new Map<string, Bay>();
+  #bucket: PullBucket | undefined;
+  #epoch = 0;
+  #sequence = 0;
+
+  constructor(desk: OrderDesk) {
+    this.#desk = desk;
+  }
+
+  known(worker: string): KnownWorker | undefined {
+    return this.#bays.get(worker)?.known;
+  }
+
+  beat(
+    spec: Spec,
+    placement: Readonly<Record<string, readonly HoldingTarget[]>>,
+    workers: readonly { name: string; roomMb: number }[],
+    nowMs: number,
+  ): void {
+    const epoch = this.#desk.dutyEpoch();
+    if (epoch === undefined) return;
+    if (epoch !== this.#epoch) {
+      this.#epoch = epoch;
+      this.#bucket = new PullBucket(nowMs);
+    }
+    for (const { name, roomMb } of workers) {
+      const bay = this.#bay(name);
+      if (bay.flying || nowMs < bay.notBeforeMs) continue;
+      const next = this.#next(bay, spec, placement[name] ?? [], roomMb, nowMs);
+      if (next === undefined) continue;
+      if (next.action === 'load' && this.#bucket?.take(spec, nowMs) !== true) continue;
+      this.#send(name, bay, epoch, next, nowMs);
+    }
+  }
+
+  #bay(name: string): Bay {
+    let bay = this.#bays.get(name);
+    if (bay === undefined) {
+      bay = { known: undefined, epoch: 0, flying: false, notBeforeMs: -Infinity, faults: 0, askedMs: -Infinity };
+      this.#bays.set(name, bay);
+    }
+    return bay;
+  }
+
+  #next(bay: Bay, spec: Spec, target: readonly HoldingTarget[], roomMb: number, nowMs: number): Step | undefined {
+    const known = bay.known;
+    if (known === undefined || !known.reachable || bay.epoch !== this.#epoch) return INVENTORY;
+    const surplus = firstMissing(target, known.holdings);
+    if (surplus !== undefined) return { action: 'unload', ...surplus };
+    const wanted = firstMissing(known.holdings, target);
+    if (wanted === undefined) return nowMs - bay.askedMs > CHECK_MS ? INVENTORY : undefined;
+    const size = sizeMb(spec, known.holdings) + partMb(spec, wanted);
+    return size <= roomMb ? { action: 'load', ...wanted } : undefined;
+  }
+
+  #send(name: string, bay: Bay, epoch: number, step: Step, nowMs: number): void {
+    this.#sequence += 1;
+    bay.flying = true;
+    bay.askedMs = nowMs;
+    const order: Order = { worker: name, epoch, sequence: this.#sequence, ...step };
+    const bucket = this.#bucket;
+    this.#desk.order(order, (reply) => {
+      bay.flying = false;
+      if (step.action === 'load') bucket?.ended();
+      this.#heard(name, bay, step, epoch, reply, nowMs);
+    });
+  }
+
+  #heard(name: string, bay: Bay, step: Step, epoch: number, reply: Result<OrderReply, Fault>, nowMs: number): void {
+    const loadNumber = (bay.known?.loadNumber ?? 0) + (step.action === 'load' ? 1 : 0);
+    if (reply.isErr) {
+      bay.faults += 1;
+      bay.notBeforeMs = nowMs + Math.min(4000, 500 * 2 ** bay.faults);
+      bay.epoch = 0;
+      const reachable = bay.faults < 2 && (bay.known?.reachable ?? false);
+      bay.known = { holdings: bay.known?.holdings ?? [], reachable, loadNumber };
+    } else {
+      bay.faults = 0;
+      bay.epoch = reply.value.busy ? 0 : epoch;
+      if (reply.value.busy) bay.notBeforeMs = nowMs + 1000;
+      bay.known = { holdings: reply.value.holdings, reachable: true, loadNumber };
+    }
+    this.#desk.learned(name, bay.known);
+  }
+}
+
+interface Step {
+  readonly action: Order['action'];
+  readonly model: string;
+  readonly adapter: string;
+}
+
+const INVENTORY: Step = { action: 'inventory', model: '', adapter: '' };
+
+/** The first part of `wanted` that `held` lacks. */
+function firstMissing(held: readonly HoldingTarget[], wanted: readonly HoldingTarget[]): { model: string; adapter: string } | undefined {
+  for (const { model, adapters } of wanted) {
+    const there = held.find((holding) => holding.model === model);
+    if (there === undefined) return { model, adapter: '' };
+    const adapter = adapters.find((name) => !there.adapters.includes(name));
+    if (adapter !== undefined) return { model, adapter };
+  }
+  return undefined;
+}
+
+function partMb(spec: Spec, part: { model: string; adapter: string }): number {
+  const known = part.adapter === '' ? spec.models.find((model) => model.name === part.model) : spec.adapters.find((adapter) => adapter.name === part.adapter);
+  return known?.sizeMb ?? Infinity;
+}
+
+/**
+ * What holdings take up by the spec's sizes; what the spec does not know counts as endless.
+ * @example
+ * sizeMb(spec, [{ model: 'gearbox-7b', adapters: [] }]); // 14000
+ */
+export function sizeMb(spec: Spec, holdings: readonly HoldingTarget[]): number {
+  let sumMb = 0;
+  for (const { model, adapters } of holdings) {
+    sumMb += partMb(spec, { model, adapter: '' });
+    for (const adapter of adapters) sumMb += partMb(spec, { model, adapter });
+  }
+  return sumMb;
+}
