Let the next elector in the view lead while a restarted one waits to join

Cause: an elector back under a new life counted as a live elector of lower rank for those in the view, while it waited for them itself. Ruled out: lost welcome messages (no elector had claimed).

--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -789,23 +789,25 @@
     this.#pressClaim(this.#claiming, nowMs);
   }
 
-  /** Whether no elector of lower rank can be reached: those in the view come first, in its order. */
+  /**
+   * Whether no elector of lower rank can be reached. Lives in the view come
+   * first, in its order; an elector that is back under a new life comes after them.
+   */
   #isNext(disk: string, nowMs: number): boolean {
     const electors = this.#electors().map((elector) => elector.disk);
     if (!electors.includes(disk)) return false;
-    const seated = [...this.#contacts.values()].some(
-      (contact) => contact.inView && this.#fresh(contact, nowMs) && electors.includes(contact.seat.disk),
-    );
-    if (!this.#inView && seated) return false;
-    const view = this.#inView ? this.#held?.view : this.#gear.acceptor?.accepted?.state?.view;
-    const ranked = (view?.members ?? []).map((member) => member.disk).filter((known) => electors.includes(known));
-    const order = this.#inView ? [...new Set([...ranked, ...electors])] : electors;
-    for (const before of order) {
-      if (before === disk) return true;
-      const seat = this.#electorSeat(before);
-      if (seat !== undefined && this.#anemometer.live(seat.life, nowMs) && !this.#unable.has(seat.life)) return false;
+    if (this.#inView) {
+      const before = this.#held?.view.members.find(
+        (member) =>
+          member.life === this.#seat.life ||
+          (electors.includes(member.disk) && this.#anemometer.live(member.life, nowMs) && !this.#unable.has(member.life)),
+      );
+      return before?.life === this.#seat.life;
     }
-    return false;
+    const fresh = [...this.#contacts.values()].filter((contact) => this.#fresh(contact, nowMs));
+    if (fresh.some((contact) => contact.inView && electors.includes(contact.seat.disk))) return false;
+    const first = electors.find((known) => known === disk || fresh.some((contact) => contact.seat.disk === known));
+    return first === disk;
   }
 
   #pressClaim(claiming: Claiming, nowMs: number): void {
