An empty elector is not waited for; trials ask again until a coordinator is known

Cause: after a whole restart the electors waited for a newly seated elector whose disk was still empty and which therefore never claimed.

--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -806,7 +806,9 @@
     }
     const fresh = [...this.#contacts.values()].filter((contact) => this.#fresh(contact, nowMs));
     if (fresh.some((contact) => contact.inView && electors.includes(contact.seat.disk))) return false;
-    const first = electors.find((known) => known === disk || fresh.some((contact) => contact.seat.disk === known));
+    const first = electors.find(
+      (known) => known === disk || fresh.some((contact) => contact.number > 0 && contact.seat.disk === known),
+    );
     return first === disk;
   }
 
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -26,7 +26,7 @@
   frozen: boolean;
   stopped: boolean;
   frames: Frame[];
-  view: number;
+  leading: boolean;
 }
 
 /** A machine of the simulated site, with or without a process on it. */
@@ -131,7 +131,7 @@
       frozen: false,
       stopped: false,
       frames: [],
-      view: 0,
+      leading: false,
     };
     machine.running = running;
     this.note(machine.name, 'boots');
@@ -240,6 +240,9 @@
     this.time.after(BEAT_MS * (0.9 + this.#dice.next() * 0.2), () => this.#beat(machine, running));
     if (running.frozen) return;
     running.hub.beat();
+    const { leading, epoch } = running.hub.group;
+    if (leading !== running.leading) this.note(machine.name, leading ? `leads epoch ${epoch}` : 'resigns');
+    running.leading = leading;
     this.#probe(machine, running);
     if (this.#dice.next() < 0.01) running.hub.learnList(this.#list);
     if (this.#dice.next() < 0.1) this.#observe(running);
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -101,8 +101,11 @@
     const broken = this.#site.whole();
     if (broken !== undefined) oracle.breach('back within 12 s', broken, time.nowMs());
     const before = oracle.agreedCount;
-    this.#site.submit(this.#any(), 'zone.empty', { zone: 'north' });
-    time.runUntil(time.nowMs() + 3000);
+    const deadlineMs = time.nowMs() + 3000;
+    while (this.#site.submit(this.#any(), 'zone.empty', { zone: 'north' }) === '' && time.nowMs() < deadlineMs) {
+      time.runUntil(time.nowMs() + 100);
+    }
+    time.runUntil(deadlineMs);
     if (oracle.agreedCount === before) oracle.breach('agreement after recovery', 'no answer within 3 s', time.nowMs());
     return recoveredMs;
   }
