--- /dev/null
+++ b/packages/gate/src/assign.ts
@@ -0,0 +1,135 @@
+import type { RosterView } from './gate.js';
+
+const PREFIXES_KEPT = 4096;
+const WARM_STEP_MS = 500;
+const SHUN_BASE_MS = 500;
+const SHUN_MOST_MS = 8000;
+
+/** What the assigner keeps for each worker. */
+interface Desk {
+  inFlight: number;
+  faults: number;
+  shunnedUntilMs: number;
+}
+
+/** What is asked of a worker. */
+export interface Need {
+  readonly pool: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly prefix: number;
+}
+
+/** Where a request goes, or why nowhere now. */
+export type Assignment = { readonly worker: RosterView; readonly why: string } | { readonly worker: undefined; readonly why: string };
+
+function score(name: string, self: string): number {
+  let hash = 2166136261;
+  for (const text of [name, '|', self]) {
+    for (let place = 0; place < text.length; place += 1) hash = Math.imul(hash ^ text.charCodeAt(place), 16777619);
+  }
+  return hash >>> 0;
+}
+
+/**
+ * Chooses the worker for a request: it must hold model and adapter and have a
+ * slot free; then the prefix kept, the own zone and the load decide. While a
+ * copy is warming, the whole fleet sends it only a few at a time.
+ * @example
+ * const assigner = new Assigner('edge-1', 'north');
+ * assigner.assign(need, workers, edges, nowMs);
+ */
+export class Assigner {
+  #self: string;
+  #zone: string;
+  #desks = new Map<string, Desk>();
+  #prefixes = new Map<number, string>();
+
+  constructor(self: string, zone: string) {
+    this.#self = self;
+    this.#zone = zone;
+  }
+
+  inFlight(worker: string): number {
+    return this.#desk(worker).inFlight;
+  }
+
+  assign(need: Need, workers: readonly RosterView[], edges: readonly string[], nowMs: number): Assignment {
+    let best: RosterView | undefined;
+    let bestScore = -Infinity;
+    let why = 'no worker holds it';
+    for (const worker of workers) {
+      if (!this.#serves(worker, need)) continue;
+      const desk = this.#desk(worker.name);
+      if (nowMs < desk.shunnedUntilMs) {
+        why = 'its workers failed lately';
+        continue;
+      }
+      const most = this.#limit(worker, need, edges, nowMs);
+      if (desk.inFlight >= most) {
+        why = 'no slot is free';
+        continue;
+      }
+      const load = (desk.inFlight + worker.othersInFlight) / worker.slots;
+      const kept = this.#prefixes.get(need.prefix) === worker.name ? 0.5 : 0;
+      const near = worker.zone === this.#zone ? 0.25 : 0;
+      const points = kept + near - load + score(worker.name, this.#self) / 2 ** 36;
+      if (points > bestScore) {
+        best = worker;
+        bestScore = points;
+      }
+    }
+    if (best === undefined) return { worker: undefined, why };
+    return { worker: best, why: `${best.name} in ${best.zone}, score ${bestScore.toFixed(2)}` };
+  }
+
+  begun(worker: string, prefix: number): void {
+    this.#desk(worker).inFlight += 1;
+    this.#prefixes.delete(prefix);
+    this.#prefixes.set(prefix, worker);
+    const oldest = this.#prefixes.keys().next();
+    if (this.#prefixes.size > PREFIXES_KEPT && oldest.done !== true) this.#prefixes.delete(oldest.value);
+  }
+
+  ended(worker: string, well: boolean, nowMs: number): void {
+    const desk = this.#desk(worker);
+    desk.inFlight = Math.max(0, desk.inFlight - 1);
+    if (well) desk.faults = 0;
+    else {
+      desk.faults += 1;
+      const waitMs = Math.min(SHUN_MOST_MS, SHUN_BASE_MS * 2 ** (desk.faults - 1));
+      if (desk.faults >= 2) desk.shunnedUntilMs = nowMs + waitMs;
+    }
+  }
+
+  /** Whether a worker may get this at all, load aside. */
+  #serves(worker: RosterView, need: Need): boolean {
+    if (worker.leaving || worker.emptied || !worker.reachable || worker.pool !== need.pool) return false;
+    if (need.model === '') return true;
+    const holding = worker.holdings.find((held) => held.model === need.model);
+    return holding !== undefined && (need.adapter === '' || holding.adapters.includes(need.adapter));
+  }
+
+  /** How many this edge may have in flight there: its part of the slots, of few while a copy warms. */
+  #limit(worker: RosterView, need: Need, edges: readonly string[], nowMs: number): number {
+    const free = worker.slots - worker.othersInFlight;
+    const part = Math.ceil(worker.slots / Math.max(1, edges.length));
+    const usual = Math.max(part, Math.floor(free / 2));
+    if (need.model === '') return usual;
+    const key = need.adapter === '' ? need.model : `${need.model}/${need.adapter}`;
+    const warmMs = nowMs - (worker.sinceMs.get(key) ?? nowMs);
+    const allowed = 2 ** Math.floor(warmMs / WARM_STEP_MS);
+    if (allowed >= worker.slots) return usual;
+    const rank = edges.filter((edge) => score(worker.name, edge) > score(worker.name, this.#self)).length;
+    return Math.min(usual, Math.floor((allowed + edges.length - 1 - rank) / Math.max(1, edges.length)));
+  }
+
+  #desk(worker: string): Desk {
+    let desk = this.#desks.get(worker);
+    if (desk === undefined) {
+      desk = { inFlight: 0, faults: 0, shunnedUntilMs: -Infinity };
+      this.#desks.set(worker, desk);
+    }
+    return desk;
+  }
+}
--- /dev/null
+++ b/packages/gate/src/visit.ts
@@ -0,0 +1,45 @@
+import type { Fault } from '@rainrun/nacelle';
+
+/** The visitor's end of a request. Each answer is given once. */
+export interface VisitorPort {
+  /** A whole answer. */
+  answer(status: number, contentType: string, body: Uint8Array): void;
+  /** A refusal or failure from the table of kinds. */
+  refuse(fault: Fault): void;
+  /** Opens a streamed answer. */
+  open(contentType: string): void;
+  /** One more piece; false asks to pause until `resume`. */
+  piece(bytes: Uint8Array, resume: () => void): boolean;
+  /** Ends a stream that is whole. */
+  close(): void;
+  /** Ends a stream so that the visitor sees that it was cut. */
+  cut(): void;
+}
+
+/** What a visitor asks for, in dense indices. */
+export interface Visit {
+  readonly id: string;
+  readonly port: VisitorPort;
+  readonly group: number;
+  readonly kind: number;
+  readonly model: number;
+  readonly adapter: number;
+  readonly prefix: number;
+  readonly repeatable: boolean;
+  readonly streamed: boolean;
+  readonly path: string;
+  readonly method: 'GET' | 'POST';
+  readonly body: Uint8Array | undefined;
+  readonly pool: string;
+  readonly arrivedMs: number;
+  readonly targetMs: number;
+  readonly patienceMs: number;
+  readonly deadlineMs: number;
+  /** Set once the visitor has gone. */
+  left: boolean;
+  sends: number;
+  cancel: (() => void) | undefined;
+  firstPieceMs: number | undefined;
+  /** Where the request went and why, for `explain`. */
+  readonly trail: string[];
+}
