--- /dev/null
+++ b/packages/mast/src/node.ts
@@ -0,0 +1,405 @@
+import { createRequire } from 'node:module';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { create } from '@bufbuild/protobuf';
+import { ObservationSchema, type Entry } from '@rainrun/courier';
+import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
+import { Gate, UndiciSender, type EndRecord } from '@rainrun/gate';
+import { Hub } from '@rainrun/hub';
+import { Ledger } from '@rainrun/ledger';
+import type { Stage } from '@rainrun/marquee';
+import { fault, word, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
+import { Loop } from '@rainrun/yaw';
+import { ServiceBroker, type Context, type ServiceSchema } from 'moleculer';
+import { pino, type Logger } from 'pino';
+import { Result, type Unit } from 'true-myth';
+import { Operators, type OperatorReply } from './operators.js';
+import { readList, sendOrder } from './platform.js';
+import type { Settings } from './settings.js';
+import { sendFault, visit, type VisitorRequest } from './visitors.js';
+import { Wire } from './wire.js';
+
+const ApiGateway = createRequire(import.meta.url)('moleculer-web') as ServiceSchema;
+
+const GROUP_BEAT_MS = 50;
+const GATE_BEAT_MS = 20;
+const OBSERVE_MS = 500;
+const LIST_MS = 500;
+const COUNTERS_MS = 10_000;
+const SPEC_BODY = '3mb';
+const HEADERS_MS = 10_000;
+const EXPLAINED = 2000;
+
+const CLOCK: Clock = { nowMs: () => performance.now() };
+const CHANCE: Chance = { next: () => Math.random() };
+
+const LOOP_SETTINGS = { gain: 0.5, integralPerS: 0.1, least: 0.25, most: 4, stepPerS: 0.2, deadBand: 0.1 };
+
+/** What kind of node a program runs. */
+export type Role = 'edge' | 'core';
+
+/**
+ * A node as a process: the deterministic parts put together with sockets,
+ * disk, clock and services.
+ * @example
+ * const started = await Node.start(settings, 'edge');
+ * if (started.isOk) await started.value.stop();
+ */
+export class Node {
+  #settings: Settings;
+  #role: Role;
+  #log: Logger;
+  #wire: Wire;
+  #hub: Hub;
+  #gate: Gate | undefined;
+  #sender = new UndiciSender();
+  #operators: Operators;
+  #broker = new ServiceBroker({ logger: false, transporter: null, skipProcessEventRegistration: true });
+  #timers: NodeJS.Timeout[] = [];
+  #loops = new Map<string, Loop>();
+  #ends = new Map<string, EndRecord>();
+  #listing = false;
+  #listFaults = 0;
+
+  private constructor(settings: Settings, role: Role, acceptor: Acceptor | undefined, log: Logger) {
+    this.#settings = settings;
+    this.#role = role;
+    this.#log = log;
+    this.#wire = new Wire(settings.deployment, (frame) => this.#hub.receive(frame));
+    this.#hub = this.#makeHub(acceptor);
+    if (role === 'edge') this.#gate = this.#makeGate();
+    this.#operators = new Operators({
+      hub: this.#hub,
+      chance: CHANCE,
+      gate: this.#gate,
+      counters: () => this.#counters(),
+      explain: (id) => this.#ends.get(id),
+    });
+  }
+
+  /** Starts a node; a fault means that nothing was left open. */
+  static async start(settings: Settings, role: Role, broken: (why: Fault) => void): Promise<Result<Node, Fault>> {
+    const log = pino({ level: settings.logLevel, base: { node: settings.name } });
+    const acceptor = role === 'core' ? await openDisk(settings, broken) : Result.ok<undefined, Fault>(undefined);
+    if (acceptor.isErr) return Result.err(acceptor.error);
+    const node = new Node(settings, role, acceptor.value, log);
+    const open = await node.#open();
+    return open.map(() => node);
+  }
+
+  /** Stops without losing answers in flight: lets no one in, waits, says goodbye. */
+  async stop(): Promise<void> {
+    this.#log.info('stopping');
+    this.#gate?.drain();
+    const endMs = CLOCK.nowMs() + this.#settings.drainMs;
+    while ((this.#gate?.inFlight ?? 0) > 0 && CLOCK.nowMs() < endMs) await pause(50);
+    this.#hub.group.leave();
+    await pause(200);
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#log.info({ counters: this.#counters() }, 'stopped');
+    const server = this.#server();
+    server?.closeIdleConnections();
+    setTimeout(() => server?.closeAllConnections(), 500).unref();
+    await this.#broker.stop();
+    await this.#sender.close();
+    this.#wire.close();
+  }
+
+  #makeHub(acceptor: Acceptor | undefined): Hub {
+    const { name, zone, deployment, seeds, founders, bind } = this.#settings;
+    return new Hub({
+      name,
+      zone,
+      deployment,
+      seeds,
+      founders: this.#role === 'core' ? founders : [],
+      address: bind,
+      clock: CLOCK,
+      chance: CHANCE,
+      times: GROUP_TIMES,
+      acceptor,
+      post: (address, frame) => this.#wire.post(address, frame),
+      order: (address, order, done) => {
+        void sendOrder(address, order).then(done);
+      },
+      changed: (held, entry) => this.#changed(held, entry),
+      heard: () => undefined,
+      reborn: (life) => this.#log.warn({ life }, 'dropped from the view, joining as new'),
+    });
+  }
+
+  #makeGate(): Gate {
+    const gate = new Gate({
+      name: this.#settings.name,
+      zone: this.#settings.zone,
+      clock: CLOCK,
+      sender: this.#sender,
+      spec: () => this.#hub.stage.spec?.spec,
+      workers: () => this.#hub.workers(),
+      edges: () => this.#edges(),
+      granted: () => this.#hub.group.granted(),
+      weight: (group) => this.#weight(group),
+    });
+    gate.on('ended', (record) => this.#remember(record));
+    return gate;
+  }
+
+  #edges(): string[] {
+    return (this.#hub.group.view?.members ?? []).filter((member) => member.disk === '').map((member) => member.name);
+  }
+
+  #weight(group: string): number {
+    const share = this.#hub.stage.spec?.spec.groups.find((known) => known.name === group)?.share ?? 1;
+    return share * (this.#loops.get(group)?.output ?? 1);
+  }
+
+  #remember(record: EndRecord): void {
+    this.#ends.set(record.id, record);
+    const oldest = this.#ends.keys().next();
+    if (this.#ends.size > EXPLAINED && oldest.done !== true) this.#ends.delete(oldest.value);
+  }
+
+  #changed(held: Held<Stage>, entry: Entry | undefined): void {
+    if (entry === undefined || entry.view !== undefined) {
+      const { epoch, number, members } = held.view;
+      this.#log.info({ epoch, view: number, members: members.map((member) => member.name), version: held.number }, 'view');
+    }
+    this.#gate?.beat();
+  }
+
+  async #open(): Promise<Result<Unit, Fault>> {
+    const listening = await this.#wire.listen(this.#settings.bind);
+    if (listening.isErr) return listening;
+    for (const schema of this.#services()) this.#broker.createService(schema);
+    try {
+      await this.#broker.start();
+    } catch (thrown) {
+      this.#wire.close();
+      return Result.err(fault('bad-setting', `http ${this.#settings.http}: ${String(thrown)}`));
+    }
+    this.#timers.push(
+      setInterval(() => this.#hub.beat(), GROUP_BEAT_MS),
+      setInterval(() => void this.#list(), LIST_MS),
+      setInterval(() => this.#log.info({ counters: this.#counters() }, 'counters'), COUNTERS_MS),
+    );
+    if (this.#gate !== undefined) {
+      this.#timers.push(
+        setInterval(() => this.#gate?.beat(), GATE_BEAT_MS),
+        setInterval(() => this.#observe(), OBSERVE_MS),
+      );
+    }
+    this.#log.info({ role: this.#role, bind: this.#settings.bind, http: this.#settings.http }, 'started');
+    return Result.ok();
+  }
+
+  async #list(): Promise<void> {
+    if (this.#listing || this.#settings.platform === '') return;
+    this.#listing = true;
+    const list = await readList(this.#settings.platform);
+    this.#listing = false;
+    if (list.isOk) {
+      if (this.#listFaults > 0) this.#log.info('the platform can be read again');
+      this.#listFaults = 0;
+      this.#hub.learnList(list.value);
+      this.#sender.keepOnly(new Set(list.value.workers.map((worker) => worker.address)));
+    } else {
+      if (this.#listFaults === 0) this.#log.warn({ detail: list.error.detail }, 'the platform cannot be read');
+      this.#listFaults += 1;
+    }
+  }
+
+  #observe(): void {
+    const gate = this.#gate;
+    if (gate === undefined) return;
+    const { measures, demands, faults } = gate.takeMeasures();
+    const known = new Map(measures.map((measure) => [measure.group, measure]));
+    for (const { name } of this.#hub.stage.spec?.spec.groups ?? []) {
+      const now = gate.groupNow(name);
+      if (known.has(name) || now.inFlight + now.backlog === 0) continue;
+      measures.push({ group: name, kind: '', served: 0, refused: 0, prompt: 0, waitSumMs: 0 });
+    }
+    const observation = create(ObservationSchema, {
+      demands: demands.map((demand) => ({ $typeName: 'rainrun.v1.Demand' as const, ...demand })),
+      loads: this.#hub.workers().map((worker) => ({
+        $typeName: 'rainrun.v1.WorkerLoad' as const,
+        worker: worker.name,
+        inFlight: gate.workerInFlight(worker.name),
+        faults: faults.get(worker.name) ?? 0,
+      })),
+      groups: measures.map(({ group, kind, served, refused, prompt, waitSumMs }) => ({
+        $typeName: 'rainrun.v1.GroupMeasure' as const,
+        group,
+        kind,
+        served,
+        refused,
+        prompt,
+        waitMs: served === 0 ? 0 : Math.round(waitSumMs / served),
+        ...gate.groupNow(group),
+      })),
+    });
+    this.#hub.observe(observation);
+    this.#moveLoops();
+  }
+
+  #moveLoops(): void {
+    const pictures = this.#hub.groups;
+    for (const { name, kinds } of this.#hub.stage.spec?.spec.groups ?? []) {
+      const measured = pictures.filter((picture) => picture.group === name && picture.served > 0);
+      if (measured.length === 0) continue;
+      const ratios = measured.map((picture) => picture.waitMs / (kinds.find((kind) => kind.name === picture.kind)?.targetMs ?? Infinity));
+      const loop = this.#loops.get(name) ?? new Loop(LOOP_SETTINGS);
+      this.#loops.set(name, loop);
+      loop.move(Math.max(...ratios), OBSERVE_MS / 1000);
+    }
+  }
+
+  #counters(): Record<string, number> {
+    const { group } = this.#hub;
+    return {
+      ...this.#gate?.counts,
+      ...this.#wire.counts,
+      inFlight: this.#gate?.inFlight ?? 0,
+      backlog: this.#gate?.backlogCount ?? 0,
+      version: group.held?.number ?? 0,
+      viewNumber: group.view?.number ?? 0,
+      members: group.view?.members.length ?? 0,
+      admitting: group.granted() ? 1 : 0,
+      leading: group.leading ? 1 : 0,
+      contextBytes: group.contextBytes,
+    };
+  }
+
+  #server(): Server | undefined {
+    return (this.#broker.getLocalService('api') as { server?: Server } | undefined)?.server;
+  }
+
+  #services(): ServiceSchema[] {
+    const operators = this.#operators;
+    function text(value: unknown): string {
+      return typeof value === 'string' ? value : value === undefined ? '' : JSON.stringify(value);
+    }
+    function base(params: Record<string, unknown>): Record<string, number> {
+      return params['base'] === undefined ? {} : { base: Number(params['base']) };
+    }
+    function action(run: (params: Record<string, unknown>) => OperatorReply | Promise<OperatorReply>) {
+      return async (ctx: Context<Record<string, unknown>, { $statusCode?: number }>): Promise<unknown> => {
+        const reply = await run(ctx.params);
+        ctx.meta.$statusCode = reply.status;
+        return reply.body;
+      };
+    }
+    const operator: ServiceSchema = {
+      name: 'operator',
+      actions: {
+        view: action(() => operators.view()),
+        spec: action(() => operators.spec()),
+        history: action(() => operators.history()),
+        check: action((params) => operators.check(text(params['text']))),
+        put: action((params) => operators.submit('spec.put', { ...base(params), text: text(params['text']) }, text(params['id']))),
+        change: action((params) => operators.submit('spec.change', { ...base(params), patch: params['patch'] ?? {} }, text(params['id']))),
+        operation: action((params) => operators.operation(text(params['id']))),
+        zones: action(() => operators.zones()),
+        empty: action((params) => operators.submit('zone.empty', { zone: text(params['zone']) }, text(params['id']))),
+        restore: action((params) => operators.submit('zone.restore', { zone: text(params['zone']) }, text(params['id']))),
+        workers: action(() => operators.workers()),
+        groups: action(() => operators.groups()),
+        counters: action(() => operators.counters()),
+        ready: action(() => operators.ready()),
+        explain: action((params) => operators.explain(text(params['id']))),
+        explainModel: action((params) => operators.explainModel(text(params['model']))),
+        forget: action((params) => operators.forget(text(params['name']))),
+        metrics(ctx: Context<unknown, { $responseType?: string }>) {
+          ctx.meta.$responseType = 'text/plain; version=0.0.4';
+          return operators.metrics();
+        },
+      },
+    };
+    return [operator, this.#api()];
+  }
+
+  #api(): ServiceSchema {
+    const gate = this.#gate;
+    const { host, port } = { host: this.#settings.http.split(':')[0] ?? '', port: Number(this.#settings.http.split(':')[1]) };
+    function onError(_req: IncomingMessage, res: ServerResponse, thrown: Error & { type?: string; code?: number | string }): void {
+      if (thrown.type === 'entity.too.large') sendFault(res, fault('too-large', 'the body is too large'), '');
+      else if (thrown.type === 'entity.parse.failed') sendFault(res, fault('bad-request', 'the body is not JSON'), '');
+      else if (thrown.code === 404) sendFault(res, fault('not-found', 'nothing is served here'), '');
+      else sendFault(res, fault('bad-request', thrown.message), '');
+    }
+    function visitor(req: VisitorRequest, res: ServerResponse): void {
+      if (gate === undefined) sendFault(res, fault('not-found', 'this node serves operators only'), '');
+      else visit(gate, CHANCE, req, res);
+    }
+    return {
+      name: 'api',
+      mixins: [ApiGateway],
+      settings: {
+        ip: host,
+        port,
+        logRequest: null,
+        logRequestParams: null,
+        logResponse: null,
+        logRouteRegistration: null,
+        onError,
+        routes: [
+          {
+            path: '/rainrun/v1',
+            mergeParams: true,
+            bodyParsers: { json: { limit: SPEC_BODY } },
+            aliases: {
+              'GET view': 'operator.view',
+              'GET spec': 'operator.spec',
+              'PUT spec': 'operator.put',
+              'PATCH spec': 'operator.change',
+              'POST spec/check': 'operator.check',
+              'GET spec/history': 'operator.history',
+              'GET operations/:id': 'operator.operation',
+              'GET zones': 'operator.zones',
+              'POST zones/:zone/empty': 'operator.empty',
+              'POST zones/:zone/restore': 'operator.restore',
+              'GET workers': 'operator.workers',
+              'GET groups': 'operator.groups',
+              'GET counters': 'operator.counters',
+              'GET ready': 'operator.ready',
+              'GET metrics': 'operator.metrics',
+              'GET explain/requests/:id': 'operator.explain',
+              'GET explain/models/:model': 'operator.explainModel',
+              'POST forget/:name': 'operator.forget',
+            },
+          },
+          {
+            path: '/',
+            bodyParsers: { raw: { type: () => true, limit: this.#settings.bodyMaxBytes } },
+            aliases: { ':rest(.*)': visitor },
+          },
+        ],
+      },
+      started() {
+        const server = (this as unknown as { server: Server }).server;
+        server.headersTimeout = HEADERS_MS;
+        server.requestTimeout = 3 * HEADERS_MS;
+        server.keepAliveTimeout = 65_000;
+      },
+    };
+  }
+}
+
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, waitMs);
+  });
+}
+
+async function openDisk(settings: Settings, broken: (why: Fault) => void): Promise<Result<Acceptor, Fault>> {
+  const opened = await Ledger.open(settings.folder);
+  if (opened.isErr) return Result.err(opened.error);
+  const { ledger, records } = opened.value;
+  const opening = readRecords(records, word(CHANCE));
+  if (opening.isErr) return Result.err(opening.error);
+  const { deployment } = opening.value;
+  if (deployment !== '' && deployment !== settings.deployment) {
+    return Result.err(fault('foreign', `${settings.folder} belongs to deployment "${deployment}", not "${settings.deployment}"`));
+  }
+  const acceptor = new Acceptor(opening.value, ledger, settings.deployment, broken);
+  if (records.disk === undefined) acceptor.mark();
+  return Result.ok(acceptor);
+}
--- /dev/null
+++ b/packages/mast/src/operators.ts
@@ -0,0 +1,184 @@
+import type { Answer } from '@rainrun/courier';
+import type { EndRecord, Gate } from '@rainrun/gate';
+import type { Hub } from '@rainrun/hub';
+import { readSpec } from '@rainrun/marquee';
+import { ANSWERS, isFaultKind, word, type Chance, type FaultKind } from '@rainrun/nacelle';
+
+/** An answer to an operator. */
+export interface OperatorReply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const ANSWER_WAIT_MS = 5000;
+const OPERATION_ID = /^[A-Za-z0-9._-]{1,64}$/;
+
+/** What the operators' side needs of a node. */
+export interface OperatorGear {
+  readonly hub: Hub;
+  readonly chance: Chance;
+  readonly gate: Gate | undefined;
+  counters(): Record<string, number>;
+  explain(id: string): EndRecord | undefined;
+}
+
+function failure(kind: FaultKind, message: string, more: Record<string, unknown> = {}): OperatorReply {
+  const row = ANSWERS[kind];
+  return { status: row.status, body: { error: { kind, message, ran: row.ran, ...more } } };
+}
+
+function decided(answer: Answer): OperatorReply {
+  const { id, kind, detail, number } = answer;
+  if (isFaultKind(kind)) return failure(kind, detail, { id, number });
+  return { status: 200, body: { id, outcome: kind, detail, number } };
+}
+
+/**
+ * What operators may ask and order. Every node answers the same.
+ * @example
+ * const operators = new Operators(gear);
+ * const reply = await operators.submit('zone.empty', { zone: 'north' }, '');
+ */
+export class Operators {
+  #gear: OperatorGear;
+
+  constructor(gear: OperatorGear) {
+    this.#gear = gear;
+  }
+
+  view(): OperatorReply {
+    const { group } = this.#gear.hub;
+    const held = group.held;
+    return {
+      status: 200,
+      body: {
+        self: { name: group.seat.name, life: group.seat.life, zone: group.seat.zone },
+        admitting: group.granted(),
+        coordinator: held?.view.members.find((member) => member.life === group.coordinatorLife)?.name ?? null,
+        epoch: group.epoch,
+        number: held?.number ?? 0,
+        agreed: group.agreed,
+        view: group.view === undefined ? null : { epoch: group.view.epoch, number: group.view.number },
+        members: (group.view?.members ?? []).map(({ name, zone, address, disk }) => ({ name, zone, address, core: disk !== '' })),
+        electors: (held?.electors ?? []).map(({ name, disk }) => ({ name, disk })),
+      },
+    };
+  }
+
+  spec(): OperatorReply {
+    const record = this.#gear.hub.stage.spec;
+    if (record === undefined) return failure('not-found', 'no spec has been agreed yet');
+    return { status: 200, body: { version: record.version, operation: record.operation, text: record.text } };
+  }
+
+  history(): OperatorReply {
+    return { status: 200, body: { history: this.#gear.hub.stage.history } };
+  }
+
+  check(text: string): OperatorReply {
+    const read = readSpec(text);
+    if (read.isErr) return failure('bad-spec', 'the spec has faults', { faults: read.error });
+    return { status: 200, body: { ok: true } };
+  }
+
+  operation(id: string): OperatorReply {
+    const answer = this.#gear.hub.group.ask(id);
+    return answer === undefined ? failure('not-found', `nothing agreed is known of operation ${id}`, { id }) : decided(answer);
+  }
+
+  zones(): OperatorReply {
+    const { stage } = this.#gear.hub;
+    const zones = (stage.spec?.spec.zones ?? []).map((zone) => ({ zone, emptied: stage.emptied.includes(zone) }));
+    return { status: 200, body: { zones } };
+  }
+
+  workers(): OperatorReply {
+    const { hub } = this.#gear;
+    const workers = hub.workers().map((worker) => ({
+      name: worker.name,
+      address: worker.address,
+      zone: worker.zone,
+      kind: worker.kind,
+      pool: worker.pool,
+      status: worker.leaving ? 'leaving' : worker.emptied ? 'emptied' : worker.reachable ? 'ready' : 'unreached',
+      target: hub.stage.placement[worker.name] ?? [],
+      holdings: worker.holdings,
+    }));
+    return { status: 200, body: { workers } };
+  }
+
+  groups(): OperatorReply {
+    const { hub } = this.#gear;
+    const measured = hub.groups;
+    const groups = (hub.stage.spec?.spec.groups ?? []).flatMap((group) =>
+      group.kinds.map((kind) => {
+        const picture = measured.find((known) => known.group === group.name && known.kind === kind.name);
+        const { served = 0, refused = 0, prompt = 0, waitMs = 0, inFlight = 0, backlog = 0 } = picture ?? {};
+        return {
+          group: group.name,
+          kind: kind.name,
+          share: group.share,
+          targetMs: kind.targetMs,
+          measuredMs: Math.round(waitMs),
+          prompt: served === 0 ? null : Number((prompt / served).toFixed(4)),
+          served,
+          refused,
+          inFlight,
+          backlog,
+        };
+      }),
+    );
+    return { status: 200, body: { groups } };
+  }
+
+  counters(): OperatorReply {
+    return { status: 200, body: { counters: this.#gear.counters() } };
+  }
+
+  metrics(): string {
+    const lines: string[] = [];
+    for (const [name, value] of Object.entries(this.#gear.counters())) {
+      lines.push(`rainrun_${name.replace(/[^A-Za-z0-9]/g, '_')} ${value}`);
+    }
+    return `${lines.join('\n')}\n`;
+  }
+
+  ready(): OperatorReply {
+    const admitting = this.#gear.hub.group.granted() && this.#gear.hub.stage.spec !== undefined;
+    return { status: admitting ? 200 : 503, body: { admitting } };
+  }
+
+  explain(id: string): OperatorReply {
+    const record = this.#gear.explain(id);
+    return record === undefined ? failure('not-found', `this node does not remember request ${id}`) : { status: 200, body: record };
+  }
+
+  explainModel(model: string): OperatorReply {
+    const { hub } = this.#gear;
+    const copies = Object.entries(hub.stage.placement)
+      .filter(([, holdings]) => holdings.some((holding) => holding.model === model))
+      .map(([worker]) => worker);
+    return { status: 200, body: { model, copies, reason: hub.reason(model) ?? 'decided by another node', placedBy: hub.stage.placedBy } };
+  }
+
+  forget(name: string): OperatorReply {
+    if (this.#gear.hub.group.forget(name)) return { status: 200, body: { outcome: 'noted', name } };
+    return failure('conflict', 'only the coordinator can forget a name; ask it (see view)');
+  }
+
+  /** Submits an operation and waits a while for the agreed answer. */
+  submit(kind: string, data: unknown, wishedId: string): Promise<OperatorReply> {
+    if (wishedId !== '' && !OPERATION_ID.test(wishedId)) return Promise.resolve(failure('bad-request', 'the operation id is not a word of up to 64 letters'));
+    const id = wishedId === '' ? word(this.#gear.chance) : wishedId;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => resolve(failure('operation-unknown', 'not known to be agreed yet; ask by id', { id })), ANSWER_WAIT_MS);
+      const sent = this.#gear.hub.submit(id, kind, JSON.stringify(data), (answer) => {
+        clearTimeout(timer);
+        resolve(decided(answer));
+      });
+      if (sent.isOk) return;
+      clearTimeout(timer);
+      resolve(failure(sent.error.kind, sent.error.detail, { id }));
+    });
+  }
+}
--- /dev/null
+++ b/packages/mast/src/platform.ts
@@ -0,0 +1,95 @@
+import { readFile } from 'node:fs/promises';
+import { create } from '@bufbuild/protobuf';
+import { WorkerListSchema, type WorkerList } from '@rainrun/courier';
+import { fault, type Fault } from '@rainrun/nacelle';
+import type { Order, OrderReply } from '@rainrun/yaw';
+import { Result } from 'true-myth';
+import { request } from 'undici';
+import * as v from 'valibot';
+
+const ListSchema = v.object({
+  generation: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  workers: v.array(
+    v.object({
+      name: v.string(),
+      address: v.string(),
+      zone: v.string(),
+      kind: v.picklist(['model', 'lookup']),
+      pool: v.optional(v.string()),
+      leaving: v.optional(v.boolean(), false),
+    }),
+  ),
+});
+
+const ReplySchema = v.object({
+  holdings: v.array(v.object({ model: v.string(), adapters: v.array(v.string()) })),
+  busy: v.optional(v.boolean(), false),
+});
+
+const LIST_MAX_BYTES = 4 * 1024 * 1024;
+const LIST_WAIT_MS = 1500;
+const INVENTORY_WAIT_MS = 2000;
+const LOAD_WAIT_MS = 60_000;
+
+async function readBody(body: AsyncIterable<Buffer>): Promise<string> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of body) {
+    bytes += part.length;
+    if (bytes > LIST_MAX_BYTES) return '';
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString('utf8');
+}
+
+/**
+ * Reads the platform's list of workers from an http address or a file.
+ * @example
+ * const list = await readList('http://127.0.0.1:9000/workers');
+ */
+export async function readList(source: string): Promise<Result<WorkerList, Fault>> {
+  try {
+    const text = source.startsWith('http://')
+      ? await readBody((await request(source, { headersTimeout: LIST_WAIT_MS, bodyTimeout: LIST_WAIT_MS })).body)
+      : await readFile(source, 'utf8');
+    const parsed = v.safeParse(ListSchema, JSON.parse(text));
+    if (!parsed.success) return Result.err(fault('wire', `the platform's list cannot be read: ${parsed.issues[0].message}`));
+    const { generation, workers } = parsed.output;
+    return Result.ok(
+      create(WorkerListSchema, {
+        generation,
+        workers: workers.map((worker) => ({
+          $typeName: 'rainrun.v1.WorkerEntry' as const,
+          ...worker,
+          pool: worker.pool ?? 'models',
+        })),
+      }),
+    );
+  } catch (thrown) {
+    return Result.err(fault('unreached', `the platform's list: ${String(thrown)}`));
+  }
+}
+
+/**
+ * Sends one order to a worker and reads its reply.
+ * @example
+ * const reply = await sendOrder('127.0.0.1:9101', order);
+ */
+export async function sendOrder(address: string, order: Order): Promise<Result<OrderReply, Fault>> {
+  const waitMs = order.action === 'load' ? LOAD_WAIT_MS : INVENTORY_WAIT_MS;
+  try {
+    const { statusCode, body } = await request(`http://${address}/orders`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(order),
+      headersTimeout: waitMs,
+      bodyTimeout: waitMs,
+    });
+    const text = await readBody(body);
+    if (statusCode !== 200) return Result.err(fault('worker-nonsense', `order answered ${statusCode}`));
+    const parsed = v.safeParse(ReplySchema, JSON.parse(text));
+    return parsed.success ? Result.ok(parsed.output) : Result.err(fault('worker-nonsense', parsed.issues[0].message));
+  } catch (thrown) {
+    return Result.err(fault('unreached', String(thrown)));
+  }
+}
--- /dev/null
+++ b/packages/mast/src/program.ts
@@ -0,0 +1,84 @@
+import meow from 'meow';
+import { Node, type Role } from './node.js';
+import { readSettings } from './settings.js';
+
+/** Exit codes of the daemons. */
+export const EXIT = { well: 0, failed: 1, badSetting: 2, badDisk: 3 } as const;
+
+const HELP = `
+  Usage
+    $ PROGRAM --settings FILE [flags]
+
+  Flags (each stands before the same key in the settings file)
+    --settings      JSON file with the keys below
+    --name          name of this node
+    --deployment    name of the deployment
+    --zone          zone of this node
+    --bind          IP:PORT for the other nodes
+    --http          IP:PORT for visitors and operators
+    --seeds         up to three IP:PORT of other nodes, with commas between
+    --platform      http address or file with the platform's list of workers
+    --drain-ms      how long to wait for answers in flight when stopping
+    --body-max-bytes  largest request body
+    --log-level     debug, info, warn, error, silent
+    --check         check the settings and exit
+`;
+
+const CORE_HELP = `    --folder        data folder (one deployment, one node)
+    --founders      names of the founding cores, with commas between
+`;
+
+/**
+ * Runs one of the daemons: settings, node, signals.
+ * @example
+ * await runProgram('turnstile', 'edge', import.meta);
+ */
+export async function runProgram(program: string, role: Role, importMeta: ImportMeta): Promise<void> {
+  const cli = meow(HELP.replace('PROGRAM', program) + (role === 'core' ? CORE_HELP : ''), {
+    importMeta,
+    allowUnknownFlags: false,
+    flags: {
+      settings: { type: 'string' },
+      name: { type: 'string' },
+      deployment: { type: 'string' },
+      zone: { type: 'string' },
+      bind: { type: 'string' },
+      http: { type: 'string' },
+      seeds: { type: 'string' },
+      platform: { type: 'string' },
+      drainMs: { type: 'string' },
+      bodyMaxBytes: { type: 'string' },
+      logLevel: { type: 'string' },
+      folder: { type: 'string' },
+      founders: { type: 'string' },
+      check: { type: 'boolean', default: false },
+    },
+  });
+  const settings = readSettings(cli.flags, role);
+  if (settings.isErr) {
+    for (const { detail } of settings.error) console.error(`${program}: ${detail}`);
+    process.exit(EXIT.badSetting);
+  }
+  if (cli.flags.check) {
+    console.log(`${program}: settings are sound`);
+    process.exit(EXIT.well);
+  }
+  const started = await Node.start(settings.value, role, (why) => {
+    console.error(`${program}: ${why.kind}: ${why.detail}`);
+    process.exit(EXIT.badDisk);
+  });
+  if (started.isErr) {
+    const { kind, detail } = started.error;
+    console.error(`${program}: ${kind}: ${detail}`);
+    process.exit(kind === 'bad-setting' ? EXIT.badSetting : EXIT.badDisk);
+  }
+  const node = started.value;
+  let stopping = false;
+  function stop(): void {
+    if (stopping) return;
+    stopping = true;
+    void node.stop().then(() => process.exit(EXIT.well));
+  }
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
--- /dev/null
+++ b/packages/mast/src/settings.ts
@@ -0,0 +1,86 @@
+import { readFileSync } from 'node:fs';
+import { isIPv4 } from 'node:net';
+import { fault, type Fault } from '@rainrun/nacelle';
+import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
+import * as v from 'valibot';
+
+const Name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9._-]{0,63}$/, 'a name of a-z, 0-9, ".", "_", "-"'));
+
+function isAddress(text: string): boolean {
+  const colon = text.lastIndexOf(':');
+  const port = Number(text.slice(colon + 1));
+  return colon > 0 && isIPv4(text.slice(0, colon)) && Number.isInteger(port) && port > 0 && port < 65536;
+}
+
+const Address = v.pipe(v.string(), v.check(isAddress, 'an IP number and port such as 10.0.0.4:7001'));
+
+const SettingsSchema = v.strictObject({
+  name: Name,
+  deployment: Name,
+  zone: Name,
+  /** Where the other nodes reach this one. */
+  bind: Address,
+  /** Where visitors and operators reach this node. */
+  http: Address,
+  seeds: v.pipe(v.array(Address), v.minLength(1), v.maxLength(3, 'at most three seed addresses')),
+  /** Names of the founding cores; only on core nodes. */
+  founders: v.optional(v.array(Name), []),
+  /** The data folder; only on core nodes. */
+  folder: v.optional(v.string(), ''),
+  /** The platform's list of workers: an http address or a file. */
+  platform: v.optional(v.string(), ''),
+  drainMs: v.optional(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(600_000)), 30_000),
+  bodyMaxBytes: v.optional(v.pipe(v.number(), v.integer(), v.minValue(1024), v.maxValue(64 * 1024 * 1024)), 4 * 1024 * 1024),
+  logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error', 'silent']), 'info'),
+});
+
+/** The checked settings of one node. */
+export type Settings = v.InferOutput<typeof SettingsSchema>;
+
+const LISTS = new Set(['seeds', 'founders']);
+const NUMBERS = new Set(['drainMs', 'bodyMaxBytes']);
+
+/**
+ * Puts settings file and flags together, flags first, and checks the whole.
+ * A fault names the key, the value found and what was expected.
+ * @example
+ * readSettings({ name: 'edge-1', zone: 'north' }, 'edge').isErr; // true: much is missing
+ */
+export function readSettings(flags: Readonly<Record<string, unknown>>, role: 'edge' | 'core'): Result<Settings, Fault[]> {
+  const file = readFile(flags['settings']);
+  if (file.isErr) return Result.err([file.error]);
+  const merged: Record<string, unknown> = { ...file.value };
+  for (const [key, value] of Object.entries(flags)) {
+    if (value === undefined || value === '' || key === 'settings' || key === 'check') continue;
+    merged[key] = fromFlag(key, value);
+  }
+  const parsed = v.safeParse(SettingsSchema, merged);
+  if (!parsed.success) {
+    return Result.err(
+      parsed.issues.map((issue) => {
+        const path = v.getDotPath(issue) ?? 'settings';
+        return fault('bad-setting', `${path}: found ${JSON.stringify(issue.input) ?? 'nothing'}, expected ${issue.expected ?? issue.message} (${issue.message})`);
+      }),
+    );
+  }
+  const settings = parsed.output;
+  if (role === 'core' && settings.folder === '') return Result.err([fault('bad-setting', 'folder: found nothing, expected the data folder of a core node')]);
+  if (role === 'edge' && settings.folder !== '') {
+    return Result.err([fault('bad-setting', `folder: found "${settings.folder}", expected none on an edge node`)]);
+  }
+  return Result.ok(settings);
+}
+
+function fromFlag(key: string, value: unknown): unknown {
+  if (LISTS.has(key)) return String(value).split(',').filter((part) => part !== '');
+  return NUMBERS.has(key) ? Number(value) : value;
+}
+
+function readFile(path: unknown): Result<Record<string, unknown>, Fault> {
+  if (path === undefined) return Result.ok({});
+  return tryOrElse(
+    (thrown) => fault('bad-setting', `settings: found ${JSON.stringify(path)}, expected a JSON file (${String(thrown)})`),
+    () => JSON.parse(readFileSync(String(path), 'utf8')) as Record<string, unknown>,
+  );
+}
--- /dev/null
+++ b/packages/mast/src/wire.ts
@@ -0,0 +1,142 @@
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { FRAME_MAX_BYTES, pack, unpack, type Frame } from '@rainrun/courier';
+import { fault, type Fault } from '@rainrun/nacelle';
+import { Result, type Unit } from 'true-myth';
+
+const BACKLOG_MAX_BYTES = 16 * 1024 * 1024;
+const AGAIN_MS = 100;
+
+/** Counters of the wire. */
+export interface WireCounts {
+  framesIn: number;
+  framesOut: number;
+  bytesIn: number;
+  bytesOut: number;
+  malformed: number;
+  foreign: number;
+  dropped: number;
+}
+
+interface Line {
+  socket: Socket;
+  open: boolean;
+}
+
+/**
+ * Carries frames between nodes over TCP, each with its length before it. It
+ * owns its sockets; what cannot be sent now is dropped, as the channels above
+ * expect of a network.
+ * @example
+ * const wire = new Wire('vejsargs', (frame) => hub.receive(frame));
+ * await wire.listen('127.0.0.1:7001');
+ */
+export class Wire {
+  #deployment: string;
+  #take: (frame: Frame) => void;
+  #server: Server | undefined;
+  #lines = new Map<string, Line>();
+  #failedMs = new Map<string, number>();
+  #guests = new Set<Socket>();
+  #closed = false;
+  readonly counts: WireCounts = { framesIn: 0, framesOut: 0, bytesIn: 0, bytesOut: 0, malformed: 0, foreign: 0, dropped: 0 };
+
+  constructor(deployment: string, take: (frame: Frame) => void) {
+    this.#deployment = deployment;
+    this.#take = take;
+  }
+
+  listen(address: string): Promise<Result<Unit, Fault>> {
+    const { host, port } = splitAddress(address);
+    const server = createServer((socket) => this.#guest(socket));
+    this.#server = server;
+    return new Promise((resolve) => {
+      server.once('error', (thrown) => resolve(Result.err(fault('bad-setting', `bind ${address}: ${thrown.message}`))));
+      server.listen(port, host, () => resolve(Result.ok()));
+    });
+  }
+
+  post(address: string, frame: Frame): void {
+    const line = this.#line(address);
+    if (line === undefined || line.socket.writableLength > BACKLOG_MAX_BYTES) {
+      this.counts.dropped += 1;
+      return;
+    }
+    const bytes = pack(frame);
+    const head = Buffer.alloc(4);
+    head.writeUInt32BE(bytes.length);
+    line.socket.write(Buffer.concat([head, bytes]));
+    this.counts.framesOut += 1;
+    this.counts.bytesOut += bytes.length + 4;
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#server?.close();
+    for (const { socket } of this.#lines.values()) socket.destroy();
+    for (const socket of this.#guests) socket.destroy();
+  }
+
+  #line(address: string): Line | undefined {
+    const known = this.#lines.get(address);
+    if (known !== undefined) return known;
+    const nowMs = performance.now();
+    if (this.#closed || nowMs - (this.#failedMs.get(address) ?? -Infinity) < AGAIN_MS) return undefined;
+    const socket = createConnection({ ...splitAddress(address), noDelay: true });
+    const line: Line = { socket, open: false };
+    this.#lines.set(address, line);
+    socket.on('connect', () => {
+      line.open = true;
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.#lines.delete(address);
+      this.#failedMs.set(address, performance.now());
+    });
+    socket.resume();
+    return line;
+  }
+
+  #guest(socket: Socket): void {
+    let rest: Buffer = Buffer.alloc(0);
+    this.#guests.add(socket);
+    socket.setNoDelay(true);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.#guests.delete(socket));
+    socket.on('data', (chunk: Buffer) => {
+      rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      for (;;) {
+        if (rest.length < 4) return;
+        const length = rest.readUInt32BE();
+        if (length > FRAME_MAX_BYTES) {
+          this.counts.malformed += 1;
+          socket.destroy();
+          return;
+        }
+        if (rest.length < 4 + length) return;
+        const bytes = rest.subarray(4, 4 + length);
+        rest = rest.subarray(4 + length);
+        this.#frame(bytes);
+      }
+    });
+  }
+
+  #frame(bytes: Buffer): void {
+    const frame = unpack(bytes, this.#deployment);
+    if (frame.isOk) {
+      this.counts.framesIn += 1;
+      this.counts.bytesIn += bytes.length + 4;
+      this.#take(frame.value);
+    } else if (frame.error.kind === 'foreign') this.counts.foreign += 1;
+    else this.counts.malformed += 1;
+  }
+}
+
+/**
+ * Host and port of an address such as `127.0.0.1:7001`.
+ * @example
+ * splitAddress('127.0.0.1:7001').port; // 7001
+ */
+export function splitAddress(address: string): { host: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
--- /dev/null
+++ b/tools/crowd/src/crowd.ts
@@ -0,0 +1,273 @@
+import { wrong } from '@rainrun/grandstand';
+import { promptOf, type Call } from '@rainrun/playbill';
+import { Agent, type Dispatcher } from 'undici';
+
+/** How one call ended, as the visitor saw it. */
+export interface Seen {
+  readonly call: Call;
+  readonly id: string;
+  readonly outcome: string;
+  readonly ran: 'no' | 'maybe' | 'yes';
+  readonly firstPieceMs: number;
+  readonly wholeMs: number;
+}
+
+/** What a crowd saw in sum. */
+export interface CrowdReport {
+  readonly breaches: string[];
+  readonly outcomes: Record<string, number>;
+  readonly byKind: Record<string, KindReport>;
+  readonly seen: Seen[];
+}
+
+/** Figures of one kind of work. */
+export interface KindReport {
+  calls: number;
+  served: number;
+  p50Ms: number;
+  p95Ms: number;
+  p99Ms: number;
+}
+
+const DEADLINE_MS = 60_000;
+
+/**
+ * Stand-in visitors: they make the calls of a day against the edges and check
+ * every answer by themselves.
+ * @example
+ * const crowd = new Crowd(['127.0.0.1:8104']);
+ * const report = await crowd.play(day.calls, 1);
+ */
+export class Crowd {
+  #edges: readonly string[];
+  #agent = new Agent({ connections: 256, pipelining: 1, headersTimeout: DEADLINE_MS, bodyTimeout: DEADLINE_MS });
+  #breaches: string[] = [];
+  #seen: Seen[] = [];
+  #next = 0;
+  #down = new Set<string>();
+
+  constructor(edges: readonly string[]) {
+    this.#edges = edges;
+  }
+
+  /** The platform takes an edge out of its rotation, or puts it back. */
+  setDown(edge: string, down: boolean): void {
+    if (down) this.#down.add(edge);
+    else this.#down.delete(edge);
+  }
+
+  get calls(): number {
+    return this.#seen.length;
+  }
+
+  /** Plays calls at a speed; resolves when the last answer is in. */
+  async play(calls: readonly Call[], speed: number): Promise<CrowdReport> {
+    const beganMs = performance.now();
+    const running: Promise<void>[] = [];
+    for (const [place, call] of calls.entries()) {
+      const waitMs = call.atMs / speed - (performance.now() - beganMs);
+      if (waitMs > 1) await pause(waitMs);
+      running.push(this.#make(call, place));
+    }
+    await Promise.all(running);
+    await this.#agent.close();
+    return this.#report();
+  }
+
+  #edge(): string {
+    const up = this.#edges.filter((edge) => !this.#down.has(edge));
+    this.#next += 1;
+    return up[this.#next % Math.max(1, up.length)] ?? this.#edges[0] ?? '';
+  }
+
+  async #make(call: Call, place: number): Promise<void> {
+    const edge = this.#edge();
+    const beganMs = performance.now();
+    const prompt = promptOf(call, place);
+    const lookup = call.model === '';
+    const visit = new VisitorCall(call, prompt, place);
+    try {
+      await this.#agent.dispatch(
+        {
+          origin: `http://${edge}`,
+          method: lookup ? 'GET' : 'POST',
+          path: lookup ? `${call.path}/${place % 200}` : call.path,
+          headers: {
+            'content-type': 'application/json',
+            'rainrun-group': call.group,
+            'rainrun-kind': call.kind,
+            'rainrun-deadline-ms': String(DEADLINE_MS),
+          },
+          body: lookup ? null : JSON.stringify({ model: call.model, adapter: call.adapter, stream: call.stream, messages: [{ role: 'user', content: prompt }] }),
+        },
+        visit,
+      );
+    } catch {
+      visit.failed();
+    }
+    await visit.over;
+    const { outcome, ran, id, firstMs, breach } = visit.judge();
+    if (breach !== undefined) this.#breaches.push(`${id} at ${edge}: ${breach}`);
+    this.#seen.push({
+      call,
+      id,
+      outcome,
+      ran,
+      firstPieceMs: (firstMs ?? performance.now()) - beganMs,
+      wholeMs: performance.now() - beganMs,
+    });
+  }
+
+  #report(): CrowdReport {
+    const outcomes: Record<string, number> = {};
+    const byKind: Record<string, KindReport> = {};
+    const times = new Map<string, number[]>();
+    for (const { call, outcome, firstPieceMs } of this.#seen) {
+      outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
+      const key = `${call.group}/${call.kind}`;
+      const kind = (byKind[key] ??= { calls: 0, served: 0, p50Ms: 0, p95Ms: 0, p99Ms: 0 });
+      kind.calls += 1;
+      if (outcome !== 'served') continue;
+      kind.served += 1;
+      times.set(key, [...(times.get(key) ?? []), firstPieceMs]);
+    }
+    for (const [key, list] of times) {
+      const kind = byKind[key];
+      if (kind === undefined) continue;
+      list.sort((one, other) => one - other);
+      kind.p50Ms = quantile(list, 0.5);
+      kind.p95Ms = quantile(list, 0.95);
+      kind.p99Ms = quantile(list, 0.99);
+    }
+    return { breaches: this.#breaches, outcomes, byKind, seen: this.#seen };
+  }
+}
+
+function quantile(sorted: readonly number[], part: number): number {
+  return Math.round(sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))] ?? 0);
+}
+
+interface Judgement {
+  readonly outcome: string;
+  readonly ran: Seen['ran'];
+  readonly id: string;
+  readonly firstMs: number | undefined;
+  readonly breach: string | undefined;
+}
+
+/** One call under way, and the judgement of its answer. */
+class VisitorCall implements Dispatcher.DispatchHandler {
+  #call: Call;
+  #prompt: string;
+  #place: number;
+  #status = 0;
+  #headers: Record<string, string | string[] | undefined> = {};
+  #parts: Buffer[] = [];
+  #ended = false;
+  #firstMs: number | undefined;
+  #done: () => void = () => undefined;
+  readonly over: Promise<void>;
+
+  constructor(call: Call, prompt: string, place: number) {
+    this.#call = call;
+    this.#prompt = prompt;
+    this.#place = place;
+    this.over = new Promise((resolve) => {
+      this.#done = resolve;
+    });
+  }
+
+  /** Tells undici that these are its newer callbacks. */
+  onRequestStart(): void {
+    this.#status = 0;
+  }
+
+  onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
+    this.#status = status;
+    this.#headers = headers;
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#firstMs ??= performance.now();
+    this.#parts.push(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.#ended = true;
+    this.#done();
+  }
+
+  onResponseError(): void {
+    this.#done();
+  }
+
+  failed(): void {
+    this.#done();
+  }
+
+  judge(): Judgement {
+    const text = Buffer.concat(this.#parts).toString('utf8');
+    const id = String(this.#headers['rainrun-id'] ?? '');
+    const shared = { id, firstMs: this.#firstMs };
+    if (this.#status === 0) return { ...shared, outcome: 'no-answer', ran: 'maybe', breach: undefined };
+    if (this.#status !== 200) return { ...shared, ...this.#judgeRefusal(text) };
+    if (!this.#ended) return { ...shared, outcome: 'cut', ran: 'maybe', breach: undefined };
+    return { ...shared, outcome: 'served', ran: 'yes', breach: this.#judgeWhole(text) };
+  }
+
+  #judgeRefusal(text: string): { outcome: string; ran: Seen['ran']; breach: string | undefined } {
+    const error = (parse(text) as { error?: { kind?: string; ran?: string } } | undefined)?.error;
+    if (error?.kind === undefined) return { outcome: `status-${this.#status}`, ran: 'maybe', breach: `status ${this.#status} without a kind` };
+    const mustReturn = this.#status === 429 || this.#status === 503;
+    const breach = mustReturn && this.#headers['retry-after'] === undefined ? `${error.kind} without Retry-After` : undefined;
+    return { outcome: error.kind, ran: error.ran === 'no' ? 'no' : 'maybe', breach };
+  }
+
+  #judgeWhole(text: string): string | undefined {
+    const { model, adapter, stream, path } = this.#call;
+    if (model === '') {
+      const body = parse(text) as { path?: string; value?: string } | undefined;
+      return body?.path === `${path}/${this.#place % 200}` && body.value !== undefined ? undefined : `lookup answered ${text.slice(0, 80)}`;
+    }
+    if (!stream) {
+      const body = parse(text) as { choices?: { message?: { content?: string } }[] } | undefined;
+      return wrong(model, adapter, this.#prompt, body?.choices?.[0]?.message?.content ?? '');
+    }
+    const events = text.split('\n\n').filter((event) => event !== '');
+    if (events.at(-1) !== 'data: [DONE]') return 'a stream that ended as whole lacks its closing event';
+    const content = events
+      .slice(0, -1)
+      .map((event) => (parse(event.slice(6)) as { choices?: { delta?: { content?: string } }[] } | undefined)?.choices?.[0]?.delta?.content ?? '')
+      .join('');
+    return wrong(model, adapter, this.#prompt, content);
+  }
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, waitMs);
+  });
+}
+
+/**
+ * Holds what the visitors were told against what the workers ran.
+ * @example
+ * compare(report.seen, { 'id-1': 1 }); // breaches, if any
+ */
+export function compare(seen: readonly Seen[], runs: Readonly<Record<string, number>>): string[] {
+  const breaches: string[] = [];
+  for (const { id, ran, outcome, call } of seen) {
+    const times = runs[id] ?? 0;
+    if (ran === 'no' && times > 0 && call.model !== '') breaches.push(`${id} was refused as ${outcome} and ran ${times} times`);
+    if (ran === 'yes' && times === 0) breaches.push(`${id} was served and never ran`);
+  }
+  return breaches;
+}
--- /dev/null
+++ b/tools/crowd/src/index.ts
@@ -0,0 +1,1 @@
+export * from './crowd.js';
--- /dev/null
+++ b/tools/crowd/src/main.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import meow from 'meow';
+import { readDay } from '@rainrun/playbill';
+import { Crowd } from './crowd.js';
+
+const cli = meow(
+  `
+  Stand-in visitors that check their answers.
+
+  Usage
+    $ crowd --day FILE --edges IP:PORT[,IP:PORT] [--speed 2]
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      day: { type: 'string', isRequired: true },
+      edges: { type: 'string', isRequired: true },
+      speed: { type: 'number', default: 1 },
+    },
+  },
+);
+
+const day = readDay(readFileSync(cli.flags.day, 'utf8'));
+if (day.isErr) {
+  console.error(`crowd: ${cli.flags.day}: ${day.error.detail}`);
+  process.exit(2);
+}
+const report = await new Crowd(cli.flags.edges.split(',')).play(day.value.calls, cli.flags.speed);
+console.log(JSON.stringify({ outcomes: report.outcomes, byKind: report.byKind, breaches: report.breaches }, undefined, 2));
+process.exitCode = report.breaches.length === 0 ? 0 : 1;
--- /dev/null
+++ b/tools/fleet/src/fleet.ts
@@ -0,0 +1,162 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { exampleSpec, type Shape } from './shapes.js';
+
+/** One process of a fleet. */
+export interface FleetNode {
+  readonly name: string;
+  readonly core: boolean;
+  readonly zone: string;
+  readonly bind: string;
+  readonly http: string;
+  readonly settings: string;
+}
+
+const HOST = '127.0.0.1';
+const PIECE_MS = 25;
+const PULL_MB_PER_S = 40_000;
+
+function programPath(name: string): string {
+  const folder = name === 'grandstand' ? 'tools' : 'programs';
+  return fileURLToPath(new URL(`../../../${folder}/${name}/dist/main.js`, import.meta.url));
+}
+
+/**
+ * A whole fleet on one machine, each node a process of its own, with stand-in
+ * workers and platform list.
+ * @example
+ * const fleet = new Fleet(SHAPES['small'], '/tmp/run', 21000);
+ * await fleet.start();
+ */
+export class Fleet {
+  readonly nodes: FleetNode[] = [];
+  readonly platform: string;
+  #shape: Shape;
+  #folder: string;
+  #setup: string;
+  #children = new Map<string, ChildProcess>();
+
+  constructor(shape: Shape, folder: string, firstPort: number) {
+    this.#shape = shape;
+    this.#folder = folder;
+    mkdirSync(folder, { recursive: true });
+    let port = firstPort;
+    function next(): string {
+      port += 1;
+      return `${HOST}:${port}`;
+    }
+    this.platform = next();
+    const zone = (place: number): string => shape.zones[place % shape.zones.length] ?? '';
+    const outlines = Array.from({ length: shape.cores + shape.edges }, (_, place) => {
+      const core = place < shape.cores;
+      const at = core ? place : place - shape.cores;
+      return { name: core ? `core-${at + 1}` : `edge-${at + 1}`, core, zone: zone(at), bind: next(), http: next() };
+    });
+    const seeds = outlines.slice(0, 3).map((node) => node.bind);
+    const founders = outlines.filter((node) => node.core).map((node) => node.name);
+    for (const outline of outlines) {
+      const settings = join(folder, `${outline.name}.json`);
+      this.nodes.push({ ...outline, settings });
+      const { name, bind, http } = outline;
+      const shared = { name, deployment: shape.deployment, zone: outline.zone, bind, http, seeds, platform: `http://${this.platform}/workers` };
+      const own = outline.core ? { founders, folder: join(folder, 'data', name) } : {};
+      writeFileSync(settings, `${JSON.stringify({ ...shared, ...own }, undefined, 2)}\n`);
+    }
+    this.#setup = join(folder, 'grandstand.json');
+    this.#writeSetup(next, zone);
+  }
+
+  get edges(): FleetNode[] {
+    return this.nodes.filter((node) => !node.core);
+  }
+
+  async start(): Promise<void> {
+    this.#spawn('grandstand', 'grandstand', ['--setup', this.#setup]);
+    for (const node of this.nodes) this.startNode(node);
+    await Promise.resolve();
+  }
+
+  startNode(node: FleetNode): void {
+    this.#spawn(node.name, node.core ? 'boxoffice' : 'turnstile', ['--settings', node.settings]);
+  }
+
+  signal(name: string, signal: NodeJS.Signals): void {
+    this.#children.get(name)?.kill(signal);
+  }
+
+  /** Resolves with the exit code once the process is gone. */
+  ended(name: string): Promise<number | null> {
+    const child = this.#children.get(name);
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return Promise.resolve(child?.exitCode ?? null);
+    return new Promise((resolve) => {
+      child.once('exit', (code) => resolve(code));
+    });
+  }
+
+  /** Ends only what this fleet started, by id. */
+  async stop(): Promise<Record<string, number | null>> {
+    const codes: Record<string, number | null> = {};
+    const names = [...this.#children.keys()].filter((name) => name !== 'grandstand');
+    for (const name of names) this.signal(name, 'SIGTERM');
+    const late = setTimeout(() => {
+      for (const name of names) this.signal(name, 'SIGKILL');
+    }, 20_000);
+    for (const name of names) codes[name] = await this.ended(name);
+    clearTimeout(late);
+    this.signal('grandstand', 'SIGTERM');
+    await this.ended('grandstand');
+    return codes;
+  }
+
+  /** Asks a node, or the grandstand, in JSON. */
+  async ask(address: string, method: 'GET' | 'POST' | 'PUT' | 'PATCH', path: string, body?: unknown): Promise<{ status: number; body: unknown }> {
+    try {
+      const reply = await request(`http://${address}${path}`, {
+        method,
+        headers: { 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body),
+        headersTimeout: 8000,
+      });
+      return { status: reply.statusCode, body: await reply.body.json() };
+    } catch (thrown) {
+      return { status: 0, body: String(thrown) };
+    }
+  }
+
+  #spawn(name: string, program: string, args: readonly string[]): void {
+    const log = openSync(join(this.#folder, `${name}.log`), 'a');
+    const child = spawn(process.execPath, [programPath(program), ...args], { stdio: ['ignore', log, log] });
+    closeSync(log);
+    this.#children.set(name, child);
+  }
+
+  #writeSetup(next: () => string, zone: (place: number) => string): void {
+    const shape = this.#shape;
+    const spec = exampleSpec(shape) as {
+      store: { pullsPerMinute: number };
+      workers: { roomMb: number; slots: number };
+      models: { name: string; sizeMb: number }[];
+      adapters: { name: string; sizeMb: number }[];
+    };
+    const shared = { host: HOST, roomMb: spec.workers.roomMb, slots: spec.workers.slots, pullMbPerS: PULL_MB_PER_S, pieceMs: PIECE_MS };
+    const workers = Array.from({ length: shape.workers + shape.lookups }, (_, place) => {
+      const lookup = place >= shape.workers;
+      const at = lookup ? place - shape.workers : place;
+      return {
+        ...shared,
+        name: lookup ? `lookup-${at + 1}` : `worker-${at + 1}`,
+        zone: zone(at),
+        port: Number(next().split(':')[1]),
+        kind: lookup ? 'lookup' : 'model',
+        pool: lookup ? shape.pool : 'models',
+      };
+    });
+    const sizesMb = Object.fromEntries([...spec.models, ...spec.adapters].map(({ name, sizeMb }) => [name, sizeMb]));
+    const port = Number(this.platform.split(':')[1]);
+    const setup = { host: HOST, port, pullsPerMinute: spec.store.pullsPerMinute, sizesMb, workers };
+    writeFileSync(this.#setup, `${JSON.stringify(setup, undefined, 2)}\n`);
+  }
+}
--- /dev/null
+++ b/tools/fleet/src/main.ts
@@ -0,0 +1,176 @@
+#!/usr/bin/env node
+import { readFileSync, writeFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import meow from 'meow';
+import { compare, Crowd, type CrowdReport } from '@rainrun/crowd';
+import type { Report } from '@rainrun/grandstand';
+import { readDay } from '@rainrun/playbill';
+import { Fleet } from './fleet.js';
+import { exampleSpec, makeDay, SHAPES, type Shape } from './shapes.js';
+
+const cli = meow(
+  `
+  A whole fleet on one machine, each node a process of its own.
+
+  Usage
+    $ fleet start --shape vejsargs     start it and leave it running until Ctrl-C
+    $ fleet run --shape malabon        start, serve the example day after 12 s, report, stop
+    $ fleet smoke                      a short run of a small fleet, for tests
+    $ fleet examples                   write the example specs and days anew
+
+  Options
+    --shape     vejsargs, malabon or small   (default small)
+    --folder    where settings, data and logs go   (default: a new one)
+    --port      the ports after this one are used  (default 21000)
+    --day       another recorded day to serve
+    --speed     how fast to serve it (default 1)
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      shape: { type: 'string', default: 'small', choices: Object.keys(SHAPES) },
+      folder: { type: 'string' },
+      port: { type: 'number', default: 21_000 },
+      day: { type: 'string' },
+      speed: { type: 'number', default: 1 },
+    },
+  },
+);
+
+const TRAFFIC_MS = 12_000;
+
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, waitMs);
+  });
+}
+
+/** Waits for a condition, asked often; false when the time is over. */
+async function until(waitMs: number, condition: () => Promise<boolean>): Promise<boolean> {
+  const endMs = performance.now() + waitMs;
+  while (performance.now() < endMs) {
+    if (await condition()) return true;
+    await pause(100);
+  }
+  return false;
+}
+
+function show(report: CrowdReport, workers: Report, breaches: readonly string[]): void {
+  console.log('outcomes', JSON.stringify(report.outcomes));
+  console.table(report.byKind);
+  console.log('workers', JSON.stringify(workers.counts));
+  console.log(`retries per first send are bounded by the nodes; breaches: ${breaches.length}`);
+  for (const breach of breaches.slice(0, 20)) console.log(`  ${breach}`);
+}
+
+/** Brings a fleet up to the point where visitors may come. */
+async function open(fleet: Fleet, shape: Shape): Promise<string | undefined> {
+  const first = fleet.nodes[0];
+  if (first === undefined) return 'no nodes';
+  await fleet.start();
+  const whole = await until(TRAFFIC_MS, async () => {
+    const { body } = await fleet.ask(first.http, 'GET', '/rainrun/v1/view');
+    return ((body as { members?: unknown[] }).members ?? []).length === fleet.nodes.length;
+  });
+  if (!whole) return 'the view is not whole after 12 s';
+  const put = await fleet.ask(first.http, 'PUT', '/rainrun/v1/spec', { base: 0, text: JSON.stringify(exampleSpec(shape), undefined, 2) });
+  if (put.status !== 200) return `the spec was not agreed: ${JSON.stringify(put.body)}`;
+  const ready = await until(2000, async () => {
+    const replies = await Promise.all(fleet.edges.map((edge) => fleet.ask(edge.http, 'GET', '/rainrun/v1/ready')));
+    return replies.every((reply) => reply.status === 200);
+  });
+  return ready ? undefined : 'the spec is not in force everywhere after 2 s';
+}
+
+async function serve(fleet: Fleet, shape: Shape, dayText: string, speed: number): Promise<number> {
+  const beganMs = performance.now();
+  const closed = await open(fleet, shape);
+  if (closed !== undefined) {
+    console.error(`fleet: ${closed}`);
+    return 1;
+  }
+  console.log(`ready after ${((performance.now() - beganMs) / 1000).toFixed(1)} s`);
+  const day = readDay(dayText);
+  if (day.isErr) {
+    console.error(`fleet: the day cannot be read: ${day.error.detail}`);
+    return 1;
+  }
+  await pause(Math.max(0, TRAFFIC_MS - (performance.now() - beganMs)));
+  const report = await new Crowd(fleet.edges.map((edge) => edge.http)).play(day.value.calls, speed);
+  const workers = (await fleet.ask(fleet.platform, 'GET', '/report')).body as Report;
+  const breaches = [...report.breaches, ...workers.breaches, ...compare(report.seen, workers.runs)];
+  show(report, workers, breaches);
+  const served = report.outcomes['served'] ?? 0;
+  const ratio = served / Math.max(1, report.seen.length);
+  console.log(`served ${served} of ${report.seen.length} (${(100 * ratio).toFixed(2)} %)`);
+  return breaches.length === 0 && ratio > 0.95 ? 0 : 1;
+}
+
+async function withFleet(shape: Shape, act: (fleet: Fleet) => Promise<number>): Promise<number> {
+  const folder = cli.flags.folder ?? mkdtempSync(join(tmpdir(), 'rainrun-'));
+  const fleet = new Fleet(shape, folder, cli.flags.port);
+  let code = 1;
+  try {
+    code = await act(fleet);
+  } finally {
+    const codes = await fleet.stop();
+    const bad = Object.entries(codes).filter(([, exit]) => exit !== 0);
+    for (const [name, exit] of bad) console.error(`fleet: ${name} ended with ${exit}`);
+    if (bad.length > 0) code = 1;
+    if (code === 0 && cli.flags.folder === undefined) rmSync(folder, { recursive: true });
+    else console.log(`settings, data and logs are in ${folder}`);
+  }
+  return code;
+}
+
+function dayOf(shape: Shape): string {
+  return cli.flags.day === undefined ? makeDay(shape, 40, 1) : readFileSync(cli.flags.day, 'utf8');
+}
+
+function untilSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
+  });
+}
+
+async function keep(fleet: Fleet, shape: Shape): Promise<number> {
+  const closed = await open(fleet, shape);
+  if (closed !== undefined) console.error(`fleet: ${closed}`);
+  for (const node of fleet.nodes) console.log(`${node.name.padEnd(10)} ${node.zone.padEnd(10)} ${node.http}`);
+  console.log(`platform   ${fleet.platform}`);
+  await untilSignal();
+  return closed === undefined ? 0 : 1;
+}
+
+function writeExamples(): number {
+  for (const name of ['vejsargs', 'malabon']) {
+    const shape = SHAPES[name];
+    if (shape === undefined) continue;
+    mkdirSync(join('examples', name), { recursive: true });
+    writeFileSync(join('examples', name, 'spec.json'), `${JSON.stringify(exampleSpec(shape), undefined, 2)}\n`);
+    writeFileSync(join('examples', name, 'day.jsonl'), makeDay(shape, 40, 1));
+  }
+  return 0;
+}
+
+async function main(): Promise<number> {
+  const shape = SHAPES[cli.flags.shape];
+  if (shape === undefined) return 2;
+  switch (cli.input[0]) {
+    case 'start':
+      return withFleet(shape, (fleet) => keep(fleet, shape));
+    case 'run':
+      return withFleet(shape, (fleet) => serve(fleet, shape, dayOf(shape), cli.flags.speed));
+    case 'smoke':
+      return withFleet(SHAPES['small'] ?? shape, (fleet) => serve(fleet, SHAPES['small'] ?? shape, makeDay(SHAPES['small'] ?? shape, 10, 1), 1));
+    case 'examples':
+      return writeExamples();
+    default:
+      console.error('fleet: start, run, smoke or examples; see fleet --help');
+      return 2;
+  }
+}
+
+process.exitCode = await main();
--- /dev/null
+++ b/tools/fleet/src/shapes.ts
@@ -0,0 +1,173 @@
+import { Dice } from '@rainrun/nacelle';
+import { callLine, headLine, type Call } from '@rainrun/playbill';
+
+interface KindShape {
+  readonly group: string;
+  readonly share: number;
+  readonly kind: string;
+  readonly targetMs: number;
+  readonly patienceMs: number;
+  readonly perS: number;
+  readonly stream: boolean;
+  readonly chars: number;
+  readonly prefixes: number;
+}
+
+/** The outline of a deployment. */
+export interface Shape {
+  readonly deployment: string;
+  readonly edges: number;
+  readonly cores: number;
+  readonly zones: readonly string[];
+  readonly workers: number;
+  readonly lookups: number;
+  readonly models: number;
+  readonly adapters: number;
+  readonly modelWord: string;
+  readonly adapterWord: string;
+  readonly pool: string;
+  readonly lookupPath: string;
+  readonly lookupGroup: string;
+  readonly lookupsPerS: number;
+  readonly kinds: readonly KindShape[];
+}
+
+const CHAT = '/v1/chat/completions';
+
+export const SHAPES: Readonly<Record<string, Shape>> = {
+  vejsargs: {
+    deployment: 'vejsargs',
+    edges: 9,
+    cores: 3,
+    zones: ['coast', 'ridge', 'harbour'],
+    workers: 8,
+    lookups: 3,
+    models: 36,
+    adapters: 40,
+    modelWord: 'turbine',
+    adapterWord: 'site',
+    pool: 'specifications',
+    lookupPath: '/v1/lookup/turbines',
+    lookupGroup: 'dashboards',
+    lookupsPerS: 30,
+    kinds: [
+      { group: 'technicians', share: 6, kind: 'question', targetMs: 800, patienceMs: 6000, perS: 8, stream: true, chars: 160, prefixes: 12 },
+      { group: 'analysts', share: 3, kind: 'question', targetMs: 3000, patienceMs: 20_000, perS: 2, stream: true, chars: 400, prefixes: 20 },
+      { group: 'overnight', share: 1, kind: 'history', targetMs: 20_000, patienceMs: 60_000, perS: 0.5, stream: false, chars: 6000, prefixes: 8 },
+    ],
+  },
+  malabon: {
+    deployment: 'malabon',
+    edges: 8,
+    cores: 3,
+    zones: ['market', 'river', 'hill'],
+    workers: 13,
+    lookups: 3,
+    models: 30,
+    adapters: 55,
+    modelWord: 'ticket',
+    adapterWord: 'barangay',
+    pool: 'seat-board',
+    lookupPath: '/v1/lookup/seats',
+    lookupGroup: 'seat-board',
+    lookupsPerS: 45,
+    kinds: [
+      { group: 'buyers', share: 6, kind: 'seat-question', targetMs: 700, patienceMs: 5000, perS: 12, stream: true, chars: 140, prefixes: 16 },
+      { group: 'barangay-offices', share: 2, kind: 'question', targetMs: 2000, patienceMs: 15_000, perS: 2, stream: true, chars: 300, prefixes: 12 },
+      { group: 'resellers', share: 2, kind: 'listing-screen', targetMs: 1500, patienceMs: 10_000, perS: 3, stream: false, chars: 700, prefixes: 6 },
+      { group: 'casework', share: 1, kind: 'refund-draft', targetMs: 10_000, patienceMs: 45_000, perS: 0.5, stream: true, chars: 3000, prefixes: 4 },
+    ],
+  },
+  small: {
+    deployment: 'small',
+    edges: 3,
+    cores: 3,
+    zones: ['north', 'east', 'west'],
+    workers: 4,
+    lookups: 2,
+    models: 8,
+    adapters: 6,
+    modelWord: 'model',
+    adapterWord: 'adapter',
+    pool: 'specifications',
+    lookupPath: '/v1/lookup/turbines',
+    lookupGroup: 'dashboards',
+    lookupsPerS: 10,
+    kinds: [
+      { group: 'technicians', share: 3, kind: 'question', targetMs: 800, patienceMs: 6000, perS: 8, stream: true, chars: 160, prefixes: 4 },
+      { group: 'analysts', share: 1, kind: 'question', targetMs: 3000, patienceMs: 20_000, perS: 3, stream: false, chars: 400, prefixes: 4 },
+    ],
+  },
+};
+
+/**
+ * The example spec of a deployment.
+ * @example
+ * exampleSpec(SHAPES['vejsargs']);
+ */
+export function exampleSpec(shape: Shape): Record<string, unknown> {
+  const dice = new Dice(shape.models);
+  const models = Array.from({ length: shape.models }, (_, place) => ({
+    name: `${shape.modelWord}-${place + 1}`,
+    sizeMb: 4000 + Math.floor(dice.next() * 12) * 1000,
+  }));
+  const adapters = Array.from({ length: shape.adapters }, (_, place) => ({
+    name: `${shape.adapterWord}-${place + 1}`,
+    model: models[place % Math.ceil(shape.models / 2)]?.name ?? '',
+    sizeMb: 50 + Math.floor(dice.next() * 6) * 50,
+  }));
+  const groups = shape.kinds.map(({ group, share, kind, targetMs, patienceMs }) => ({
+    name: group,
+    share,
+    kinds: [{ name: kind, targetMs, patienceMs }],
+    models: ['*'],
+  }));
+  groups.push({ name: shape.lookupGroup, share: 1, kinds: [{ name: 'lookup', targetMs: 250, patienceMs: 2000 }], models: ['*'] });
+  return {
+    deployment: shape.deployment,
+    zones: shape.zones,
+    store: { pullsPerMinute: 240, concurrentPulls: 4 },
+    retries: { ratio: 0.2, allowance: 10 },
+    workers: { roomMb: 80_000, slots: 8 },
+    models,
+    adapters,
+    groups,
+    routes: [
+      { path: CHAT, serve: 'chat' },
+      { path: shape.lookupPath, serve: 'lookup', pool: shape.pool },
+    ],
+  };
+}
+
+function rare(dice: Dice, count: number): number {
+  return Math.min(count - 1, Math.floor(count * dice.next() ** 2.5));
+}
+
+/**
+ * A day of traffic of the deployment's kinds, the same for the same seed.
+ * @example
+ * makeDay(SHAPES['malabon'], 60, 1).split('\n').length;
+ */
+export function makeDay(shape: Shape, seconds: number, seed: number): string {
+  const dice = new Dice(seed);
+  const spec = exampleSpec(shape) as { adapters: { name: string; model: string }[] };
+  const calls: Call[] = [];
+  for (const kind of shape.kinds) {
+    for (let atMs = gapMs(dice, kind.perS); atMs < seconds * 1000; atMs += gapMs(dice, kind.perS)) {
+      const model = `${shape.modelWord}-${1 + rare(dice, shape.models)}`;
+      const fitting = spec.adapters.filter((adapter) => adapter.model === model);
+      const adapter = fitting.length > 0 && dice.next() < 0.4 ? (fitting[rare(dice, fitting.length)]?.name ?? '') : '';
+      const { group, kind: name, stream, chars, prefixes } = kind;
+      calls.push({ atMs: Math.round(atMs), group, kind: name, path: CHAT, model, adapter, stream, prefix: rare(dice, prefixes), chars });
+    }
+  }
+  for (let atMs = gapMs(dice, shape.lookupsPerS); atMs < seconds * 1000; atMs += gapMs(dice, shape.lookupsPerS)) {
+    calls.push({ atMs: Math.round(atMs), group: shape.lookupGroup, kind: 'lookup', path: shape.lookupPath, model: '', adapter: '', stream: false, prefix: 0, chars: 0 });
+  }
+  calls.sort((one, other) => one.atMs - other.atMs);
+  return `${[headLine(shape.deployment), ...calls.map((call) => callLine(call))].join('\n')}\n`;
+}
+
+function gapMs(dice: Dice, perS: number): number {
+  return (-Math.log(1 - dice.next()) / perS) * 1000;
+}
--- /dev/null
+++ b/tools/grandstand/src/grandstand.ts
@@ -0,0 +1,105 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Book, type Report } from './report.js';
+import { StandInWorker, type Mood, type WorkerSetup } from './worker.js';
+
+/** How a grandstand is set up: where its list is served, and its workers. */
+export interface GrandstandSetup {
+  readonly host: string;
+  readonly port: number;
+  readonly pullsPerMinute: number;
+  readonly workers: readonly (WorkerSetup & { readonly pool: string })[];
+}
+
+/**
+ * Stand-in workers, lookups and platform list, in one process.
+ * @example
+ * const grandstand = new Grandstand(setup);
+ * await grandstand.start();
+ */
+export class Grandstand {
+  #setup: GrandstandSetup;
+  #book: Book;
+  #workers = new Map<string, StandInWorker>();
+  #pools = new Map<string, string>();
+  #generation = 1;
+  #server: Server;
+
+  constructor(setup: GrandstandSetup) {
+    this.#setup = setup;
+    this.#book = new Book(setup.pullsPerMinute);
+    for (const worker of setup.workers) {
+      this.#workers.set(worker.name, new StandInWorker(worker, this.#book));
+      this.#pools.set(worker.name, worker.pool);
+    }
+    this.#server = createServer((req, res) => {
+      void this.#take(req, res);
+    });
+  }
+
+  async start(): Promise<void> {
+    for (const worker of this.#workers.values()) await worker.listen();
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.#setup.port, this.#setup.host, () => resolve());
+    });
+  }
+
+  report(): Report {
+    return this.#book.report();
+  }
+
+  /** The platform's list as it is now. */
+  list(): unknown {
+    return {
+      generation: this.#generation,
+      workers: [...this.#workers.values()].map((worker) => ({
+        name: worker.setup.name,
+        address: `${worker.setup.host}:${worker.setup.port}`,
+        zone: worker.setup.zone,
+        kind: worker.setup.kind,
+        pool: this.#pools.get(worker.setup.name),
+        leaving: worker.leaving,
+      })),
+    };
+  }
+
+  /** `leave`, `crash`, `return`, `remove`, or a mood, for one worker. */
+  async act(name: string, what: string): Promise<boolean> {
+    const worker = this.#workers.get(name);
+    if (worker === undefined) return false;
+    if (what === 'leave') {
+      worker.leave(performance.now());
+      this.#generation += 1;
+    } else if (what === 'crash') await worker.crash();
+    else if (what === 'remove') {
+      this.#workers.delete(name);
+      this.#generation += 1;
+      await worker.crash();
+    } else if (what === 'return') {
+      const fresh = new StandInWorker(worker.setup, this.#book);
+      await fresh.listen();
+      this.#workers.set(name, fresh);
+      this.#generation += 1;
+    } else worker.mood = what as Mood;
+    return true;
+  }
+
+  async #take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const [, first, second, third] = (req.url ?? '').split('/');
+    let body: unknown = { error: 'not found' };
+    let status = 404;
+    if (first === 'workers' && second === undefined) {
+      status = 200;
+      body = this.list();
+    } else if (first === 'report') {
+      status = 200;
+      body = this.report();
+    } else if (first === 'act' && req.method === 'POST') {
+      const done = await this.act(second ?? '', third ?? '');
+      status = done ? 200 : 404;
+      body = { done };
+    }
+    res.writeHead(status, { 'content-type': 'application/json' });
+    res.end(JSON.stringify(body));
+  }
+}
--- /dev/null
+++ b/tools/grandstand/src/main.ts
@@ -0,0 +1,30 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import meow from 'meow';
+import { Grandstand, type GrandstandSetup } from './grandstand.js';
+
+const cli = meow(
+  `
+  Stand-in workers, lookups and platform list for trying a fleet.
+
+  Usage
+    $ grandstand --setup FILE
+
+  Serves  GET /workers   the platform's list
+          GET /report    what the stand-ins saw
+          POST /act/WORKER/leave|crash|return|remove|well|dark|nonsense|early|more|slow
+`,
+  { importMeta: import.meta, flags: { setup: { type: 'string', isRequired: true } } },
+);
+
+interface SetupFile extends Omit<GrandstandSetup, 'workers'> {
+  readonly sizesMb: Record<string, number>;
+  readonly workers: readonly (Omit<GrandstandSetup['workers'][number], 'sizesMb'>)[];
+}
+
+const file = JSON.parse(readFileSync(cli.flags.setup, 'utf8')) as SetupFile;
+const sizesMb = new Map(Object.entries(file.sizesMb));
+const grandstand = new Grandstand({ ...file, workers: file.workers.map((worker) => ({ ...worker, sizesMb })) });
+await grandstand.start();
+console.log('grandstand is open');
+process.on('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/tools/grandstand/src/report.ts
@@ -0,0 +1,51 @@
+/** What the stand-ins saw that must never happen, and what they counted. */
+export interface Report {
+  readonly breaches: readonly string[];
+  readonly runs: Readonly<Record<string, number>>;
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/**
+ * The book in which all stand-in workers of one grandstand write.
+ * @example
+ * book.ran('id-1');
+ * book.report().runs['id-1']; // 1
+ */
+export class Book {
+  #breaches: string[] = [];
+  #runs = new Map<string, number>();
+  #counts = new Map<string, number>();
+  #pulls: number[] = [];
+  readonly pullsPerMinute: number;
+
+  constructor(pullsPerMinute: number) {
+    this.pullsPerMinute = pullsPerMinute;
+  }
+
+  breach(text: string): void {
+    if (this.#breaches.length < 100) this.#breaches.push(text);
+    this.count('breaches');
+  }
+
+  count(name: string): void {
+    this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1);
+  }
+
+  ran(id: string, repeatable: boolean): void {
+    const runs = (this.#runs.get(id) ?? 0) + 1;
+    this.#runs.set(id, runs);
+    if (runs > 1 && !repeatable) this.breach(`request ${id} ran ${runs} times`);
+  }
+
+  /** The store: any minute may see only so many pulls. */
+  pulled(nowMs: number): void {
+    this.count('pulls');
+    this.#pulls = this.#pulls.filter((atMs) => nowMs - atMs < 60_000);
+    this.#pulls.push(nowMs);
+    if (this.#pulls.length > this.pullsPerMinute) this.breach(`${this.#pulls.length} pulls within a minute`);
+  }
+
+  report(): Report {
+    return { breaches: this.#breaches, runs: Object.fromEntries(this.#runs), counts: Object.fromEntries(this.#counts) };
+  }
+}
--- /dev/null
+++ b/tools/grandstand/src/worker.ts
@@ -0,0 +1,239 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { digest, piece, pieceCount } from './answers.js';
+import type { Book } from './report.js';
+
+interface Holding {
+  readonly model: string;
+  readonly adapters: readonly string[];
+}
+
+interface Order {
+  readonly epoch: number;
+  readonly action: string;
+  readonly model: string;
+  readonly adapter: string;
+}
+
+/** How one stand-in worker is set up. */
+export interface WorkerSetup {
+  readonly name: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly port: number;
+  readonly kind: 'model' | 'lookup';
+  readonly roomMb: number;
+  readonly slots: number;
+  readonly sizesMb: ReadonlyMap<string, number>;
+  readonly pullMbPerS: number;
+  readonly pieceMs: number;
+}
+
+/** Ways in which a stand-in worker can be made to misbehave. */
+export type Mood = 'well' | 'dark' | 'nonsense' | 'early' | 'more' | 'slow';
+
+const WARM_MS = 500;
+const LEAVING_GRACE_MS = 3000;
+
+function readAll(req: IncomingMessage): Promise<string> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    req.on('data', (part: Buffer) => parts.push(part));
+    req.on('end', () => resolve(Buffer.concat(parts).toString('utf8')));
+    req.on('error', () => resolve(''));
+  });
+}
+
+function json(res: ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { 'content-type': 'application/json' });
+  res.end(JSON.stringify(body));
+}
+
+/** A stand-in worker: serves models by published protocols and watches for what must not happen. */
+export class StandInWorker {
+  readonly setup: WorkerSetup;
+  #book: Book;
+  #server: Server;
+  #holdings = new Map<string, Set<string>>();
+  #loadedMs = new Map<string, number>();
+  #busy = false;
+  #epoch = 0;
+  #running = 0;
+  #mood: Mood = 'well';
+  #leavingMs: number | undefined;
+  #runs = 0;
+
+  constructor(setup: WorkerSetup, book: Book) {
+    this.setup = setup;
+    this.#book = book;
+    this.#server = createServer((req, res) => {
+      void this.#take(req, res);
+    });
+    this.#server.keepAliveTimeout = 30_000;
+  }
+
+  get leaving(): boolean {
+    return this.#leavingMs !== undefined;
+  }
+
+  set mood(mood: Mood) {
+    this.#mood = mood;
+  }
+
+  leave(nowMs: number): void {
+    this.#leavingMs ??= nowMs;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(this.setup.port, this.setup.host, () => resolve());
+    });
+  }
+
+  /** Goes away at once, as a crash does: connections are torn. */
+  crash(): Promise<void> {
+    this.#holdings.clear();
+    this.#loadedMs.clear();
+    this.#busy = false;
+    this.#server.closeAllConnections();
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+
+  async #take(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this.#mood === 'dark') return;
+    const body = await readAll(req);
+    if (req.url === '/orders') return this.#order(JSON.parse(body) as Order, res);
+    const id = String(req.headers['rainrun-id'] ?? '');
+    if (this.#leavingMs !== undefined && performance.now() - this.#leavingMs > LEAVING_GRACE_MS) {
+      this.#book.breach(`${this.setup.name} got work ${(performance.now() - this.#leavingMs).toFixed(0)} ms after it was marked as leaving`);
+    }
+    if (this.setup.kind === 'lookup') return this.#lookup(req, res, id);
+    await this.#chat(JSON.parse(body) as ChatBody, req, res, id);
+  }
+
+  async #lookup(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+    this.#book.ran(id, true);
+    this.#book.count('lookups');
+    await pause(this.#mood === 'slow' ? 3000 : 5);
+    if (this.#mood === 'nonsense') return void res.end('<html>');
+    json(res, 200, { path: req.url, value: digest(req.url ?? '') });
+  }
+
+  async #order(order: Order, res: ServerResponse): Promise<void> {
+    const { epoch, action, model, adapter } = order;
+    if (epoch < this.#epoch) return json(res, 409, { error: `epoch ${this.#epoch} orders now` });
+    this.#epoch = epoch;
+    if (action !== 'inventory' && this.#busy) {
+      this.#book.breach(`${this.setup.name} got an order while it carried out another`);
+      return json(res, 409, { error: 'busy' });
+    }
+    if (action === 'unload') this.#unload(model, adapter);
+    if (action === 'load') await this.#load(model, adapter);
+    json(res, 200, { holdings: this.#listed(), busy: this.#busy });
+  }
+
+  #unload(model: string, adapter: string): void {
+    this.#book.count('unloads');
+    if (adapter === '') this.#holdings.delete(model);
+    else this.#holdings.get(model)?.delete(adapter);
+  }
+
+  async #load(model: string, adapter: string): Promise<void> {
+    const sizeMb = this.setup.sizesMb.get(adapter === '' ? model : adapter) ?? 0;
+    const heldMb = this.#heldMb();
+    if (heldMb + sizeMb > this.setup.roomMb) {
+      this.#book.breach(`${this.setup.name} was told to hold ${heldMb + sizeMb} MB in ${this.setup.roomMb} MB`);
+    }
+    this.#book.pulled(performance.now());
+    this.#busy = true;
+    await pause((sizeMb / this.setup.pullMbPerS) * 1000);
+    this.#busy = false;
+    const adapters = this.#holdings.get(model) ?? new Set<string>();
+    if (adapter !== '') adapters.add(adapter);
+    this.#holdings.set(model, adapters);
+    this.#loadedMs.set(adapter === '' ? model : `${model}/${adapter}`, performance.now());
+  }
+
+  #heldMb(): number {
+    let sumMb = 0;
+    for (const [model, adapters] of this.#holdings) {
+      sumMb += this.setup.sizesMb.get(model) ?? 0;
+      for (const adapter of adapters) sumMb += this.setup.sizesMb.get(adapter) ?? 0;
+    }
+    return sumMb;
+  }
+
+  #listed(): Holding[] {
+    return [...this.#holdings].map(([model, adapters]) => ({ model, adapters: [...adapters] }));
+  }
+
+  async #chat(chat: ChatBody, req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+    const { model, adapter = '', stream = false, messages } = chat;
+    if (this.#holdings.get(model) === undefined || (adapter !== '' && this.#holdings.get(model)?.has(adapter) !== true)) {
+      this.#book.count('not-held');
+      return json(res, 503, { error: 'not held here', ran: false });
+    }
+    if (this.#running >= this.setup.slots * 2) {
+      this.#book.count('full');
+      return json(res, 503, { error: 'full', ran: false });
+    }
+    this.#running += 1;
+    this.#warmCheck(model);
+    this.#runs += 1;
+    this.#book.ran(id, false);
+    this.#book.count('chats');
+    const run = `${this.setup.name}-${this.#runs}`;
+    const prompt = messages.map((message) => message.content).join('\n');
+    await this.#reply({ model, adapter, prompt, run, stream }, req, res);
+    this.#running -= 1;
+  }
+
+  #warmCheck(model: string): void {
+    const warmMs = performance.now() - (this.#loadedMs.get(model) ?? -Infinity);
+    if (warmMs < WARM_MS && this.#running > this.setup.slots) this.#book.breach(`${this.setup.name} was flooded ${warmMs.toFixed(0)} ms after it loaded ${model}`);
+  }
+
+  async #reply(work: Work, req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { model, adapter, prompt, run, stream } = work;
+    const crowdedMs = this.setup.pieceMs * Math.max(1, this.#running / this.setup.slots);
+    const count = this.#mood === 'early' ? 2 : pieceCount(prompt);
+    if (this.#mood === 'nonsense') return void res.end('no such thing');
+    if (stream) res.writeHead(200, { 'content-type': 'text/event-stream' });
+    let whole = '';
+    for (let place = 0; place < count; place += 1) {
+      await pause(crowdedMs);
+      if (res.destroyed) return this.#book.count('visitor-left');
+      const text = piece(model, adapter, prompt, place, run);
+      whole += text;
+      if (stream) res.write(`data: ${JSON.stringify({ choices: [{ index: 0, delta: { content: text } }] })}\n\n`);
+    }
+    if (!stream) return json(res, 200, { choices: [{ index: 0, message: { role: 'assistant', content: whole } }] });
+    if (this.#mood === 'early') return void req.socket.destroy();
+    res.write('data: [DONE]\n\n');
+    if (this.#mood === 'more') res.write(`data: ${JSON.stringify({ choices: [] })}\n\n`);
+    res.end();
+  }
+}
+
+interface ChatBody {
+  readonly model: string;
+  readonly adapter?: string;
+  readonly stream?: boolean;
+  readonly messages: readonly { readonly content: string }[];
+}
+
+interface Work {
+  readonly model: string;
+  readonly adapter: string;
+  readonly prompt: string;
+  readonly run: string;
+  readonly stream: boolean;
+}
+
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, waitMs);
+  });
+}
