--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,30 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', '**/gen/**', 'run/**'] },
+  ...tseslint.configs.strictTypeChecked,
+  {
+    languageOptions: { parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] }, tsconfigRootDir: import.meta.dirname } },
+    rules: {
+      'func-style': ['error', 'declaration', { allowArrowFunctions: false }],
+      'no-restricted-syntax': [
+        'error',
+        { selector: 'FunctionExpression:not(MethodDefinition > FunctionExpression):not(Property > FunctionExpression)', message: 'Declare functions; only methods and callbacks passed in place stand apart.' },
+        { selector: 'PropertyDefinition[accessibility="private"]', message: 'Private fields are written with #.' },
+      ],
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true, ignoreVoidOperator: true, ignoreVoidReturningFunctions: true }],
+      '@typescript-eslint/no-misused-promises': ['error', { checksVoidReturn: { arguments: false } }],
+      '@typescript-eslint/unbound-method': 'off',
+      '@typescript-eslint/no-floating-promises': ['error', { allowForKnownSafeCalls: [{ from: 'package', name: ['test', 'describe', 'it'], package: 'node:test' }] }],
+    },
+  },
+  { files: ['eslint.config.js'], ...tseslint.configs.disableTypeChecked },
+  {
+    files: ['packages/{nacelle,courier,anemometer,ledger,farm,marquee,yaw,gate,hub,playbill}/src/**/*.ts'],
+    ignores: ['**/*.test.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', { selector: 'ThrowStatement', message: 'No exceptions in the core: return a Result.' }],
+    },
+  },
+);
--- a/packages/gate/src/backlog.ts
+++ b/packages/gate/src/backlog.ts
@@ -58,7 +58,7 @@
   order(): readonly (readonly Waiting[])[] {
     return this.#lanes
       .map((lane, group) => ({ lane, used: this.#used[group] ?? 0 }))
-      .filter(({ lane }) => lane !== undefined && lane.length > 0)
+      .filter(({ lane }) => lane.length > 0)
       .sort((one, other) => one.used - other.used)
       .map(({ lane }) => lane);
   }
--- a/packages/marquee/src/spec.ts
+++ b/packages/marquee/src/spec.ts
@@ -149,12 +149,12 @@
 export function mergePatch(target: unknown, patch: unknown): unknown {
   if (typeof patch !== 'object' || patch === null || Array.isArray(patch)) return patch;
   const base = typeof target === 'object' && target !== null && !Array.isArray(target) ? target : {};
-  const merged: Record<string, unknown> = { ...base };
+  const merged = new Map<string, unknown>(Object.entries(base));
   for (const [key, value] of Object.entries(patch)) {
-    if (value === null) delete merged[key];
-    else if (key !== '__proto__') merged[key] = mergePatch(merged[key], value);
+    if (value === null) merged.delete(key);
+    else merged.set(key, mergePatch(merged.get(key), value));
   }
-  return merged;
+  return Object.fromEntries(merged);
 }
 
 /**
--- a/packages/marquee/src/stage.ts
+++ b/packages/marquee/src/stage.ts
@@ -100,12 +100,8 @@
 
 function place(state: Stage, epoch: number, workers: Record<string, readonly HoldingTarget[]>): Applied {
   if (epoch < state.placedBy) return refuse(state, 'conflict', `epoch ${state.placedBy} places now`);
-  const placement = { ...state.placement };
-  for (const [worker, holdings] of Object.entries(workers)) {
-    if (holdings.length === 0) delete placement[worker];
-    else placement[worker] = holdings;
-  }
-  return agree({ ...state, placedBy: epoch, placement }, 'placed');
+  const placement = Object.entries({ ...state.placement, ...workers }).filter(([, holdings]) => holdings.length > 0);
+  return agree({ ...state, placedBy: epoch, placement: Object.fromEntries(placement) }, 'placed');
 }
 
 /**
--- a/packages/mast/src/settings.ts
+++ b/packages/mast/src/settings.ts
@@ -60,7 +60,7 @@
     return Result.err(
       parsed.issues.map((issue) => {
         const path = v.getDotPath(issue) ?? 'settings';
-        return fault('bad-setting', `${path}: found ${JSON.stringify(issue.input) ?? 'nothing'}, expected ${issue.expected ?? issue.message} (${issue.message})`);
+        return fault('bad-setting', `${path}: found ${issue.input === undefined ? 'nothing' : JSON.stringify(issue.input)}, expected ${issue.expected ?? issue.message} (${issue.message})`);
       }),
     );
   }
@@ -78,9 +78,9 @@
 }
 
 function readFile(path: unknown): Result<Record<string, unknown>, Fault> {
-  if (path === undefined) return Result.ok({});
+  if (typeof path !== 'string' || path === '') return Result.ok({});
   return tryOrElse(
     (thrown) => fault('bad-setting', `settings: found ${JSON.stringify(path)}, expected a JSON file (${String(thrown)})`),
-    () => JSON.parse(readFileSync(String(path), 'utf8')) as Record<string, unknown>,
+    () => JSON.parse(readFileSync(path, 'utf8')) as Record<string, unknown>,
   );
 }
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -157,10 +157,10 @@
 
   #later(waitMs: number, mend: () => void): void {
     let done = false;
-    const once = (): void => {
+    function once(): void {
       if (!done) mend();
       done = true;
-    };
+    }
     this.#mended.push(once);
     this.#site.time.after(waitMs, once);
   }
--- a/packages/yaw/src/placer.ts
+++ b/packages/yaw/src/placer.ts
@@ -26,19 +26,28 @@
   readonly above: number;
   /** A copy less only below this multiple. */
   readonly below: number;
-  /** Changes decided in one step. */
+  /** Changes decided in one step that take something away from a worker. */
   readonly steps: number;
+  /** Changes decided in one step that only fill free room. */
+  readonly fills: number;
   /** No copy is moved again before this. */
   readonly restMs: number;
 }
 
-export const PLACE_SETTINGS: PlaceSettings = { perSlotPerS: 0.5, above: 1.2, below: 0.4, steps: 2, restMs: 5000 };
+export const PLACE_SETTINGS: PlaceSettings = { perSlotPerS: 0.5, above: 1.2, below: 0.4, steps: 2, fills: 24, restMs: 5000 };
 
 interface Bench {
   readonly worker: PlaceWorker;
   readonly holdings: Map<string, Set<string>>;
   freeMb: number;
   touched: boolean;
+  cleared: boolean;
+}
+
+interface Parts {
+  readonly sizes: ReadonlyMap<string, number>;
+  readonly adapterMb: ReadonlyMap<string, number>;
+  readonly demands: ReadonlyMap<string, ModelDemand>;
 }
 
 /**
@@ -72,11 +81,11 @@
     const sizes = new Map(spec.models.map((model) => [model.name, model.sizeMb]));
     const adapterMb = new Map(spec.adapters.map((adapter) => [adapter.name, adapter.sizeMb]));
     const benches = workers.map((worker) => openBench(worker, sizes, adapterMb));
-    let left = this.#settings.steps;
+    const parts: Parts = { sizes, adapterMb, demands };
+    let { steps, fills } = this.#settings;
     for (const want of this.#wants(spec, benches, demands)) {
-      if (left === 0) break;
-      const sizeMb = (sizes.get(want.model) ?? 0) + (want.adapter === undefined ? 0 : (adapterMb.get(want.adapter) ?? 0));
-      if (this.#grant(want, sizeMb, benches, demands, sizes, adapterMb, nowMs)) left -= 1;
+      if (fills > 0 && this.#fill(want, benches, parts, nowMs)) fills -= 1;
+      else if (steps > 0 && this.#clear(want, benches, parts, nowMs)) steps -= 1;
     }
     const changes: Record<string, HoldingTarget[]> = {};
     for (const bench of benches) {
@@ -113,40 +122,50 @@
     return (demand.arrivalsPerS + demand.backlog / 2) / (this.#settings.perSlotPerS * Math.max(1, slots));
   }
 
-  #grant(
-    want: Want,
-    sizeMb: number,
-    benches: readonly Bench[],
-    demands: ReadonlyMap<string, ModelDemand>,
-    sizes: ReadonlyMap<string, number>,
-    adapterMb: ReadonlyMap<string, number>,
-    nowMs: number,
-  ): boolean {
-    const { restMs } = this.#settings;
-    const fits = benches
-      .filter((bench) => bench.worker.usable && !bench.touched && bench.worker.roomMb >= sizeMb)
-      .filter((bench) => bench.holdings.has(want.model) === (want.adapter !== undefined));
+  /** Puts what is wanted where there is room, in a zone that lacks it if there is one. */
+  #fill(want: Want, benches: readonly Bench[], parts: Parts, nowMs: number): boolean {
+    const needMb = partMb(want, parts);
     const zones = new Set(benches.filter((bench) => bench.holdings.has(want.model)).map((bench) => bench.worker.zone));
-    const needMb = want.adapter === undefined ? sizeMb : (adapterMb.get(want.adapter) ?? 0);
-    const open = fits
+    const open = fitting(want, benches)
       .filter((bench) => bench.freeMb >= needMb)
       .sort((one, other) => Number(zones.has(one.worker.zone)) - Number(zones.has(other.worker.zone)) || other.freeMb - one.freeMb)[0];
-    if (open !== undefined) return this.#put(want, open, needMb, nowMs);
+    if (open === undefined) return false;
+    const adapters = open.holdings.get(want.model) ?? new Set<string>();
+    if (want.adapter !== undefined) adapters.add(want.adapter);
+    open.holdings.set(want.model, adapters);
+    open.freeMb -= needMb;
+    open.touched = true;
+    this.#movedMs.set(`${open.worker.name}/${want.model}`, nowMs);
+    this.#reasons.set(want.model, `${want.why}, put on ${open.worker.name}`);
+    return true;
+  }
+
+  /** Takes away the copy that is worth least, if the want is worth much more. */
+  #clear(want: Want, benches: readonly Bench[], parts: Parts, nowMs: number): boolean {
     if (want.urgency <= 0) return false;
-    for (const bench of fits) {
-      const victim = [...bench.holdings.keys()]
-        .filter((model) => model !== want.model && nowMs - (this.#movedMs.get(`${bench.worker.name}/${model}`) ?? -Infinity) > restMs)
-        .map((model) => ({ model, worth: this.#worth(model, bench, benches, demands) }))
-        .sort((one, other) => one.worth - other.worth)[0];
-      if (victim === undefined || victim.worth >= want.urgency * this.#settings.below) continue;
-      bench.freeMb += heldMb(bench, victim.model, sizes, adapterMb);
-      bench.holdings.delete(victim.model);
-      bench.touched = true;
-      this.#reasons.set(victim.model, `left ${bench.worker.name} for ${want.model}`);
-      if (bench.freeMb >= needMb) return this.#put(want, bench, needMb, nowMs);
-      return true;
-    }
-    return false;
+    const needMb = partMb(want, parts);
+    const victims = fitting(want, benches)
+      .filter((bench) => !bench.cleared && bench.worker.roomMb >= needMb)
+      .flatMap((bench) =>
+        [...bench.holdings.keys()]
+          .filter((model) => model !== want.model && this.#rested(bench, model, nowMs))
+          .map((model) => ({ bench, model, worth: this.#worth(model, bench, benches, parts.demands) })),
+      )
+      .sort((one, other) => one.worth - other.worth);
+    const victim = victims[0];
+    if (victim === undefined || victim.worth >= want.urgency * this.#settings.below) return false;
+    const { bench, model } = victim;
+    bench.freeMb += heldMb(bench, model, parts.sizes, parts.adapterMb);
+    bench.holdings.delete(model);
+    bench.touched = true;
+    bench.cleared = true;
+    this.#reasons.set(model, `left ${bench.worker.name} for ${want.model}`);
+    this.#fill(want, [bench], parts, nowMs);
+    return true;
+  }
+
+  #rested(bench: Bench, model: string, nowMs: number): boolean {
+    return nowMs - (this.#movedMs.get(`${bench.worker.name}/${model}`) ?? -Infinity) > this.#settings.restMs;
   }
 
   #worth(model: string, bench: Bench, benches: readonly Bench[], demands: ReadonlyMap<string, ModelDemand>): number {
@@ -155,17 +174,6 @@
     if (others.length === 0) return demands.has(model) ? 10 + pressure : 1;
     return pressure;
   }
-
-  #put(want: Want, bench: Bench, needMb: number, nowMs: number): boolean {
-    const adapters = bench.holdings.get(want.model) ?? new Set<string>();
-    if (want.adapter !== undefined) adapters.add(want.adapter);
-    bench.holdings.set(want.model, adapters);
-    bench.freeMb -= needMb;
-    bench.touched = true;
-    this.#movedMs.set(`${bench.worker.name}/${want.model}`, nowMs);
-    this.#reasons.set(want.model, `${want.why}, put on ${bench.worker.name}`);
-    return true;
-  }
 }
 
 interface Want {
@@ -175,6 +183,15 @@
   readonly why: string;
 }
 
+/** Workers on which a want could be met: those with the model for an adapter, those without it for a copy. */
+function fitting(want: Want, benches: readonly Bench[]): Bench[] {
+  return benches.filter((bench) => bench.worker.usable && bench.holdings.has(want.model) === (want.adapter !== undefined));
+}
+
+function partMb(want: Want, parts: Parts): number {
+  return (want.adapter === undefined ? parts.sizes.get(want.model) : parts.adapterMb.get(want.adapter)) ?? Infinity;
+}
+
 function heldMb(
   bench: Bench,
   model: string,
@@ -191,7 +208,7 @@
   for (const { model, adapters } of worker.holdings) {
     if (sizes.has(model)) holdings.set(model, new Set(adapters.filter((adapter) => adapterMb.has(adapter))));
   }
-  const bench: Bench = { worker, holdings, freeMb: worker.roomMb, touched: false };
+  const bench: Bench = { worker, holdings, freeMb: worker.roomMb, touched: false, cleared: false };
   for (const model of holdings.keys()) bench.freeMb -= heldMb(bench, model, sizes, adapterMb);
   bench.touched = holdings.size !== worker.holdings.length || bench.freeMb < 0;
   for (const model of [...holdings.keys()].reverse()) {
--- a/programs/rainrun/src/show.ts
+++ b/programs/rainrun/src/show.ts
@@ -8,7 +8,7 @@
     if (model === undefined) return JSON.stringify(value);
     return adapters === undefined || adapters.length === 0 ? model : `${model}(${adapters.join(',')})`;
   }
-  return String(value as string | number | boolean);
+  return typeof value === 'string' ? value : JSON.stringify(value);
 }
 
 function table(rows: readonly Row[]): string {
--- a/tools/crowd/src/crowd.ts
+++ b/tools/crowd/src/crowd.ts
@@ -87,7 +87,7 @@
     const lookup = call.model === '';
     const visit = new VisitorCall(call, prompt, place);
     try {
-      await this.#agent.dispatch(
+      this.#agent.dispatch(
         {
           origin: `http://${edge}`,
           method: lookup ? 'GET' : 'POST',
--- a/tools/fleet/src/fleet.ts
+++ b/tools/fleet/src/fleet.ts
@@ -49,7 +49,9 @@
       return `${HOST}:${port}`;
     }
     this.platform = next();
-    const zone = (place: number): string => shape.zones[place % shape.zones.length] ?? '';
+    function zone(place: number): string {
+      return shape.zones[place % shape.zones.length] ?? '';
+    }
     const outlines = Array.from({ length: shape.cores + shape.edges }, (_, place) => {
       const core = place < shape.cores;
       const at = core ? place : place - shape.cores;
--- a/tools/grandstand/src/worker.ts
+++ b/tools/grandstand/src/worker.ts
@@ -117,17 +117,24 @@
     this.#book.ran(id, true);
     this.#book.count('lookups');
     await pause(this.#mood === 'slow' ? 3000 : 5);
-    if (this.#mood === 'nonsense') return void res.end('<html>');
+    if (this.#mood === 'nonsense') {
+      res.end('<html>');
+      return;
+    }
     json(res, 200, { path: req.url, value: digest(req.url ?? '') });
   }
 
   async #order(order: Order, res: ServerResponse): Promise<void> {
     const { epoch, action, model, adapter } = order;
-    if (epoch < this.#epoch) return json(res, 409, { error: `epoch ${this.#epoch} orders now` });
+    if (epoch < this.#epoch) {
+      json(res, 409, { error: `epoch ${this.#epoch} orders now` });
+      return;
+    }
     this.#epoch = epoch;
     if (action !== 'inventory' && this.#busy) {
       this.#book.breach(`${this.setup.name} got an order while it carried out another`);
-      return json(res, 409, { error: 'busy' });
+      json(res, 409, { error: 'busy' });
+      return;
     }
     if (action === 'unload') this.#unload(model, adapter);
     if (action === 'load') await this.#load(model, adapter);
@@ -173,11 +180,13 @@
     const { model, adapter = '', stream = false, messages } = chat;
     if (this.#holdings.get(model) === undefined || (adapter !== '' && this.#holdings.get(model)?.has(adapter) !== true)) {
       this.#book.count('not-held');
-      return json(res, 503, { error: 'not held here', ran: false });
+      json(res, 503, { error: 'not held here', ran: false });
+      return;
     }
     if (this.#running >= this.setup.slots * 2) {
       this.#book.count('full');
-      return json(res, 503, { error: 'full', ran: false });
+      json(res, 503, { error: 'full', ran: false });
+      return;
     }
     this.#running += 1;
     this.#warmCheck(model);
@@ -199,18 +208,30 @@
     const { model, adapter, prompt, run, stream } = work;
     const crowdedMs = this.setup.pieceMs * Math.max(1, this.#running / this.setup.slots);
     const count = this.#mood === 'early' ? 2 : pieceCount(prompt);
-    if (this.#mood === 'nonsense') return void res.end('no such thing');
+    if (this.#mood === 'nonsense') {
+      res.end('no such thing');
+      return;
+    }
     if (stream) res.writeHead(200, { 'content-type': 'text/event-stream' });
     let whole = '';
     for (let place = 0; place < count; place += 1) {
       await pause(crowdedMs);
-      if (res.destroyed) return this.#book.count('visitor-left');
+      if (res.destroyed) {
+        this.#book.count('visitor-left');
+        return;
+      }
       const text = piece(model, adapter, prompt, place, run);
       whole += text;
       if (stream) res.write(`data: ${JSON.stringify({ choices: [{ index: 0, delta: { content: text } }] })}\n\n`);
     }
-    if (!stream) return json(res, 200, { choices: [{ index: 0, message: { role: 'assistant', content: whole } }] });
-    if (this.#mood === 'early') return void req.socket.destroy();
+    if (!stream) {
+      json(res, 200, { choices: [{ index: 0, message: { role: 'assistant', content: whole } }] });
+      return;
+    }
+    if (this.#mood === 'early') {
+      req.socket.destroy();
+      return;
+    }
     res.write('data: [DONE]\n\n');
     if (this.#mood === 'more') res.write(`data: ${JSON.stringify({ choices: [] })}\n\n`);
     res.end();
