--- a/packages/farm/src/coordinator.ts
+++ b/packages/farm/src/coordinator.ts
@@ -45,8 +45,6 @@
   vote(version: Version): void;
   flushSelf(change: number, staying: readonly string[]): readonly Cast[];
   deliverSelf(version: Version): void;
-  /** Says that a life is too slow to stay. */
-  tooSlow(life: string): void;
 }
 
 interface Proposal<S> {
@@ -97,6 +95,8 @@
   #missingSinceMs = new Map<string, number>();
   #backlog: Operation[] = [];
   #submitters = new Map<string, Seat>();
+  /** Members that did not flush in time, and until when they are left out. */
+  #slowUntilMs = new Map<string, number>();
   #heldBy = new Map<string, number>();
   #gone = new Set<string>();
   #forgotten = new Set<string>();
@@ -274,18 +274,21 @@
     return view.members.filter((seat) => counts(seat) || this.#isGone(seat)).length >= majority(view.members.length);
   }
 
-  #staying(): Seat[] {
+  #staying(nowMs: number): Seat[] {
     const self = this.#desk.self().life;
     return this.#held.view.members.filter(
       (seat) =>
         seat.life === self ||
-        (this.#desk.live(seat.life) && !this.#desk.reported(seat.life) && !this.#isGone(seat)),
+        (this.#desk.live(seat.life) &&
+          nowMs >= (this.#slowUntilMs.get(seat.life) ?? -Infinity) &&
+          !this.#desk.reported(seat.life) &&
+          !this.#isGone(seat)),
     );
   }
 
   #begin(nowMs: number): boolean {
     const view = this.#held.view;
-    const staying = this.#staying();
+    const staying = this.#staying(nowMs);
     const names = new Set(staying.map((seat) => seat.name));
     const joiners = this.#desk
       .joiners()
@@ -313,7 +316,7 @@
     const missing = change.staying.filter((seat) => !change.lots.has(seat.life));
     const lost = change.staying.some((seat) => seat.life !== self && !this.#desk.live(seat.life));
     if (nowMs - change.bornMs > this.#desk.times.flushMs) {
-      for (const seat of missing) this.#desk.tooSlow(seat.life);
+      for (const seat of missing) this.#slowUntilMs.set(seat.life, nowMs + 2 * this.#desk.times.flushMs);
     }
     if (lost || nowMs - change.bornMs > this.#desk.times.flushMs) {
       this.#change = undefined;
--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -91,6 +91,9 @@
   readonly epoch: number;
   readonly bornMs: number;
   sentMs: number;
+  /** Electors that would grant; the claim itself comes once they are a majority. */
+  readonly supporters: Set<string>;
+  asking: boolean;
   readonly promises: Map<string, Promised>;
 }
 
@@ -142,6 +145,7 @@
   #coordinator: Coordinator<S> | undefined;
   #claiming: Claiming | undefined;
   #claimAfterMs: number;
+  #courtedMs = -Infinity;
   #unableUntilMs = -Infinity;
   #grantLostMs: number | undefined;
   #waiting = new Map<string, { operation: Operation; sentMs: number }>();
@@ -351,15 +355,26 @@
       channel = new Channel();
       this.#channels.set(seat.life, channel);
     }
-    if (!channel.post(body)) this.#anemometer.report(seat.life);
+    if (!channel.post(body)) return this.#overflow(seat.life);
     for (const parcel of channel.beat(this.#now())) this.#post(seat, { case: 'parcel', value: parcel });
   }
 
+  /** A channel that has lost a body is at its end: the member goes, or this node does if it is the one cut off. */
+  #overflow(life: string): void {
+    if (this.granted()) this.#anemometer.report(life);
+    else if (this.#inView) this.#rejoin();
+  }
+
+  /** Live: answers our beats and does not lag behind our parcels beyond the bound. */
+  #isLive(life: string, nowMs: number): boolean {
+    const lagMs = this.#channels.get(life)?.lagMs(nowMs) ?? 0;
+    return lagMs <= this.#gear.times.lagMs && this.#anemometer.live(life, nowMs);
+  }
+
   #beatChannels(nowMs: number): void {
     for (const [life, channel] of this.#channels) {
       const seat = this.#seats.get(life);
       if (seat === undefined) continue;
-      if (channel.lagMs(nowMs) > this.#gear.times.lagMs) this.#anemometer.report(life);
       for (const parcel of channel.beat(nowMs)) this.#post(seat, { case: 'parcel', value: parcel });
     }
   }
@@ -496,7 +511,7 @@
       view: held.view.number,
       number: held.number,
       epoch: this.#coordinator?.epoch ?? 0,
-      suspects: others.filter((member) => !this.#anemometer.live(member.life, nowMs)).map((member) => member.life),
+      suspects: others.filter((member) => !this.#isLive(member.life, nowMs)).map((member) => member.life),
       delivered: [...(this.#causal?.delivered ?? [])],
       unable: nowMs < this.#unableUntilMs || this.#leaving,
       agreed: this.#coordinator?.agreed ?? this.agreed,
@@ -547,7 +562,7 @@
     const nowMs = this.#now();
     if (nowMs - following.atMs > this.#gear.times.suspectMs) return undefined;
     if (following.life === this.#seat.life) return this.#coordinator === undefined ? undefined : following;
-    return this.#anemometer.live(following.life, nowMs) ? following : undefined;
+    return this.#isLive(following.life, nowMs) ? following : undefined;
   }
 
   #onBeatAck(from: string, ack: BeatAck): void {
@@ -761,7 +776,7 @@
 
   #electorSeat(disk: string): Seat | undefined {
     const nowMs = this.#now();
-    const member = this.view?.members.find((seat) => seat.disk === disk && this.#anemometer.live(seat.life, nowMs));
+    const member = this.view?.members.find((seat) => seat.disk === disk && this.#isLive(seat.life, nowMs));
     if (member !== undefined) return member;
     for (const contact of this.#contacts.values()) {
       if (contact.seat.disk === disk && this.#fresh(contact, nowMs)) return contact.seat;
@@ -784,8 +799,15 @@
     if (this.#mayFound()) return this.#found(nowMs);
     if (this.#claiming !== undefined) return this.#pressClaim(this.#claiming, nowMs);
     if (nowMs < this.#claimAfterMs || nowMs < this.#unableUntilMs || acceptor.busy) return;
-    if (this.#liveFollowing() !== undefined || !this.#isNext(acceptor.disk, nowMs)) return;
-    this.#claiming = { epoch: this.epoch + 1, bornMs: nowMs, sentMs: -Infinity, promises: new Map() };
+    if (this.#isTaken(undefined, nowMs) || !this.#isNext(acceptor.disk, nowMs)) return;
+    this.#claiming = {
+      epoch: this.epoch + 1,
+      bornMs: nowMs,
+      sentMs: -Infinity,
+      asking: true,
+      supporters: new Set([acceptor.disk]),
+      promises: new Map(),
+    };
     this.#pressClaim(this.#claiming, nowMs);
   }
 
@@ -800,7 +822,7 @@
       const before = this.#held?.view.members.find(
         (member) =>
           member.life === this.#seat.life ||
-          (electors.includes(member.disk) && this.#anemometer.live(member.life, nowMs) && !this.#unable.has(member.life)),
+          (electors.includes(member.disk) && this.#isLive(member.life, nowMs) && !this.#unable.has(member.life)),
       );
       return before?.life === this.#seat.life;
     }
@@ -812,15 +834,23 @@
     return first === disk;
   }
 
+  /** Whether a coordinator is at work as far as this node can see; a claim against it is not supported. */
+  #isTaken(claimant: string | undefined, nowMs: number): boolean {
+    const following = this.#liveFollowing();
+    if (following !== undefined && following.life !== claimant) return true;
+    return nowMs - this.#courtedMs < this.#gear.times.suspectMs;
+  }
+
   #pressClaim(claiming: Claiming, nowMs: number): void {
     const acceptor = this.#gear.acceptor;
     if (acceptor === undefined) return;
     if (nowMs - claiming.bornMs > this.#gear.times.suspectMs) return this.#dropClaim(nowMs);
     if (nowMs - claiming.sentMs < this.#gear.times.resendMs) return;
     claiming.sentMs = nowMs;
-    const value = create(ClaimSchema, { epoch: claiming.epoch, disk: acceptor.disk });
+    const { epoch, asking } = claiming;
+    const value = create(ClaimSchema, { epoch, disk: acceptor.disk, asking });
     for (const elector of this.#electors()) {
-      if (claiming.promises.has(elector.disk)) continue;
+      if (asking ? claiming.supporters.has(elector.disk) : claiming.promises.has(elector.disk)) continue;
       const seat = this.#electorSeat(elector.disk);
       if (elector.disk === acceptor.disk) acceptor.claim(value, (promise) => this.#onPromise(promise));
       else if (seat !== undefined) this.#post(seat, { case: 'claim', value });
@@ -836,9 +866,11 @@
     const acceptor = this.#gear.acceptor;
     const seat = this.#seats.get(from);
     if (acceptor === undefined || seat === undefined) return;
-    const following = this.#liveFollowing();
-    if (following !== undefined && following.life !== from) {
-      const value = create(PromiseSchema, { epoch: claim.epoch, disk: acceptor.disk, seenEpoch: this.epoch });
+    const taken = this.#isTaken(from, this.#now());
+    if (taken || claim.asking) {
+      const granted = !taken && claim.epoch > acceptor.promisedEpoch;
+      const { epoch, asking } = claim;
+      const value = create(PromiseSchema, { epoch, asking, granted, disk: acceptor.disk, seenEpoch: this.epoch });
       return this.#post(seat, { case: 'promise', value });
     }
     acceptor.claim(claim, (promise) => this.#post(seat, { case: 'promise', value: promise }));
@@ -849,6 +881,7 @@
     this.#epochSeen = Math.max(this.#epochSeen, promise.granted ? 0 : promise.seenEpoch);
     if (claiming === undefined || promise.epoch !== claiming.epoch) return;
     if (!promise.granted) return this.#dropClaim(this.#now());
+    if (promise.asking) return this.#supported(claiming, promise.disk);
     claiming.promises.set(promise.disk, promise);
     const best = this.#bestOf(claiming);
     const electors = best?.state?.electors ?? [];
@@ -861,6 +894,16 @@
     this.#take(claiming.epoch, best);
   }
 
+  #supported(claiming: Claiming, disk: string): void {
+    claiming.supporters.add(disk);
+    const electors = this.#electors();
+    const supporters = electors.filter((elector) => claiming.supporters.has(elector.disk)).length;
+    if (!claiming.asking || supporters < majority(electors.length)) return;
+    claiming.asking = false;
+    claiming.sentMs = -Infinity;
+    this.#pressClaim(claiming, this.#now());
+  }
+
   #bestOf(claiming: Claiming): Version | undefined {
     let best: Version | undefined;
     for (const { accepted } of claiming.promises.values()) {
@@ -902,7 +945,7 @@
       self: () => this.#seat,
       heldNumber: () => (this.#inView ? (this.#held?.number ?? 0) : 0),
       left: (life) => this.#byes.has(life),
-      live: (life) => this.#anemometer.live(life, this.#now()),
+      live: (life) => this.#isLive(life, this.#now()),
       reported: (life) => this.#isReported(life),
       joiners: () => this.#joiners(),
       electorSeat: (disk) => this.#electorSeat(disk),
@@ -914,7 +957,6 @@
       },
       flushSelf: (change, staying) => this.#flush(this.epoch, change, staying).unstable,
       deliverSelf: (version) => this.#takeVersion(this.#seat.life, version),
-      tooSlow: (life) => this.#anemometer.report(life),
     };
   }
 
@@ -944,6 +986,7 @@
     const listed = version.state?.electors.some((elector) => elector.disk === acceptor.disk) ?? false;
     if (!listed && acceptor.accepted === undefined) return;
     if (version.epoch > (this.#coordinator?.epoch ?? Infinity)) this.#resign();
+    if (version.epoch >= this.epoch) this.#courtedMs = this.#now();
     acceptor.propose(propose, (accepted) => this.#post(seat, { case: 'accepted', value: accepted }));
   }
 
--- a/packages/park/src/index.ts
+++ b/packages/park/src/index.ts
@@ -1,4 +1,5 @@
 export * from './oracle.js';
+export * from './script.js';
 export * from './site.js';
 export * from './timeline.js';
 export * from './trial.js';
--- /dev/null
+++ b/packages/park/src/oracle.test.ts
@@ -0,0 +1,97 @@
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { ViewSchema } from '@rainrun/courier';
+import type { Held } from '@rainrun/farm';
+import { EMPTY_STAGE, type Stage } from '@rainrun/marquee';
+import { expect } from 'earl';
+import { Oracle } from './oracle.js';
+import { SITE, runTrial } from './trial.js';
+import { renderTimeline } from './timeline.js';
+
+function held(number: number, emptied: string[] = [], view = 1): Held<Stage> {
+  return {
+    epoch: 1,
+    number,
+    deployment: 'park',
+    view: create(ViewSchema, { epoch: 1, number: view, members: [] }),
+    before: undefined,
+    electors: [],
+    play: { ...EMPTY_STAGE, emptied },
+    answers: [],
+  };
+}
+
+function rules(oracle: Oracle): string[] {
+  return oracle.breaches.map((breach) => breach.rule);
+}
+
+describe('each check of the oracle can fail', () => {
+  it('one history', () => {
+    const oracle = new Oracle();
+    oracle.version('a', held(1, ['north']), true, 0);
+    oracle.version('b', held(1, ['east']), true, 0);
+    expect(rules(oracle)).toEqual(['one history']);
+  });
+
+  it('versions never go back', () => {
+    const oracle = new Oracle();
+    oracle.version('a', held(2), true, 0);
+    oracle.version('a', held(1), true, 0);
+    expect(rules(oracle)).toEqual(['versions never go back']);
+  });
+
+  it('same casts in a view', () => {
+    const oracle = new Oracle();
+    for (const life of ['a', 'b']) oracle.enter(life, 1);
+    oracle.cast('a', 1, 'c', 1, {}, 0);
+    for (const life of ['a', 'b']) oracle.version(life, held(2, [], 2), false, 0);
+    expect(rules(oracle)).toEqual(['same casts in a view']);
+  });
+
+  it('causal order and once each', () => {
+    const oracle = new Oracle();
+    oracle.enter('a', 1);
+    oracle.cast('a', 1, 'b', 1, { c: 1 }, 0);
+    oracle.cast('a', 1, 'b', 1, {}, 0);
+    expect(rules(oracle)).toEqual(['causal order', 'once each']);
+  });
+
+  it('one answer, and in force within 2 s', () => {
+    const oracle = new Oracle();
+    oracle.answered('op', 'agreed', 5, 100);
+    oracle.admits('edge', 4, 2000);
+    expect(rules(oracle)).toEqual([]);
+    oracle.admits('edge', 4, 2200);
+    oracle.answered('op', 'conflict', 5, 2300);
+    expect(rules(oracle)).toEqual(['in force within 2 s', 'one answer']);
+  });
+
+  it('one holder of the duty, one node orders a worker', () => {
+    const oracle = new Oracle();
+    oracle.duty(['core-0', 'core-1'], 0);
+    oracle.orderBegins('w', 'core-0', 1, 0);
+    oracle.orderBegins('w', 'core-1', 2, 0);
+    expect(rules(oracle)).toEqual(['one holder of the duty', 'one node orders a worker']);
+  });
+});
+
+describe('the simulator', () => {
+  it('runs a seed the same way every time', () => {
+    const one = runTrial(3, SITE);
+    const other = runTrial(3, SITE);
+    expect(one.timeline).toEqual(other.timeline);
+    expect(one.frames).toEqual(other.frames);
+  });
+
+  it('draws a timeline with a column for each node', () => {
+    const drawn = renderTimeline(['a', 'b'], [
+      { atMs: 5, node: 'b', text: 'boots' },
+      { atMs: 7, node: '', text: 'cut' },
+    ]);
+    expect(drawn.split('\n').map((line) => line.trimEnd())).toEqual([
+      '      ms  a                     b',
+      '       5                        boots',
+      '       7  ---- cut',
+    ]);
+  });
+});
--- /dev/null
+++ b/packages/park/src/script.ts
@@ -0,0 +1,123 @@
+import type { Site, Machine } from './site.js';
+import type { Cut } from './world.js';
+import { trialSpec } from './trial.js';
+
+/**
+ * Plays a timeline drawn as text: one column a node, a row a moment. A cell
+ * acts on its node, or, beginning with "=", says what must be seen there.
+ * Returns what was not as drawn.
+ * @example
+ * playScript(site, `
+ *   ms   | core-0 | edge-0
+ *   0    | boot   | boot
+ *   4000 | =leads | =admits
+ * `); // []
+ */
+export function playScript(site: Site, drawing: string): string[] {
+  const rows = drawing
+    .split('\n')
+    .map((line) => line.trim())
+    .filter((line) => line !== '')
+    .map((line) => line.split('|').map((cell) => cell.trim()));
+  const names = rows[0]?.slice(1) ?? [];
+  const stage = new Script(site);
+  const wrong: string[] = [];
+  for (const row of rows.slice(1)) {
+    site.time.runUntil(Number(row[0]));
+    names.forEach((name, place) => {
+      const cell = row[place + 1] ?? '';
+      const machine = site.machines.find((known) => known.name === name);
+      if (cell === '' || machine === undefined) return;
+      for (const part of cell.split(',').map((text) => text.trim())) {
+        const fault = part.startsWith('=') ? see(machine, part.slice(1)) : stage.act(machine, part);
+        if (fault !== undefined) wrong.push(`${row[0] ?? ''} ms, ${name}: ${fault}`);
+      }
+    });
+  }
+  for (const { rule, detail, atMs } of site.oracle.breaches) wrong.push(`${atMs.toFixed(0)} ms: ${rule}: ${detail}`);
+  return wrong;
+}
+
+class Script {
+  #site: Site;
+  #cuts = new Map<string, Cut>();
+
+  constructor(site: Site) {
+    this.#site = site;
+  }
+
+  act(machine: Machine, text: string): string | undefined {
+    const [verb = '', word = ''] = text.split(' ');
+    switch (verb) {
+      case 'boot':
+        this.#site.boot(machine);
+        return undefined;
+      case 'kill':
+        this.#site.kill(machine);
+        return undefined;
+      case 'freeze':
+        this.#site.freeze(machine, Number(word));
+        return undefined;
+      case 'stall':
+        if (machine.disk !== undefined) machine.disk.stallUntilMs = this.#site.time.nowMs() + Number(word);
+        return undefined;
+      case 'wipe':
+        machine.disk?.wipe();
+        machine.address = `${machine.name}:new`;
+        return undefined;
+      case 'cut':
+        this.#cut(machine.name, (from, to) => (from === machine.name) !== (to === machine.name));
+        return undefined;
+      case 'mute':
+        this.#cut(machine.name, (from) => from === machine.name);
+        return undefined;
+      case 'heal':
+        this.#heal(machine.name);
+        return undefined;
+      case 'leave':
+        machine.running?.hub.group.leave();
+        return undefined;
+      case 'put':
+        return this.#submitted(this.#site.submit(machine, 'spec.put', { base: Number(word), text: JSON.stringify(trialSpec(0)) }));
+      case 'empty':
+        return this.#submitted(this.#site.submit(machine, 'zone.empty', { zone: word }));
+      default:
+        return `no act "${verb}"`;
+    }
+  }
+
+  #submitted(id: string): string | undefined {
+    return id === '' ? 'nothing was sent' : undefined;
+  }
+
+  #cut(name: string, cut: Cut): void {
+    this.#cuts.set(name, cut);
+    this.#site.net.cut(cut);
+  }
+
+  #heal(name: string): void {
+    const cut = this.#cuts.get(name);
+    if (cut !== undefined) this.#site.net.heal(cut);
+  }
+}
+
+function see(machine: Machine, text: string): string | undefined {
+  const [what = '', word = ''] = text.split(' ');
+  const hub = machine.running?.hub;
+  if (what === 'down') return hub === undefined ? undefined : 'runs';
+  if (hub === undefined) return 'does not run';
+  const { group, stage } = hub;
+  const seen: Record<string, string | number> = {
+    leads: String(group.leading),
+    follows: String(!group.leading),
+    admits: String(group.granted()),
+    refuses: String(!group.granted()),
+    members: group.view?.members.length ?? 0,
+    spec: stage.spec?.version ?? 0,
+    emptied: stage.emptied.join('+'),
+    electors: (group.held?.electors ?? []).filter((elector) => group.view?.members.some((member) => member.disk === elector.disk)).length,
+  };
+  const wanted = word === '' ? 'true' : word;
+  const found = seen[what];
+  return String(found) === wanted ? undefined : `${what} is ${String(found)}, not ${wanted}`;
+}
--- /dev/null
+++ b/packages/park/src/timelines.test.ts
@@ -0,0 +1,174 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { playScript } from './script.js';
+import { Site } from './site.js';
+
+const SMALL = { cores: 3, edges: 2, workers: 3, zones: ['north', 'east', 'west'] };
+
+function play(drawing: string): string[] {
+  return playScript(new Site(11, SMALL, 0.005), drawing);
+}
+
+describe('timelines', () => {
+  it('found, agree a spec, and hold it everywhere', () => {
+    expect(
+      play(`
+        ms   | core-0           | core-1           | core-2          | edge-0          | edge-1
+        0    | boot             | boot             | boot            |                 |
+        100  |                  |                  |                 | boot            | boot
+        3000 | =leads, =admits  | =admits          | =admits         | =admits         | =admits, =members 5
+        3100 |                  |                  |                 | put 0           |
+        3600 | =spec 1          | =spec 1          | =spec 1         | =spec 1         | =spec 1
+      `),
+    ).toEqual([]);
+  });
+
+  it('do not found while a founding core is missing', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0
+        0     | boot            | boot            |                 | boot
+        9000  | =members 0      | =members 0      | =down           | =refuses
+        9000  |                 |                 | boot            |
+        11500 | =members 4      | =members 4      | =members 4      | =admits
+      `),
+    ).toEqual([]);
+  });
+
+  it('go on when the coordinator is killed, and take it back as a new member', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | =leads          |                 |                 | put 0           |
+        3500  | kill            |                 |                 |                 |
+        7000  | =down           | =leads          | =members 4      | =admits         | =members 4
+        7000  |                 |                 |                 | empty north     |
+        7500  | boot            | =emptied north  | =emptied north  | =emptied north  | =emptied north
+        10000 | =follows        | =leads          | =members 5      | =admits         | =admits
+        10000 | =emptied north  |                 |                 |                 |
+      `),
+    ).toEqual([]);
+  });
+
+  it('stop admitting at a node that is cut off, and only there', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  |                 |                 |                 | =admits         | cut
+        4300  | =admits         | =admits         | =admits         | =admits         | =refuses
+        6000  | =members 4      |                 |                 |                 | heal
+        9000  | =members 5      | =admits         | =admits         | =admits         | =admits
+      `),
+    ).toEqual([]);
+  });
+
+  it('stop admitting at a node that can hear but not speak', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | =leads          | mute            |                 |                 |
+        4300  |                 | =refuses        |                 | =admits         |
+        6000  | =leads          | heal            |                 | =members 4      |
+        9000  | =members 5      | =admits         |                 |                 |
+      `),
+    ).toEqual([]);
+  });
+
+  it('let the edges serve on when the core is cut to one, and agree again when it is back', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  |                 | kill            | kill            |                 |
+        6000  | =admits         |                 |                 | =admits         | =admits
+        6000  |                 | boot            |                 |                 |
+        10000 | =admits         | =admits         | =down           | =admits         | put 0
+        10500 | =spec 1         | =spec 1         |                 | =spec 1         | =spec 1
+      `),
+    ).toEqual([]);
+  });
+
+  it('restore everything from the disks after every node was lost', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  |                 |                 |                 | put 0           |
+        3500  |                 |                 |                 | empty east      |
+        4000  | kill            | kill            | kill            | kill            | kill
+        4500  |                 | boot            | boot            | boot            | boot
+        9000  | =down           | =leads          | =spec 1         | =emptied east   | =spec 1
+      `),
+    ).toEqual([]);
+  });
+
+  it('replace an elector whose disk is lost by the empty one at a new address', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | put 0           |                 | kill, wipe      |                 |
+        3500  |                 |                 | boot            |                 |
+        12000 | =electors 3     | =electors 3     | =electors 3     | =spec 1         |
+        12000 | kill            |                 |                 |                 |
+        15500 | =down           | =leads          | =spec 1         | put 1           |
+        16200 |                 | =spec 2         | =spec 2         | =spec 2         | =spec 2
+      `),
+    ).toEqual([]);
+  });
+
+  it('never let a wiped majority speak for what was agreed', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | put 0           |                 |                 |                 |
+        4000  | kill            | kill, wipe      | kill, wipe      | kill            | kill
+        4500  | boot            | boot            | boot            | boot            | boot
+        12000 | =refuses        | =refuses        | =refuses        | =refuses        | =members 0
+        12000 | =spec 0         | =spec 0         | =spec 0         | =spec 0         | =spec 0
+      `),
+    ).toEqual([]);
+  });
+
+  it('hand on the lead at once when the coordinator says goodbye', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | leave           |                 |                 |                 |
+        3200  | kill            |                 |                 |                 |
+        4500  | =down           | =leads          | =members 4      | =admits         | =admits
+      `),
+    ).toEqual([]);
+  });
+
+  it('keep on agreeing while one disk stalls', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | stall 8000      |                 |                 |                 |
+        3100  |                 |                 |                 | put 0           |
+        4000  | =spec 1         | =spec 1         | =spec 1         | =spec 1         | =spec 1
+      `),
+    ).toEqual([]);
+  });
+
+  it('do not admit with an old right after waking from a freeze', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  |                 |                 |                 |                 | freeze 5000
+        3100  | put 0           |                 |                 |                 |
+        3900  | =spec 1         |                 |                 | =spec 1         |
+        8000  |                 |                 |                 |                 | =refuses
+        11000 | =members 5      |                 |                 |                 | =admits, =spec 1
+      `),
+    ).toEqual([]);
+  });
+});
