--- /dev/null
+++ b/packages/courier/src/courier.test.ts
@@ -0,0 +1,95 @@
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { Dice } from '@rainrun/nacelle';
+import { expect } from 'earl';
+import { Channel } from './channel.js';
+import { pack, unpack, WIRE } from './codec.js';
+import { AnswerSchema, ByeSchema, FrameSchema, type Parcel } from './gen/rainrun_pb.js';
+import { NewsBoard } from './news.js';
+
+describe('channel', () => {
+  it('delivers once and in order over a network that loses, doubles and turns round', () => {
+    const dice = new Dice(5);
+    const near = new Channel();
+    const far = new Channel();
+    const got: string[] = [];
+    let wires: { to: Channel; parcel: Parcel }[] = [];
+    function carry(to: Channel, parcels: Parcel[]): void {
+      for (const parcel of parcels) {
+        const copies = dice.next() < 0.3 ? 0 : dice.next() < 0.2 ? 2 : 1;
+        for (let copy = 0; copy < copies; copy += 1) wires.push({ to, parcel: { ...parcel } });
+      }
+    }
+    for (let place = 0; place < 300; place += 1) near.post({ case: 'answer', value: create(AnswerSchema, { id: String(place) }) });
+    for (let nowMs = 0; nowMs < 60_000 && got.length < 300; nowMs += 50) {
+      carry(far, near.beat(nowMs));
+      carry(near, far.beat(nowMs));
+      const due = wires.sort(() => dice.next() - 0.5);
+      wires = [];
+      for (const { to, parcel } of due) {
+        for (const body of to.receive(parcel)) if (body.case === 'answer') got.push(body.value.id);
+      }
+    }
+    expect(got).toEqual(Array.from({ length: 300 }, (_, place) => String(place)));
+  });
+
+  it('reports its lag, and does not count its own sleep', () => {
+    const channel = new Channel();
+    channel.post({ case: 'answer', value: create(AnswerSchema) });
+    channel.beat(0);
+    expect(channel.lagMs(3000)).toEqual(3000);
+    channel.slept(2500);
+    expect(channel.lagMs(3000)).toEqual(500);
+  });
+
+  it('refuses more than its bound', () => {
+    const channel = new Channel();
+    const takes = Array.from({ length: 5000 }, () => channel.post({ case: 'answer', value: create(AnswerSchema) }));
+    expect(takes.filter((taken) => taken).length).toEqual(4096);
+  });
+});
+
+describe('codec', () => {
+  const frame = create(FrameSchema, { wire: WIRE, deployment: 'd', from: 'a', body: { case: 'bye', value: create(ByeSchema) } });
+
+  it('reads back what it packed', () => {
+    const read = unpack(pack(frame), 'd');
+    expect(read.isOk && read.value.from).toEqual('a');
+  });
+
+  it('refuses what is malformed, of another version or of another deployment', () => {
+    const kinds = [
+      unpack(new Uint8Array([255, 255, 255]), 'd'),
+      unpack(pack({ ...frame, wire: WIRE + 1 }), 'd'),
+      unpack(pack(create(FrameSchema, { wire: WIRE, deployment: 'd', from: 'a' })), 'd'),
+      unpack(pack(frame), 'other'),
+    ].map((read) => (read.isErr ? read.error.kind : 'taken'));
+    expect(kinds).toEqual(['wire', 'wire', 'wire', 'foreign']);
+  });
+});
+
+describe('news', () => {
+  it('mends gaps from the newer copy, whichever side asks', () => {
+    const one = new NewsBoard(new Dice(1), () => undefined);
+    const other = new NewsBoard(new Dice(2), () => undefined);
+    one.tell('a', 1, 5, new Uint8Array([1]));
+    other.tell('a', 2, 0, new Uint8Array([2]));
+    one.tell('b', 1, 0, new Uint8Array([3]));
+    const digest = one.beat(['x']).find((post) => post.body.case === 'digest');
+    const mend = digest?.body.case === 'digest' ? other.takeDigest(digest.body.value) : undefined;
+    const back = mend === undefined ? undefined : one.takeMend(mend);
+    if (back !== undefined) other.takeMend(back);
+    expect([one.get('a')?.value, other.get('a')?.value, other.get('b')?.value]).toEqual([
+      new Uint8Array([2]),
+      new Uint8Array([2]),
+      new Uint8Array([3]),
+    ]);
+  });
+
+  it('never takes an older item', () => {
+    const board = new NewsBoard(new Dice(1), () => undefined);
+    board.tell('a', 2, 0, new Uint8Array([2]));
+    board.tell('a', 1, 9, new Uint8Array([1]));
+    expect(board.get('a')?.value).toEqual(new Uint8Array([2]));
+  });
+});
--- /dev/null
+++ b/packages/farm/src/farm.test.ts
@@ -0,0 +1,204 @@
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import {
+  ClaimSchema,
+  EntrySchema,
+  OperationSchema,
+  ProposeSchema,
+  SeatSchema,
+  VersionSchema,
+  ViewSchema,
+  type Accepted,
+  type Cast,
+  type Promise as Promised,
+} from '@rainrun/courier';
+import type { RecordKind, Vault } from '@rainrun/ledger';
+import { fault, type Fault } from '@rainrun/nacelle';
+import { expect } from 'earl';
+import { Result, type Unit } from 'true-myth';
+import { Acceptor, readRecords } from './acceptor.js';
+import { Causal, cutOf } from './causal.js';
+import { Grants } from './grants.js';
+import { advance, type Held, type Play } from './play.js';
+
+const VIEW = create(ViewSchema, {
+  epoch: 1,
+  number: 1,
+  members: ['a', 'b', 'c'].map((life) => create(SeatSchema, { life, name: life })),
+});
+
+function member(life: string): { causal: Causal; heard: string[] } {
+  const heard: string[] = [];
+  const causal = new Causal(VIEW, life, (cast) => heard.push(`${cast.sender}${cast.sequence}`));
+  return { causal, heard };
+}
+
+const EMPTY = new Uint8Array();
+
+describe('causal order', () => {
+  it('holds a cast back until what its sender had delivered has come', () => {
+    const [a, b, c] = [member('a'), member('b'), member('c')];
+    const first = a.causal.send(EMPTY);
+    b.causal.receive(first);
+    const answer = b.causal.send(EMPTY);
+    c.causal.receive(answer);
+    expect(c.heard).toEqual([]);
+    c.causal.receive(first);
+    expect(c.heard).toEqual(['a1', 'b1']);
+  });
+
+  it('carries only what changed in the context record', () => {
+    const [a, b] = [member('a'), member('b')];
+    b.causal.receive(a.causal.send(EMPTY));
+    const first = b.causal.send(EMPTY);
+    const second = b.causal.send(EMPTY);
+    expect([first.contextRank, second.contextRank]).toEqual([[0], []]);
+  });
+
+  it('keeps a cast until all have it, and hands it on in a flush', () => {
+    const [a, b] = [member('a'), member('b')];
+    const cast = a.causal.send(EMPTY);
+    b.causal.receive(cast);
+    expect(b.causal.keptCount).toEqual(1);
+    b.causal.learnDelivered('a', [1, 0, 0]);
+    expect(b.causal.keptCount).toEqual(1);
+    b.causal.learnDelivered('c', [1, 0, 0]);
+    expect(b.causal.keptCount).toEqual(0);
+  });
+
+  it('ends a view with the same casts everywhere, though their sender is gone', () => {
+    const [a, b, c] = [member('a'), member('b'), member('c')];
+    const one = a.causal.send(EMPTY);
+    const two = a.causal.send(EMPTY);
+    b.causal.receive(one);
+    b.causal.receive(two);
+    c.causal.receive(one);
+    const cut = cutOf(VIEW, [b.causal.stop(), c.causal.stop()]);
+    const late = b.causal.stop();
+    for (const { causal } of [b, c]) causal.finish(cut);
+    expect(late.length).toEqual(2);
+    expect([b.heard, c.heard]).toEqual([['a1', 'a2'], ['a1', 'a2']]);
+  });
+
+  it('delivers nothing after it stopped but what was agreed', () => {
+    const [a, b] = [member('a'), member('b')];
+    b.causal.stop();
+    b.causal.receive(a.causal.send(EMPTY));
+    b.causal.finish([]);
+    expect(b.heard).toEqual([]);
+  });
+
+  it('puts a cut in causal order, with those whose predecessors are lost at the end', () => {
+    function full(sender: string, sequence: number, context: number[]): Cast {
+      const cast = member(sender).causal.send(EMPTY);
+      return { ...cast, sequence, contextRank: [0, 1, 2], contextCount: context };
+    }
+    const cut = cutOf(VIEW, [[full('b', 1, [1, 1, 0]), full('c', 1, [0, 5, 1])], [full('a', 1, [1, 0, 0])]]);
+    expect(cut.map((cast) => cast.sender)).toEqual(['a', 'b', 'c']);
+  });
+});
+
+describe('grants', () => {
+  it('last a second from the moment the majority was asked', () => {
+    const grants = new Grants(1000);
+    expect(grants.endMs(VIEW, 'a', 1, 500)).toEqual(-Infinity);
+    grants.given('b', 400, 1);
+    expect(grants.endMs(VIEW, 'a', 1, 500)).toEqual(1400);
+  });
+
+  it('do not count while the granter holds more than we do', () => {
+    const grants = new Grants(1000);
+    grants.given('b', 400, 2);
+    expect(grants.endMs(VIEW, 'a', 1, 500)).toEqual(-Infinity);
+    expect(grants.endMs(VIEW, 'a', 2, 500)).toEqual(1400);
+  });
+});
+
+class SlowVault implements Vault {
+  readonly waiting: (() => void)[] = [];
+  store(_kind: RecordKind, _bytes: Uint8Array, done: (result: Result<Unit, Fault>) => void): void {
+    this.waiting.push(() => done(Result.ok()));
+  }
+  sync(): void {
+    for (const done of this.waiting.splice(0)) done();
+  }
+}
+
+function acceptorOn(vault: Vault): Acceptor {
+  const opening = readRecords({}, 'disk-1');
+  return new Acceptor(
+    opening.isOk ? opening.value : { disk: '', deployment: '', promisedEpoch: 0, promisedTo: '', accepted: undefined },
+    vault,
+    'test',
+    () => undefined,
+  );
+}
+
+function version(epoch: number, number: number) {
+  return create(ProposeSchema, { disk: 'leader', version: create(VersionSchema, { epoch, number, entry: create(EntrySchema) }) });
+}
+
+describe('elector', () => {
+  it('answers only after the sync', () => {
+    const vault = new SlowVault();
+    const answers: (Promised | Accepted)[] = [];
+    const acceptor = acceptorOn(vault);
+    acceptor.claim(create(ClaimSchema, { epoch: 3, disk: 'leader' }), (promise) => answers.push(promise));
+    acceptor.propose(version(3, 1), (accepted) => answers.push(accepted));
+    expect(answers.length).toEqual(0);
+    vault.sync();
+    expect(answers.length).toEqual(2);
+  });
+
+  it('promises an epoch to one claimant and refuses what is older', () => {
+    const vault = new SlowVault();
+    const acceptor = acceptorOn(vault);
+    const granted: boolean[] = [];
+    const refused: boolean[] = [];
+    acceptor.claim(create(ClaimSchema, { epoch: 3, disk: 'leader' }), (promise) => granted.push(promise.granted));
+    acceptor.claim(create(ClaimSchema, { epoch: 3, disk: 'other' }), (promise) => granted.push(promise.granted));
+    acceptor.claim(create(ClaimSchema, { epoch: 2, disk: 'leader' }), (promise) => granted.push(promise.granted));
+    acceptor.propose(version(2, 9), (accepted) => refused.push(accepted.refused));
+    vault.sync();
+    expect(granted).toEqual([false, false, true]);
+    expect(refused).toEqual([true]);
+  });
+
+  it('is refused when its disk has lost what it once held', () => {
+    const vault = new SlowVault();
+    const acceptor = acceptorOn(vault);
+    const records: Uint8Array[] = [];
+    const keeper: Vault = {
+      store: (kind, bytes, done) => {
+        if (kind === 'disk') records.push(bytes);
+        done(Result.ok());
+      },
+    };
+    const kept = acceptorOn(keeper);
+    kept.propose(version(1, 1), () => undefined);
+    const opening = readRecords({ disk: records[0] ?? EMPTY }, 'fresh');
+    expect(acceptor.disk).toEqual('disk-1');
+    expect(opening.isErr && opening.error.kind).toEqual('damaged');
+  });
+});
+
+describe('agreed operations', () => {
+  const counter: Play<number> = {
+    empty: () => 0,
+    encode: (state) => new Uint8Array([state]),
+    decode: (bytes) => Result.ok(bytes[0] ?? 0),
+    apply: (state, operation) =>
+      operation.kind === 'add'
+        ? { state: state + 1, outcome: { kind: 'agreed', detail: '' } }
+        : { state, outcome: fault('bad-request', 'no such kind') },
+  };
+  const start: Held<number> = { epoch: 1, number: 1, deployment: 'd', view: VIEW, before: undefined, electors: [], play: 0, answers: [] };
+
+  it('take effect once for each id, and a refused one never', () => {
+    const operations = ['x', 'x', 'y'].map((id) => create(OperationSchema, { id, kind: id === 'y' ? 'no' : 'add' }));
+    const once = advance(counter, start, 1, create(EntrySchema, { operations }));
+    const again = advance(counter, once, 1, create(EntrySchema, { operations }));
+    expect([once.play, again.play, again.number]).toEqual([1, 1, 3]);
+    expect(again.answers.map((answer) => `${answer.id} ${answer.kind}@${answer.number}`)).toEqual(['x agreed@2', 'y bad-request@2']);
+  });
+});
