--- a/packages/mast/src/wire.ts
+++ b/packages/mast/src/wire.ts
@@ -45,6 +45,12 @@
     this.#take = take;
   }
 
+  /** The port it listens on. */
+  get port(): number {
+    const bound = this.#server?.address();
+    return typeof bound === 'object' && bound !== null ? bound.port : 0;
+  }
+
   listen(address: string): Promise<Result<Unit, Fault>> {
     const { host, port } = splitAddress(address);
     const server = createServer((socket) => this.#guest(socket));
--- /dev/null
+++ b/packages/playbill/src/playbill.test.ts
@@ -0,0 +1,28 @@
+import { it } from 'node:test';
+import { expect } from 'earl';
+import { callLine, headLine, promptOf, readDay, type Call } from './index.js';
+
+const CALL: Call = { atMs: 5, group: 'g', kind: 'k', path: '/p', model: 'm', adapter: '', stream: true, prefix: 1, chars: 80 };
+
+it('a day reads back what was written', () => {
+  const day = readDay(`${headLine('d')}\n${callLine(CALL)}\n`);
+  expect(day.isOk && day.value.calls).toEqual([CALL]);
+});
+
+it('a damaged, truncated, foreign or newer day is refused with its place', () => {
+  const texts = [
+    `${headLine('d')}\n${callLine(CALL)}\n{"atMs":-1}\n`,
+    `${headLine('d')}\n${callLine(CALL).slice(0, 20)}`,
+    'hello\n',
+    '{"format":"rainrun-day","version":9,"deployment":"d"}\n',
+  ];
+  const found = texts.map((text) => {
+    const day = readDay(text);
+    return day.isErr ? day.error.detail.slice(0, 7) : 'read';
+  });
+  expect(found).toEqual(['line 3:', 'line 2:', 'line 1:', 'line 1:']);
+});
+
+it('prompts with one prefix begin alike', () => {
+  expect(promptOf(CALL, 1).slice(0, 40)).toEqual(promptOf(CALL, 2).slice(0, 40));
+});
--- /dev/null
+++ b/packages/yaw/src/yaw.test.ts
@@ -0,0 +1,205 @@
+import { describe, it } from 'node:test';
+import { readSpec, type HoldingTarget, type Spec } from '@rainrun/marquee';
+import { fault, type Fault } from '@rainrun/nacelle';
+import { expect } from 'earl';
+import { Result } from 'true-myth';
+import { Loop } from './loop.js';
+import { Orderer, sizeMb, type Order, type OrderReply } from './orderer.js';
+import { Placer, PLACE_SETTINGS, type ModelDemand, type PlaceWorker } from './placer.js';
+
+function specOf(models: number, pullsPerMinute = 6000): Spec {
+  const read = readSpec(
+    JSON.stringify({
+      deployment: 'd',
+      zones: ['z1', 'z2'],
+      store: { pullsPerMinute, concurrentPulls: 2 },
+      workers: { roomMb: 1000, slots: 4 },
+      models: Array.from({ length: models }, (_, place) => ({ name: `m${place}`, sizeMb: 400 })),
+      adapters: [{ name: 'a', model: 'm0', sizeMb: 50 }],
+      groups: [{ name: 'g', share: 1, kinds: [{ name: 'k', targetMs: 100, patienceMs: 1000 }], models: ['*'] }],
+      routes: [{ path: '/v1/chat/completions', serve: 'chat' }],
+    }),
+  );
+  return read.isOk ? read.value : ({} as Spec);
+}
+
+describe('loop', () => {
+  const settings = { gain: 0.5, integralPerS: 0.2, least: 0.25, most: 4, stepPerS: 0.5, deadBand: 0.05 };
+
+  it('moves in bounded steps and stays within its bounds', () => {
+    const loop = new Loop(settings);
+    const outputs = Array.from({ length: 60 }, () => loop.move(10, 1));
+    const steps = outputs.map((output, place) => output / (outputs[place - 1] ?? 1));
+    expect(Math.max(...steps) <= 1.5).toEqual(true);
+    expect(Math.max(...outputs)).toEqual(4);
+  });
+
+  it('does not wind up: it comes back soon after a long time at its bound', () => {
+    const loop = new Loop(settings);
+    for (let second = 0; second < 600; second += 1) loop.move(10, 1);
+    let seconds = 0;
+    while (loop.move(0.5, 1) > 1.5 && seconds < 100) seconds += 1;
+    expect(seconds < 15).toEqual(true);
+  });
+
+  it('rests within its dead band', () => {
+    const loop = new Loop(settings);
+    for (let second = 0; second < 50; second += 1) loop.move(1.02, 1);
+    expect(loop.output).toEqual(1);
+  });
+
+  it('settles without hunting when the load answers to its weight', () => {
+    const loop = new Loop(settings);
+    const outputs: number[] = [];
+    for (let second = 0; second < 200; second += 1) outputs.push(loop.move(2 / loop.output, 1));
+    const tail = outputs.slice(-50);
+    expect(Math.max(...tail) - Math.min(...tail) < 0.15).toEqual(true);
+  });
+});
+
+function worker(name: string, zone: string, holdings: HoldingTarget[] = []): PlaceWorker {
+  return { name, zone, roomMb: 1000, slots: 4, usable: true, holdings };
+}
+
+function demand(arrivalsPerS: number): ModelDemand {
+  return { arrivalsPerS, backlog: 0, adapters: new Map() };
+}
+
+function settle(spec: Spec, workers: PlaceWorker[], demands: Map<string, ModelDemand>, steps: number, fromMs = 0): { moves: number; workers: PlaceWorker[] } {
+  const placer = new Placer(PLACE_SETTINGS);
+  let now = workers;
+  let moves = 0;
+  for (let step = 0; step < steps; step += 1) {
+    const changes = placer.step(spec, now, demands, fromMs + step * 1000);
+    moves += Object.keys(changes).length;
+    now = now.map((one) => ({ ...one, holdings: changes[one.name] ?? one.holdings }));
+  }
+  return { moves, workers: now };
+}
+
+describe('placer', () => {
+  it('fills free room and never places more than there is room for', () => {
+    const spec = specOf(4);
+    const { workers } = settle(spec, [worker('w1', 'z1'), worker('w2', 'z2')], new Map(), 20);
+    expect(workers.map((one) => sizeMb(spec, one.holdings) <= one.roomMb)).toEqual([true, true]);
+    expect(workers.flatMap((one) => one.holdings.map((held) => held.model)).sort()).toEqual(['m0', 'm1', 'm2', 'm3']);
+  });
+
+  it('makes room for a rare model that is asked for, and then rests', () => {
+    const spec = specOf(6);
+    const start = settle(spec, [worker('w1', 'z1'), worker('w2', 'z2')], new Map(), 10).workers;
+    const demands = new Map([['m5', demand(1)]]);
+    const moved = settle(spec, start, demands, 10, 100_000);
+    expect(moved.workers.some((one) => one.holdings.some((held) => held.model === 'm5'))).toEqual(true);
+    expect(settle(spec, moved.workers, demands, 60, 200_000).moves).toEqual(0);
+  });
+
+  it('adds a copy under pressure, in the other zone', () => {
+    const spec = specOf(2);
+    const start = [worker('w1', 'z1', [{ model: 'm0', adapters: [] }]), worker('w2', 'z2', [{ model: 'm1', adapters: [] }])];
+    const { workers } = settle(spec, start, new Map([['m0', demand(20)]]), 3);
+    expect(workers[1]?.holdings.map((held) => held.model)).toEqual(['m1', 'm0']);
+  });
+
+  it('puts nothing on a worker that may not be used', () => {
+    const spec = specOf(2);
+    const { workers } = settle(spec, [{ ...worker('w1', 'z1'), usable: false }, worker('w2', 'z2')], new Map(), 5);
+    expect(workers[0]?.holdings).toEqual([]);
+  });
+});
+
+class Yard {
+  epoch: number | undefined = 1;
+  readonly orders: Order[] = [];
+  readonly waiting: (() => void)[] = [];
+  holdings: HoldingTarget[] = [];
+  fails = false;
+  readonly orderer = new Orderer({
+    dutyEpoch: () => this.epoch,
+    order: (order, done) => {
+      this.orders.push(order);
+      this.waiting.push(() => done(this.#reply(order)));
+    },
+    learned: () => undefined,
+  });
+
+  #reply(order: Order): Result<OrderReply, Fault> {
+    if (this.fails) return Result.err(fault('unreached', 'dark'));
+    if (order.action === 'load') this.holdings = [...this.holdings, { model: order.model, adapters: [] }];
+    if (order.action === 'unload') this.holdings = this.holdings.filter((held) => held.model !== order.model);
+    return Result.ok({ holdings: this.holdings, busy: false });
+  }
+
+  beat(spec: Spec, target: HoldingTarget[], nowMs: number): void {
+    this.orderer.beat(spec, { w: target }, [{ name: 'w', roomMb: 1000 }], nowMs);
+  }
+
+  reply(): void {
+    for (const done of this.waiting.splice(0)) done();
+  }
+
+  get actions(): string[] {
+    return this.orders.map((order) => `${order.action}${order.model === '' ? '' : ` ${order.model}`}`);
+  }
+}
+
+describe('orderer', () => {
+  const target = [{ model: 'm1', adapters: [] }];
+
+  it('asks first, unloads before it loads, one order at a time', () => {
+    const yard = new Yard();
+    yard.holdings = [{ model: 'm0', adapters: [] }];
+    for (let nowMs = 0; nowMs < 2000; nowMs += 50) {
+      yard.beat(specOf(2), target, nowMs);
+      yard.beat(specOf(2), target, nowMs);
+      yard.reply();
+    }
+    expect(yard.actions).toEqual(['inventory', 'unload m0', 'load m1']);
+  });
+
+  it('orders nothing without the duty', () => {
+    const yard = new Yard();
+    yard.epoch = undefined;
+    for (let nowMs = 0; nowMs < 2000; nowMs += 50) yard.beat(specOf(2), target, nowMs);
+    expect(yard.actions).toEqual([]);
+  });
+
+  it('asks again in a new epoch, and after an order whose outcome it does not know', () => {
+    const yard = new Yard();
+    yard.beat(specOf(2), [], 0);
+    yard.reply();
+    yard.epoch = 2;
+    yard.beat(specOf(2), target, 100);
+    yard.reply();
+    for (let nowMs = 150; yard.orders.length < 3; nowMs += 50) yard.beat(specOf(2), target, nowMs);
+    yard.fails = true;
+    yard.reply();
+    yard.fails = false;
+    yard.beat(specOf(2), target, 60_000);
+    yard.reply();
+    expect(yard.actions).toEqual(['inventory', 'inventory', 'load m1', 'inventory']);
+  });
+
+  it('pulls no faster than the store allows', () => {
+    const yard = new Yard();
+    const spec = specOf(2, 12);
+    let loads = 0;
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 50) {
+      yard.holdings = [];
+      yard.beat(spec, target, nowMs);
+      yard.reply();
+      loads = yard.orders.filter((order) => order.action === 'load').length;
+    }
+    expect(loads <= 12 && loads >= 10).toEqual(true);
+  });
+
+  it('never orders more than the room holds', () => {
+    const yard = new Yard();
+    const three = ['m0', 'm1', 'm2'].map((model) => ({ model, adapters: [] }));
+    for (let nowMs = 0; nowMs < 5000; nowMs += 50) {
+      yard.beat(specOf(3), three, nowMs);
+      yard.reply();
+    }
+    expect(sizeMb(specOf(3), yard.holdings)).toEqual(800);
+  });
+});
