--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
   {
     languageOptions: { parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] }, tsconfigRootDir: import.meta.dirname } },
     rules: {
+      '@typescript-eslint/no-unused-vars': ['error', { varsIgnorePattern: '^_', argsIgnorePattern: '^_' }],
       'func-style': ['error', 'declaration', { allowArrowFunctions: false }],
       'no-restricted-syntax': [
         'error',
--- a/packages/farm/src/acceptor.ts
+++ b/packages/farm/src/acceptor.ts
@@ -71,6 +71,7 @@
   #accepted: Version | undefined;
   #storing: { epoch: number; number: number } | undefined;
   #busy = 0;
+  #syncs = 0;
 
   constructor(opening: Opening, vault: Vault, deployment: string, failed: (fault: Fault) => void) {
     this.#disk = opening.disk;
@@ -100,6 +101,11 @@
     return this.#busy > 0;
   }
 
+  /** Writes synced so far. */
+  get syncs(): number {
+    return this.#syncs;
+  }
+
   /** Writes the disk's own record, before anything else is written. */
   mark(): void {
     this.#store('disk', toBinary(DiskRecordSchema, create(DiskRecordSchema, {
@@ -163,6 +169,7 @@
     this.#busy += 1;
     this.#vault.store(kind, bytes, (result) => {
       this.#busy -= 1;
+      this.#syncs += 1;
       if (result.isOk) done();
       else this.#failed(result.error);
     });
--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -157,6 +157,8 @@
   #gapSinceMs: number | undefined;
   #leaving = false;
   #byes = new Set<string>();
+  /** When the disk last synced something, while writes are waiting. */
+  #disk: { syncs: number; sinceMs: number } | undefined;
   #unable = new Set<string>();
 
   constructor(gear: GroupGear<S>) {
@@ -279,15 +281,29 @@
     if (awayMs > 0) {
       this.#claimAfterMs = Math.max(this.#claimAfterMs, nowMs + this.#gear.times.suspectMs);
       for (const channel of this.#channels.values()) channel.slept(awayMs);
+      if (this.#disk !== undefined) this.#disk.sinceMs += awayMs;
     }
+    const stalled = this.#isDiskStalled(nowMs);
+    if (stalled && this.#inView) this.#rejoin();
     if (nowMs - this.#lastBeatMs >= this.#gear.times.beatMs && this.#inView) this.#sendBeats(nowMs);
-    if (nowMs - this.#lastHelloMs >= this.#gear.times.helloMs) this.#sendHellos(nowMs);
-    if (!this.#leaving) this.#lead(nowMs);
+    if (nowMs - this.#lastHelloMs >= this.#gear.times.helloMs && !stalled) this.#sendHellos(nowMs);
+    if (!this.#leaving && !stalled) this.#lead(nowMs);
     this.#submitWaiting();
     this.#beatChannels(nowMs);
     if (this.#gapSinceMs !== undefined && nowMs - this.#gapSinceMs > GAP_MS) this.#rejoin();
   }
 
+  /** A disk that has synced nothing for too long, though writes wait: this node leaves the view until it does. */
+  #isDiskStalled(nowMs: number): boolean {
+    const { acceptor, times } = this.#gear;
+    if (acceptor === undefined || !acceptor.busy) {
+      this.#disk = undefined;
+      return false;
+    }
+    if (this.#disk?.syncs !== acceptor.syncs) this.#disk = { syncs: acceptor.syncs, sinceMs: nowMs };
+    return nowMs - this.#disk.sinceMs > times.lagMs;
+  }
+
   receive(frame: Frame): void {
     const { from, body } = frame;
     if (from === this.#seat.life) return;
--- a/packages/gate/src/gate.test.ts
+++ b/packages/gate/src/gate.test.ts
@@ -202,6 +202,22 @@
   });
 });
 
+describe('deadlines', () => {
+  it('end a send with its kind, and a stream visibly cut', () => {
+    const stand = new Stand();
+    const plain = stand.ask({ deadlineMs: 500 });
+    const first = stand.last();
+    const stream = stand.ask({ deadlineMs: 500, streamed: true });
+    const second = stand.last();
+    for (const { handler } of [first, second]) handler.mayStart();
+    second.handler.start(200, SSE);
+    second.handler.chunk(Buffer.from('data: 1\n\n'));
+    stand.nowMs = 501;
+    stand.gate.beat();
+    expect([plain.port.seen, stream.port.seen.at(-1), first.aborted, second.aborted]).toEqual([['deadline-exceeded'], 'cut', true, true]);
+  });
+});
+
 describe('streams', () => {
   function streamed(act: (handler: SendHandler) => void): { seen: string[]; aborted: boolean } {
     const stand = new Stand();
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -76,6 +76,10 @@
   readonly model: string;
   readonly adapter: string;
   readonly path: string;
+  readonly stream: boolean;
+  readonly prefix: number;
+  readonly body: Uint8Array | undefined;
+  readonly worker: string;
   readonly outcome: 'served' | 'cut' | FaultKind;
   readonly arrivedMs: number;
   readonly firstPieceMs: number | undefined;
@@ -120,7 +124,7 @@
   #measures = new Map<string, Measure>();
   #arrivals = new Map<string, { model: string; adapter: string; arrivals: number }>();
   #faults = new Map<string, number>();
-  #flying = 0;
+  #flights = new Set<Send>();
   #draining = false;
   #counts = new Map<string, number>();
 
@@ -136,7 +140,7 @@
   }
 
   get inFlight(): number {
-    return this.#flying;
+    return this.#flights.size;
   }
 
   get backlogCount(): number {
@@ -180,6 +184,7 @@
       deadlineMs: nowMs + (ask.deadlineMs ?? DEADLINE_MS),
       left: false,
       sends: 0,
+      worker: '',
       cancel: undefined,
       firstPieceMs: undefined,
       trail: [],
@@ -209,6 +214,7 @@
         else if (waitedMs > visit.patienceMs) this.#giveUp(key, fault('no-worker', visit.trail.at(-1) ?? 'no worker came free in time'));
       }
     }
+    for (const send of [...this.#flights]) if (nowMs > send.deadlineMs) send.expire();
     if (!this.#gear.granted()) return;
     while (this.#sendNext(nowMs));
   }
@@ -353,17 +359,21 @@
     const { clock, sender } = this.#gear;
     const nowMs = clock.nowMs();
     visit.sends += 1;
+    visit.worker = worker.name;
     if (visit.sends === 1) this.#budget.first(nowMs);
     this.#assigner.begun(worker.name, visit.prefix);
     this.#backlog.charge(visit.group, this.#gear.weight(this.#groups.name(visit.group)));
     this.#groupInFlight[visit.group] = (this.#groupInFlight[visit.group] ?? 0) + 1;
-    this.#flying += 1;
     this.#count('sends');
     const send = new Send(visit, worker, {
       nowMs: () => clock.nowMs(),
       mayStart: () => this.#mayStart(visit, worker),
-      over: (end) => this.#sendOver(visit, worker, end),
+      over: (end) => {
+        this.#flights.delete(send);
+        this.#sendOver(visit, worker, end);
+      },
     });
+    this.#flights.add(send);
     const stallMs = visit.repeatable ? LOOKUP_SEND_MS : STALL_MS;
     const sending = sender.send(
       {
@@ -389,7 +399,6 @@
 
   #sendOver(visit: Visit, worker: RosterView, end: SendEnd): void {
     const nowMs = this.#gear.clock.nowMs();
-    this.#flying -= 1;
     this.#groupInFlight[visit.group] = Math.max(0, (this.#groupInFlight[visit.group] ?? 0) - 1);
     this.#assigner.ended(worker.name, end.well, nowMs);
     if (!end.well) this.#faults.set(worker.name, (this.#faults.get(worker.name) ?? 0) + 1);
@@ -451,6 +460,10 @@
       model: this.#models.name(visit.model),
       adapter: this.#adapters.name(visit.adapter),
       path: visit.path,
+      stream: visit.streamed,
+      prefix: visit.prefix,
+      body: visit.body,
+      worker: visit.worker,
       outcome,
       arrivedMs: visit.arrivedMs,
       firstPieceMs: visit.firstPieceMs,
@@ -553,6 +566,17 @@
     if (this.#over) sending.abort();
   }
 
+  get deadlineMs(): number {
+    return this.#visit.deadlineMs;
+  }
+
+  /** The deadline has passed while the worker was at it. */
+  expire(): void {
+    if (this.#opened) this.#cut();
+    else this.#fail(true, fault('deadline-exceeded', 'the deadline passed after it was sent'));
+    this.#sending?.abort();
+  }
+
   /** The visitor has left: the worker's connection is closed. */
   leave(): void {
     this.#finish({ done: undefined, well: true, sent: true, tried: true, fault: NO_FAULT });
--- a/packages/gate/src/visit.ts
+++ b/packages/gate/src/visit.ts
@@ -38,6 +38,8 @@
   /** Set once the visitor has gone. */
   left: boolean;
   sends: number;
+  /** The worker it was last sent to. */
+  worker: string;
   cancel: (() => void) | undefined;
   firstPieceMs: number | undefined;
   /** Where the request went and why, for `explain`. */
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -13,6 +13,7 @@
 import { pino, type Logger } from 'pino';
 import { Result, type Unit } from 'true-myth';
 import { Operators, type OperatorReply } from './operators.js';
+import { Recorder } from './recorder.js';
 import { readList, sendOrder } from './platform.js';
 import type { Settings } from './settings.js';
 import { sendFault, visit, type VisitorRequest } from './visitors.js';
@@ -56,7 +57,8 @@
   #broker = new ServiceBroker({ logger: false, transporter: null, skipProcessEventRegistration: true });
   #timers: NodeJS.Timeout[] = [];
   #loops = new Map<string, Loop>();
-  #ends = new Map<string, EndRecord>();
+  #ends = new Map<string, Omit<EndRecord, 'body'>>();
+  #recorder: Recorder | undefined;
   #listing = false;
   #listFaults = 0;
 
@@ -67,6 +69,7 @@
     this.#wire = new Wire(settings.deployment, (frame) => this.#hub.receive(frame));
     this.#hub = this.#makeHub(acceptor);
     if (role === 'edge') this.#gate = this.#makeGate();
+    if (role === 'edge' && settings.recordFile !== '') this.#recorder = new Recorder(settings, CLOCK.nowMs());
     this.#operators = new Operators({
       hub: this.#hub,
       chance: CHANCE,
@@ -100,6 +103,7 @@
     server?.closeIdleConnections();
     setTimeout(() => server?.closeAllConnections(), 500).unref();
     await this.#broker.stop();
+    await this.#recorder?.close();
     await this.#sender.close();
     this.#wire.close();
   }
@@ -153,7 +157,9 @@
   }
 
   #remember(record: EndRecord): void {
-    this.#ends.set(record.id, record);
+    const { body: _, ...rest } = record;
+    this.#ends.set(record.id, rest);
+    this.#recorder?.take(record);
     const oldest = this.#ends.keys().next();
     if (this.#ends.size > EXPLAINED && oldest.done !== true) this.#ends.delete(oldest.value);
   }
--- a/packages/mast/src/operators.ts
+++ b/packages/mast/src/operators.ts
@@ -19,7 +19,7 @@
   readonly chance: Chance;
   readonly gate: Gate | undefined;
   counters(): Record<string, number>;
-  explain(id: string): EndRecord | undefined;
+  explain(id: string): Omit<EndRecord, 'body'> | undefined;
 }
 
 function failure(kind: FaultKind, message: string, more: Record<string, unknown> = {}): OperatorReply {
--- a/packages/mast/src/program.ts
+++ b/packages/mast/src/program.ts
@@ -20,6 +20,9 @@
     --platform      http address or file with the platform's list of workers
     --drain-ms      how long to wait for answers in flight when stopping
     --body-max-bytes  largest request body
+    --record-file   file into which an edge records its day
+    --record-max-bytes  where the recording stops
+    --record-contents   record prompts too
     --log-level     debug, info, warn, error, silent
     --check         check the settings and exit
 `;
@@ -48,6 +51,9 @@
       platform: { type: 'string' },
       drainMs: { type: 'string' },
       bodyMaxBytes: { type: 'string' },
+      recordFile: { type: 'string' },
+      recordMaxBytes: { type: 'string' },
+      recordContents: { type: 'boolean', default: false },
       logLevel: { type: 'string' },
       folder: { type: 'string' },
       founders: { type: 'string' },
--- /dev/null
+++ b/packages/mast/src/recorder.ts
@@ -0,0 +1,93 @@
+import { createWriteStream, type WriteStream } from 'node:fs';
+import type { EndRecord } from '@rainrun/gate';
+import { callLine, headLine, type Call } from '@rainrun/playbill';
+import * as v from 'valibot';
+
+const PromptSchema = v.object({ messages: v.array(v.object({ content: v.string() })) });
+
+/** What is recorded, and how much of it. */
+export interface RecorderSettings {
+  readonly deployment: string;
+  readonly recordFile: string;
+  readonly recordMaxBytes: number;
+  readonly recordContents: boolean;
+}
+
+function promptIn(body: Uint8Array | undefined): string {
+  if (body === undefined) return '';
+  try {
+    const read = v.safeParse(PromptSchema, JSON.parse(Buffer.from(body).toString('utf8')));
+    return read.success ? read.output.messages.map((message) => message.content).join('\n') : '';
+  } catch {
+    return '';
+  }
+}
+
+/**
+ * A request that ended, as a call of a recorded day; its contents only if asked for.
+ * @example
+ * toCall(record, startMs, false).prompt; // undefined
+ */
+export function toCall(record: EndRecord, startMs: number, contents: boolean): Call {
+  const { group, kind, model, adapter, stream, prefix, outcome, worker, arrivedMs, firstPieceMs } = record;
+  const prompt = promptIn(record.body);
+  return {
+    atMs: Math.max(0, Math.round(arrivedMs - startMs)),
+    group,
+    kind,
+    path: model === '' ? record.path.slice(0, Math.max(1, record.path.lastIndexOf('/'))) : record.path,
+    model,
+    adapter,
+    stream,
+    prefix,
+    chars: prompt.length,
+    outcome,
+    worker,
+    ...(firstPieceMs === undefined ? {} : { firstPieceMs: Math.round(firstPieceMs - arrivedMs) }),
+    ...(contents ? { prompt } : {}),
+  };
+}
+
+/**
+ * Records an edge's day up to a bound.
+ * @example
+ * const recorder = new Recorder(settings, nowMs);
+ * gate.on('ended', (record) => recorder.take(record));
+ */
+export class Recorder {
+  #settings: RecorderSettings;
+  #startMs: number;
+  #file: WriteStream;
+  #bytes = 0;
+
+  constructor(settings: RecorderSettings, startMs: number) {
+    this.#settings = settings;
+    this.#startMs = startMs;
+    this.#file = createWriteStream(settings.recordFile, { flags: 'w' });
+    this.#file.on('error', () => {
+      this.#bytes = Infinity;
+    });
+    this.#write(headLine(settings.deployment));
+  }
+
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  take(record: EndRecord): void {
+    this.#write(callLine(toCall(record, this.#startMs, this.#settings.recordContents)));
+  }
+
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#file.end(resolve);
+    });
+  }
+
+  #write(line: string): void {
+    const bytes = Buffer.byteLength(line) + 1;
+    if (this.#bytes + bytes > this.#settings.recordMaxBytes) return;
+    this.#bytes += bytes;
+    this.#file.write(`${line}\n`);
+  }
+}
--- a/packages/mast/src/settings.ts
+++ b/packages/mast/src/settings.ts
@@ -32,6 +32,11 @@
   platform: v.optional(v.string(), ''),
   drainMs: v.optional(v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(600_000)), 30_000),
   bodyMaxBytes: v.optional(v.pipe(v.number(), v.integer(), v.minValue(1024), v.maxValue(64 * 1024 * 1024)), 4 * 1024 * 1024),
+  /** File into which an edge records its day; none is recorded without it. */
+  recordFile: v.optional(v.string(), ''),
+  recordMaxBytes: v.optional(v.pipe(v.number(), v.integer(), v.minValue(1024)), 64 * 1024 * 1024),
+  /** Whether prompts are recorded too. */
+  recordContents: v.optional(v.boolean(), false),
   logLevel: v.optional(v.picklist(['debug', 'info', 'warn', 'error', 'silent']), 'info'),
 });
 
@@ -39,7 +44,7 @@
 export type Settings = v.InferOutput<typeof SettingsSchema>;
 
 const LISTS = new Set(['seeds', 'founders']);
-const NUMBERS = new Set(['drainMs', 'bodyMaxBytes']);
+const NUMBERS = new Set(['drainMs', 'bodyMaxBytes', 'recordMaxBytes']);
 
 /**
  * Puts settings file and flags together, flags first, and checks the whole.
@@ -53,6 +58,7 @@
   const merged: Record<string, unknown> = { ...file.value };
   for (const [key, value] of Object.entries(flags)) {
     if (value === undefined || value === '' || key === 'settings' || key === 'check') continue;
+    if (key === 'recordContents' && value === false) continue;
     merged[key] = fromFlag(key, value);
   }
   const parsed = v.safeParse(SettingsSchema, merged);
--- a/tools/crowd/src/crowd.ts
+++ b/tools/crowd/src/crowd.ts
@@ -10,6 +10,8 @@
   readonly ran: 'no' | 'maybe' | 'yes';
   readonly firstPieceMs: number;
   readonly wholeMs: number;
+  readonly beganMs: number;
+  readonly edge: string;
 }
 
 /** What a crowd saw in sum. */
@@ -45,6 +47,7 @@
   #seen: Seen[] = [];
   #next = 0;
   #down = new Set<string>();
+  #stopped = false;
 
   constructor(edges: readonly string[]) {
     this.#edges = edges;
@@ -56,8 +59,9 @@
     else this.#down.delete(edge);
   }
 
-  get calls(): number {
-    return this.#seen.length;
+  /** Makes no more calls; those under way are waited for. */
+  stop(): void {
+    this.#stopped = true;
   }
 
   /** Plays calls at a speed; resolves when the last answer is in. */
@@ -67,6 +71,7 @@
     for (const [place, call] of calls.entries()) {
       const waitMs = call.atMs / speed - (performance.now() - beganMs);
       if (waitMs > 1) await pause(waitMs);
+      if (this.#stopped) break;
       running.push(this.#make(call, place));
     }
     await Promise.all(running);
@@ -115,6 +120,8 @@
       ran,
       firstPieceMs: (firstMs ?? performance.now()) - beganMs,
       wholeMs: performance.now() - beganMs,
+      beganMs,
+      edge,
     });
   }
 
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -7,6 +7,7 @@
 import type { Report } from '@rainrun/grandstand';
 import { readDay } from '@rainrun/playbill';
 import { Fleet } from './fleet.js';
+import { Trial } from './trial.js';
 import { exampleSpec, makeDay, SHAPES, type Shape } from './shapes.js';
 
 const cli = meow(
@@ -16,6 +17,7 @@
   Usage
     $ fleet start --shape vejsargs     start it and leave it running until Ctrl-C
     $ fleet run --shape malabon        start, serve the example day after 12 s, report, stop
+    $ fleet trial --shape small        failures, one after the other, while visitors call
     $ fleet smoke                      a short run of a small fleet, for tests
     $ fleet examples                   write the example specs and days anew
 
@@ -107,6 +109,30 @@
   return breaches.length === 0 && ratio > 0.95 ? 0 : 1;
 }
 
+/** Serves traffic for as long as the trial takes, and judges the whole. */
+async function tryOut(fleet: Fleet, shape: Shape): Promise<number> {
+  const closed = await open(fleet, shape);
+  if (closed !== undefined) {
+    console.error(`fleet: ${closed}`);
+    return 1;
+  }
+  await pause(10_000);
+  const crowd = new Crowd(fleet.edges.map((edge) => edge.http));
+  const trial = new Trial(fleet, crowd);
+  const day = readDay(makeDay(shape, 300, 1));
+  if (day.isErr) return 1;
+  const playing = crowd.play(day.value.calls, 1);
+  await pause(2000);
+  const found = await trial.run();
+  crowd.stop();
+  const report = await playing;
+  const workers = (await fleet.ask(fleet.platform, 'GET', '/report')).body as Report;
+  const breaches = [...report.breaches, ...workers.breaches, ...compare(report.seen, workers.runs), ...found.faults, ...trial.lostInPlannedStops(report)];
+  show(report, workers, breaches);
+  for (const line of found.lines) console.log(line);
+  return breaches.length === 0 ? 0 : 1;
+}
+
 async function withFleet(shape: Shape, act: (fleet: Fleet) => Promise<number>): Promise<number> {
   const folder = cli.flags.folder ?? mkdtempSync(join(tmpdir(), 'rainrun-'));
   const fleet = new Fleet(shape, folder, cli.flags.port);
@@ -163,12 +189,14 @@
       return withFleet(shape, (fleet) => keep(fleet, shape));
     case 'run':
       return withFleet(shape, (fleet) => serve(fleet, shape, dayOf(shape), cli.flags.speed));
+    case 'trial':
+      return withFleet(shape, (fleet) => tryOut(fleet, shape));
     case 'smoke':
       return withFleet(SHAPES['small'] ?? shape, (fleet) => serve(fleet, SHAPES['small'] ?? shape, makeDay(SHAPES['small'] ?? shape, 10, 1), 1));
     case 'examples':
       return writeExamples();
     default:
-      console.error('fleet: start, run, smoke or examples; see fleet --help');
+      console.error('fleet: start, run, trial, smoke or examples; see fleet --help');
       return 2;
   }
 }
--- /dev/null
+++ b/tools/fleet/src/trial.ts
@@ -0,0 +1,207 @@
+import type { Crowd, CrowdReport, Seen } from '@rainrun/crowd';
+import type { Fleet, FleetNode } from './fleet.js';
+
+/** One act of a trial: when, what, and how it is done. */
+interface Act {
+  readonly name: string;
+  readonly run: () => Promise<string | undefined>;
+}
+
+/** What a trial of failures found. */
+export interface TrialReport {
+  readonly faults: string[];
+  readonly lines: string[];
+}
+
+const RETURN_MS = 12_000;
+const SETTLE_MS = 1500;
+
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, waitMs);
+  });
+}
+
+/**
+ * Failures brought about on a real fleet while visitors call, one after the
+ * other, each followed by the question whether service came back.
+ * @example
+ * const report = await new Trial(fleet, crowd).run();
+ */
+export class Trial {
+  #fleet: Fleet;
+  #crowd: Crowd;
+  #lines: string[] = [];
+  #faults: string[] = [];
+  #planned: { edge: string; fromMs: number; toMs: number }[] = [];
+
+  constructor(fleet: Fleet, crowd: Crowd) {
+    this.#fleet = fleet;
+    this.#crowd = crowd;
+  }
+
+  async run(): Promise<TrialReport> {
+    for (const act of this.#acts()) {
+      const beganMs = performance.now();
+      const fault = await act.run();
+      const tookMs = performance.now() - beganMs;
+      this.#lines.push(`${act.name.padEnd(46)} ${tookMs.toFixed(0).padStart(6)} ms  ${fault ?? 'well'}`);
+      if (fault !== undefined) this.#faults.push(`${act.name}: ${fault}`);
+      await pause(SETTLE_MS);
+    }
+    return { faults: this.#faults, lines: this.#lines };
+  }
+
+  /** Answers lost although the stop was planned. */
+  lostInPlannedStops(report: CrowdReport): string[] {
+    const lost: string[] = [];
+    for (const seen of report.seen) {
+      if (seen.outcome !== 'cut' && seen.outcome !== 'no-answer') continue;
+      if (this.#planned.some((stop) => stop.edge === seen.edge && overlaps(seen, stop))) lost.push(`${seen.id} at ${seen.edge}: ${seen.outcome}`);
+    }
+    return lost;
+  }
+
+  #acts(): Act[] {
+    const { edges, nodes } = this.#fleet;
+    const [first, second] = edges;
+    const zone = nodes[1]?.zone ?? '';
+    if (first === undefined || second === undefined) return [];
+    return [
+      { name: 'kill the coordinator, start it again', run: () => this.#killCoordinator() },
+      { name: 'kill an edge, start it again', run: () => this.#killNode(second) },
+      { name: 'freeze an edge for 3 s', run: () => this.#freeze(first) },
+      { name: 'freeze the coordinator for 4 s', run: () => this.#freezeCoordinator() },
+      { name: 'a worker goes dark, another crashes; both return', run: () => this.#breakWorkers() },
+      { name: 'a worker is marked as leaving', run: () => this.#worker('worker-3', 'leave', 5000) },
+      { name: 'a worker talks nonsense, ends early, says too much', run: () => this.#moods() },
+      { name: `empty zone ${zone} for 7 s, restore it`, run: () => this.#emptyZone(zone) },
+      { name: 'kill every core, start them again', run: () => this.#killCores() },
+      { name: 'stop and start every node in turn', run: () => this.#rollOut() },
+    ];
+  }
+
+  async #coordinator(): Promise<FleetNode | undefined> {
+    for (const node of this.#fleet.nodes) {
+      const { body } = await this.#fleet.ask(node.http, 'GET', '/rainrun/v1/view');
+      const name = (body as { coordinator?: string | null }).coordinator;
+      if (typeof name === 'string') return this.#fleet.nodes.find((known) => known.name === name);
+    }
+    return undefined;
+  }
+
+  /** Waits until every node admits, in one view of all, and an operation is agreed. */
+  async #back(): Promise<string | undefined> {
+    const endMs = performance.now() + RETURN_MS;
+    let why = '';
+    while (performance.now() < endMs) {
+      why = await this.#missing();
+      if (why === '') return undefined;
+      await pause(100);
+    }
+    return `not back after ${RETURN_MS} ms: ${why}`;
+  }
+
+  async #missing(): Promise<string> {
+    const { nodes } = this.#fleet;
+    for (const node of nodes) {
+      const { status, body } = await this.#fleet.ask(node.http, 'GET', '/rainrun/v1/view');
+      const view = body as { admitting?: boolean; members?: unknown[] };
+      if (status !== 200) return `${node.name} does not answer`;
+      if (view.admitting !== true) return `${node.name} does not admit`;
+      if (view.members?.length !== nodes.length) return `${node.name} sees ${view.members?.length ?? 0} members`;
+    }
+    const [first] = nodes;
+    const put = await this.#fleet.ask(first?.http ?? '', 'PATCH', '/rainrun/v1/spec', { patch: {} });
+    return put.status === 200 ? '' : `nothing is agreed: ${JSON.stringify(put.body)}`;
+  }
+
+  async #restart(node: FleetNode, signal: NodeJS.Signals): Promise<number | null> {
+    this.#crowd.setDown(node.http, true);
+    this.#fleet.signal(node.name, signal);
+    const code = await this.#fleet.ended(node.name);
+    this.#fleet.startNode(node);
+    return code;
+  }
+
+  async #killNode(node: FleetNode): Promise<string | undefined> {
+    await this.#restart(node, 'SIGKILL');
+    const back = await this.#back();
+    this.#crowd.setDown(node.http, false);
+    return back;
+  }
+
+  async #killCoordinator(): Promise<string | undefined> {
+    const node = await this.#coordinator();
+    return node === undefined ? 'no coordinator' : this.#killNode(node);
+  }
+
+  async #freeze(node: FleetNode, waitMs = 3000): Promise<string | undefined> {
+    this.#fleet.signal(node.name, 'SIGSTOP');
+    await pause(waitMs);
+    this.#fleet.signal(node.name, 'SIGCONT');
+    return this.#back();
+  }
+
+  async #freezeCoordinator(): Promise<string | undefined> {
+    const node = await this.#coordinator();
+    return node === undefined ? 'no coordinator' : this.#freeze(node, 4000);
+  }
+
+  async #worker(name: string, act: string, waitMs: number): Promise<undefined> {
+    await this.#fleet.ask(this.#fleet.platform, 'POST', `/act/${name}/${act}`);
+    await pause(waitMs);
+    return undefined;
+  }
+
+  async #breakWorkers(): Promise<string | undefined> {
+    await this.#worker('worker-1', 'dark', 0);
+    await this.#worker('worker-2', 'crash', 4000);
+    await this.#worker('worker-1', 'crash', 0);
+    await this.#worker('worker-1', 'return', 0);
+    await this.#worker('worker-2', 'return', 0);
+    return this.#back();
+  }
+
+  async #moods(): Promise<string | undefined> {
+    for (const mood of ['nonsense', 'early', 'more', 'well']) await this.#worker('worker-4', mood, 1000);
+    return this.#back();
+  }
+
+  async #emptyZone(zone: string): Promise<string | undefined> {
+    const [first, other] = this.#fleet.edges;
+    const emptied = await this.#fleet.ask(first?.http ?? '', 'POST', `/rainrun/v1/zones/${zone}/empty`, {});
+    if (emptied.status !== 200) return `not emptied: ${JSON.stringify(emptied.body)}`;
+    const { body } = await this.#fleet.ask(this.#fleet.platform, 'GET', '/workers');
+    const names = (body as { workers: { name: string; zone: string }[] }).workers.filter((worker) => worker.zone === zone).map((worker) => worker.name);
+    await Promise.all(names.map((name) => this.#worker(name, 'emptied', 0)));
+    await pause(7000);
+    await Promise.all(names.map((name) => this.#worker(name, 'restored', 0)));
+    const restored = await this.#fleet.ask(other?.http ?? '', 'POST', `/rainrun/v1/zones/${zone}/restore`, {});
+    return restored.status === 200 ? this.#back() : `not restored: ${JSON.stringify(restored.body)}`;
+  }
+
+  async #killCores(): Promise<string | undefined> {
+    const cores = this.#fleet.nodes.filter((node) => node.core);
+    await Promise.all(cores.map((node) => this.#restart(node, 'SIGKILL')));
+    return this.#back();
+  }
+
+  /** A planned roll-out: the platform takes an edge out of its rotation, then stops it. */
+  async #rollOut(): Promise<string | undefined> {
+    for (const node of this.#fleet.nodes) {
+      const fromMs = performance.now() - SETTLE_MS;
+      const code = await this.#restart(node, 'SIGTERM');
+      this.#planned.push({ edge: node.http, fromMs, toMs: performance.now() });
+      if (code !== 0) return `${node.name} ended with ${code ?? 'a signal'}`;
+      const back = await this.#back();
+      this.#crowd.setDown(node.http, false);
+      if (back !== undefined) return `${node.name}: ${back}`;
+    }
+    return undefined;
+  }
+}
+
+function overlaps(seen: Seen, stop: { fromMs: number; toMs: number }): boolean {
+  return seen.beganMs < stop.toMs && seen.beganMs + seen.wholeMs > stop.fromMs;
+}
--- a/tools/grandstand/src/grandstand.ts
+++ b/tools/grandstand/src/grandstand.ts
@@ -63,7 +63,7 @@
     };
   }
 
-  /** `leave`, `crash`, `return`, `remove`, or a mood, for one worker. */
+  /** `leave`, `crash`, `return`, `remove`, `emptied`, `restored`, or a mood, for one worker. */
   async act(name: string, what: string): Promise<boolean> {
     const worker = this.#workers.get(name);
     if (worker === undefined) return false;
@@ -80,7 +80,9 @@
       await fresh.listen();
       this.#workers.set(name, fresh);
       this.#generation += 1;
-    } else worker.mood = what as Mood;
+    } else if (what === 'emptied') worker.zoneEmptied(performance.now());
+    else if (what === 'restored') worker.zoneEmptied(undefined);
+    else worker.mood = what as Mood;
     return true;
   }
 
--- a/tools/grandstand/src/main.ts
+++ b/tools/grandstand/src/main.ts
@@ -12,7 +12,7 @@
 
   Serves  GET /workers   the platform's list
           GET /report    what the stand-ins saw
-          POST /act/WORKER/leave|crash|return|remove|well|dark|nonsense|early|more|slow
+          POST /act/WORKER/leave|crash|return|remove|emptied|restored|well|dark|nonsense|early|more|slow
 `,
   { importMeta: import.meta, flags: { setup: { type: 'string', isRequired: true } } },
 );
--- a/tools/grandstand/src/report.ts
+++ b/tools/grandstand/src/report.ts
@@ -31,6 +31,11 @@
     this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1);
   }
 
+  /** Keeps the largest value seen under a name. */
+  latest(name: string, value: number): void {
+    this.#counts.set(name, Math.max(this.#counts.get(name) ?? 0, Math.round(value)));
+  }
+
   ran(id: string, repeatable: boolean): void {
     const runs = (this.#runs.get(id) ?? 0) + 1;
     this.#runs.set(id, runs);
--- a/tools/grandstand/src/worker.ts
+++ b/tools/grandstand/src/worker.ts
@@ -33,6 +33,7 @@
 
 const WARM_MS = 500;
 const LEAVING_GRACE_MS = 3000;
+const EMPTIED_GRACE_MS = 5000;
 
 function readAll(req: IncomingMessage): Promise<string> {
   return new Promise((resolve) => {
@@ -60,6 +61,7 @@
   #running = 0;
   #mood: Mood = 'well';
   #leavingMs: number | undefined;
+  #emptiedMs: number | undefined;
   #runs = 0;
 
   constructor(setup: WorkerSetup, book: Book) {
@@ -83,6 +85,11 @@
     this.#leavingMs ??= nowMs;
   }
 
+  /** Operators were told that this worker's zone is emptied, or restored. */
+  zoneEmptied(nowMs: number | undefined): void {
+    this.#emptiedMs = nowMs;
+  }
+
   listen(): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
@@ -106,13 +113,20 @@
     const body = await readAll(req);
     if (req.url === '/orders') return this.#order(JSON.parse(body) as Order, res);
     const id = String(req.headers['rainrun-id'] ?? '');
-    if (this.#leavingMs !== undefined && performance.now() - this.#leavingMs > LEAVING_GRACE_MS) {
-      this.#book.breach(`${this.setup.name} got work ${(performance.now() - this.#leavingMs).toFixed(0)} ms after it was marked as leaving`);
-    }
+    this.#watch('it was marked as leaving', this.#leavingMs, LEAVING_GRACE_MS);
+    this.#watch('its zone was emptied', this.#emptiedMs, EMPTIED_GRACE_MS);
     if (this.setup.kind === 'lookup') return this.#lookup(req, res, id);
     await this.#chat(JSON.parse(body) as ChatBody, req, res, id);
   }
 
+  /** Work that comes later than it may after a moment is a breach; the longest is counted. */
+  #watch(what: string, sinceMs: number | undefined, graceMs: number): void {
+    if (sinceMs === undefined) return;
+    const lateMs = performance.now() - sinceMs;
+    this.#book.latest(`last work after ${what}, ms`, lateMs);
+    if (lateMs > graceMs) this.#book.breach(`${this.setup.name} got work ${lateMs.toFixed(0)} ms after ${what}`);
+  }
+
   async #lookup(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
     this.#book.ran(id, true);
     this.#book.count('lookups');
