--- a/tools/fleet/src/shapes.ts
+++ b/tools/fleet/src/shapes.ts
@@ -80,7 +80,7 @@
   },
   small: {
     deployment: 'small',
-    edges: 3,
+    edges: 5,
     cores: 3,
     zones: ['north', 'east', 'west'],
     workers: 4,
--- a/tools/grandstand/src/worker.ts
+++ b/tools/grandstand/src/worker.ts
@@ -238,6 +238,12 @@
       whole += text;
       if (stream) res.write(`data: ${JSON.stringify({ choices: [{ index: 0, delta: { content: text } }] })}\n\n`);
     }
+    if (!stream && this.#mood === 'early') {
+      res.writeHead(200, { 'content-type': 'application/json', 'content-length': 10_000 });
+      res.write('{"choices":');
+      setImmediate(() => req.socket.destroy());
+      return;
+    }
     if (!stream) {
       json(res, 200, { choices: [{ index: 0, message: { role: 'assistant', content: whole } }] });
       return;
