Load first what is asked for most

Cause: loads were taken in the order of workers and targets, so an adapter somebody waited for stood behind those nobody had asked for while the store's rate was used up. Ruled out: the place beat (1 s) and the pull itself (0.1-0.4 s), both too short to account for waits over 4 s.

--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -16,7 +16,7 @@
 import { Group, type Acceptor, type GroupTimes, type Held, type Outcome, type Play } from '@rainrun/farm';
 import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, type Stage } from '@rainrun/marquee';
 import { fault, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
-import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type Order, type OrderReply } from '@rainrun/yaw';
+import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type ModelDemand, type Order, type OrderReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
 import { DemandBook, type GroupPicture } from './demand.js';
@@ -181,7 +181,8 @@
     if (epoch === undefined || spec === undefined) return;
     const workers = this.workers().filter((worker) => worker.kind === 'model');
     const staying = workers.filter((worker) => !worker.leaving);
-    this.#orderer.beat(spec, this.stage.placement, staying, nowMs);
+    const demands = this.#demand.models(nowMs);
+    this.#orderer.beat(spec, this.stage.placement, staying, nowMs, (model, adapter) => urgencyOf(demands, model, adapter));
     if (this.#dutySince?.epoch !== epoch) this.#dutySince = { epoch, atMs: nowMs };
     const heardAll = staying.every((worker) => this.#orderer.known(worker.name) !== undefined);
     if (!heardAll && nowMs - this.#dutySince.atMs < HEARING_MS) return;
@@ -192,7 +193,7 @@
       usable: !worker.leaving && !worker.emptied && (this.#orderer.known(worker.name)?.reachable ?? false),
       holdings: this.stage.placement[worker.name] ?? [],
     }));
-    const changes: Record<string, unknown> = this.#placer.step(spec, seen, this.#demand.models(nowMs), nowMs);
+    const changes: Record<string, unknown> = this.#placer.step(spec, seen, demands, nowMs);
     const listed = new Set(workers.map((worker) => worker.name));
     for (const name of Object.keys(this.stage.placement)) if (!listed.has(name)) changes[name] = [];
     if (Object.keys(changes).length === 0) return;
@@ -273,3 +274,9 @@
     }
   }
 }
+
+function urgencyOf(demands: ReadonlyMap<string, ModelDemand>, model: string, adapter: string): number {
+  const demand = demands.get(model);
+  if (demand === undefined) return 0;
+  return adapter === '' ? demand.arrivalsPerS + demand.backlog : (demand.adapters.get(adapter) ?? 0);
+}
--- a/packages/yaw/src/orderer.ts
+++ b/packages/yaw/src/orderer.ts
@@ -34,6 +34,9 @@
   learned(worker: string, known: KnownWorker): void;
 }
 
+/** How much a model, or an adapter of it, is asked for; the more, the sooner it is loaded. */
+export type Urgency = (model: string, adapter: string) => number;
+
 interface Bay {
   known: KnownWorker | undefined;
   epoch: number;
@@ -99,6 +102,7 @@
     placement: Readonly<Record<string, readonly HoldingTarget[]>>,
     workers: readonly { name: string; roomMb: number }[],
     nowMs: number,
+    urgency: Urgency = () => 0,
   ): void {
     const epoch = this.#desk.dutyEpoch();
     if (epoch === undefined) return;
@@ -106,13 +110,18 @@
       this.#epoch = epoch;
       this.#bucket = new PullBucket(nowMs);
     }
+    const loads: { name: string; bay: Bay; step: Step; urgency: number }[] = [];
     for (const { name, roomMb } of workers) {
       const bay = this.#bay(name);
       if (bay.flying || nowMs < bay.notBeforeMs) continue;
-      const next = this.#next(bay, spec, placement[name] ?? [], roomMb, nowMs);
-      if (next === undefined) continue;
-      if (next.action === 'load' && this.#bucket?.take(spec, nowMs) !== true) continue;
-      this.#send(name, bay, epoch, next, nowMs);
+      const step = this.#next(bay, spec, placement[name] ?? [], roomMb, nowMs, urgency);
+      if (step?.action === 'load') loads.push({ name, bay, step, urgency: urgency(step.model, step.adapter) });
+      else if (step !== undefined) this.#send(name, bay, epoch, step, nowMs);
+    }
+    loads.sort((one, other) => other.urgency - one.urgency);
+    for (const { name, bay, step } of loads) {
+      if (this.#bucket?.take(spec, nowMs) !== true) return;
+      this.#send(name, bay, epoch, step, nowMs);
     }
   }
 
@@ -125,12 +134,14 @@
     return bay;
   }
 
-  #next(bay: Bay, spec: Spec, target: readonly HoldingTarget[], roomMb: number, nowMs: number): Step | undefined {
+  #next(bay: Bay, spec: Spec, target: readonly HoldingTarget[], roomMb: number, nowMs: number, urgency: Urgency): Step | undefined {
     const known = bay.known;
     if (known === undefined || !known.reachable || bay.epoch !== this.#epoch) return INVENTORY;
-    const surplus = firstMissing(target, known.holdings);
+    const [surplus] = missing(target, known.holdings);
     if (surplus !== undefined) return { action: 'unload', ...surplus };
-    const wanted = firstMissing(known.holdings, target);
+    const [wanted] = missing(known.holdings, target).sort(
+      (one, other) => urgency(other.model, other.adapter) - urgency(one.model, one.adapter),
+    );
     if (wanted === undefined) return nowMs - bay.askedMs > CHECK_MS ? INVENTORY : undefined;
     const size = sizeMb(spec, known.holdings) + partMb(spec, wanted);
     return size <= roomMb ? { action: 'load', ...wanted } : undefined;
@@ -175,15 +186,13 @@
 
 const INVENTORY: Step = { action: 'inventory', model: '', adapter: '' };
 
-/** The first part of `wanted` that `held` lacks. */
-function firstMissing(held: readonly HoldingTarget[], wanted: readonly HoldingTarget[]): { model: string; adapter: string } | undefined {
-  for (const { model, adapters } of wanted) {
+/** The parts of `wanted` that `held` lacks; of a model that is missing itself, only the model. */
+function missing(held: readonly HoldingTarget[], wanted: readonly HoldingTarget[]): { model: string; adapter: string }[] {
+  return wanted.flatMap(({ model, adapters }) => {
     const there = held.find((holding) => holding.model === model);
-    if (there === undefined) return { model, adapter: '' };
-    const adapter = adapters.find((name) => !there.adapters.includes(name));
-    if (adapter !== undefined) return { model, adapter };
-  }
-  return undefined;
+    if (there === undefined) return [{ model, adapter: '' }];
+    return adapters.filter((adapter) => !there.adapters.includes(adapter)).map((adapter) => ({ model, adapter }));
+  });
 }
 
 function partMb(spec: Spec, part: { model: string; adapter: string }): number {
--- a/packages/yaw/src/yaw.test.ts
+++ b/packages/yaw/src/yaw.test.ts
@@ -193,6 +193,16 @@
     expect(loads <= 12 && loads >= 10).toEqual(true);
   });
 
+  it('loads first what is asked for most', () => {
+    const yard = new Yard();
+    const two = ['m0', 'm1'].map((model) => ({ model, adapters: [] }));
+    for (let nowMs = 0; nowMs < 2000; nowMs += 50) {
+      yard.orderer.beat(specOf(2), { w: two }, [{ name: 'w', roomMb: 1000 }], nowMs, (model) => (model === 'm1' ? 2 : 1));
+      yard.reply();
+    }
+    expect(yard.actions).toEqual(['inventory', 'load m1', 'load m0']);
+  });
+
   it('never orders more than the room holds', () => {
     const yard = new Yard();
     const three = ['m0', 'm1', 'm2'].map((model) => ({ model, adapters: [] }));
