Operators' reads hold all that was agreed before the question; bad input in the short run

Cause: a node asked about an operation right after its answer did not know it to be agreed yet (short run, one operation had several answers). Ruled out: lost versions (the node held it). A read now waits for a majority's word younger than the question, or says stale.

--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -224,6 +224,11 @@
     return this.#grants.endMs(this.#held.view, this.#seat.life, this.#held.number, this.#now());
   }
 
+  /** This node holds all that was agreed before this moment. */
+  informedMs(): number {
+    return this.grantEndMs() - this.#gear.times.grantMs;
+  }
+
   granted(): boolean {
     return this.grantEndMs() > this.#now();
   }
--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -13,9 +13,9 @@
   type Seat,
   type WorkerList,
 } from '@rainrun/courier';
-import { Group, type Acceptor, type GroupTimes, type Held, type Outcome, type Play } from '@rainrun/farm';
+import { Group, type GroupGear, type Held, type Outcome, type Play } from '@rainrun/farm';
 import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, type Stage } from '@rainrun/marquee';
-import { fault, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
+import { fault, type Fault } from '@rainrun/nacelle';
 import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type ModelDemand, type Order, type OrderReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
@@ -40,18 +40,7 @@
 const NEWS_WORKER = 'worker/';
 
 /** What a node of the system is given by its program, or by the simulator. */
-export interface HubGear {
-  readonly name: string;
-  readonly address: string;
-  readonly zone: string;
-  readonly deployment: string;
-  readonly seeds: readonly string[];
-  readonly founders: readonly string[];
-  readonly clock: Clock;
-  readonly chance: Chance;
-  readonly times: GroupTimes;
-  readonly acceptor: Acceptor | undefined;
-  post(address: string, frame: Frame): void;
+export interface HubGear extends Omit<GroupGear<Stage>, 'play' | 'audience'> {
   /** Sends one order to a worker. */
   order(address: string, order: Order, done: (reply: Result<OrderReply, Fault>) => void): void;
   /** Called when a version has come into force here. */
--- a/packages/marquee/src/spec.ts
+++ b/packages/marquee/src/spec.ts
@@ -57,7 +57,6 @@
 /** A checked spec. */
 export type Spec = v.InferOutput<typeof SpecSchema>;
 export type SpecGroup = Spec['groups'][number];
-export type SpecKind = SpecGroup['kinds'][number];
 
 /** One thing wrong with a spec, and where. */
 export interface SpecFault {
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -67,6 +67,7 @@
     this.#operators = new Operators({
       hub: this.#hub,
       chance: CHANCE,
+      clock: CLOCK,
       counters: () => this.#counters(),
       explain: (id) => this.#ends.get(id),
     });
@@ -227,14 +228,14 @@
     const operator: ServiceSchema = {
       name: 'operator',
       actions: {
-        view: action(() => operators.view()),
-        spec: action(() => operators.spec()),
-        history: action(() => operators.history()),
+        view: action(() => operators.fresh(() => operators.view())),
+        spec: action(() => operators.fresh(() => operators.spec())),
+        history: action(() => operators.fresh(() => operators.history())),
         check: action((params) => operators.check(text(params['text']))),
         put: action((params) => operators.submit('spec.put', { ...base(params), text: text(params['text']) }, text(params['id']))),
         change: action((params) => operators.submit('spec.change', { ...base(params), patch: params['patch'] ?? {} }, text(params['id']))),
         operation: action((params) => operators.operation(text(params['id']))),
-        zones: action(() => operators.zones()),
+        zones: action(() => operators.fresh(() => operators.zones())),
         empty: action((params) => operators.submit('zone.empty', { zone: text(params['zone']) }, text(params['id']))),
         restore: action((params) => operators.submit('zone.restore', { zone: text(params['zone']) }, text(params['id']))),
         workers: action(() => operators.workers()),
--- a/packages/mast/src/operators.ts
+++ b/packages/mast/src/operators.ts
@@ -2,7 +2,7 @@
 import type { EndRecord } from '@rainrun/gate';
 import type { Hub } from '@rainrun/hub';
 import { readSpec } from '@rainrun/marquee';
-import { ANSWERS, isFaultKind, word, type Chance, type FaultKind } from '@rainrun/nacelle';
+import { ANSWERS, isFaultKind, word, type Chance, type Clock, type FaultKind } from '@rainrun/nacelle';
 
 /** An answer to an operator. */
 export interface OperatorReply {
@@ -11,12 +11,15 @@
 }
 
 const ANSWER_WAIT_MS = 5000;
+const FRESH_WAIT_MS = 1500;
+const POLL_MS = 20;
 const OPERATION_ID = /^[A-Za-z0-9._-]{1,64}$/;
 
 /** What the operators' side needs of a node. */
 export interface OperatorGear {
   readonly hub: Hub;
   readonly chance: Chance;
+  readonly clock: Clock;
   counters(): Record<string, number>;
   explain(id: string): Omit<EndRecord, 'body'> | undefined;
 }
@@ -32,6 +35,12 @@
   return { status: 200, body: { id, outcome: kind, detail, number } };
 }
 
+function pause(waitMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, waitMs);
+  });
+}
+
 /**
  * What operators may ask and order. Every node answers the same.
  * @example
@@ -45,6 +54,26 @@
     this.#gear = gear;
   }
 
+  /**
+   * Answers once this node holds all that was agreed before the question, so
+   * that every node answers alike; one that cannot know says so.
+   */
+  async fresh(read: () => OperatorReply): Promise<OperatorReply> {
+    const informed = await this.#informed();
+    const { status, body } = read();
+    return informed ? { status, body } : { status, body: { ...(body as Record<string, unknown>), stale: true } };
+  }
+
+  async #informed(): Promise<boolean> {
+    const { group } = this.#gear.hub;
+    const askedMs = this.#gear.clock.nowMs();
+    while (group.informedMs() < askedMs) {
+      if (group.view === undefined || this.#gear.clock.nowMs() - askedMs > FRESH_WAIT_MS) return false;
+      await pause(POLL_MS);
+    }
+    return true;
+  }
+
   view(): OperatorReply {
     const { group } = this.#gear.hub;
     const held = group.held;
@@ -80,8 +109,16 @@
     return { status: 200, body: { ok: true } };
   }
 
-  operation(id: string): OperatorReply {
-    const answer = this.#gear.hub.group.ask(id);
+  /** How an operation ended; one that is chosen and not yet agreed is waited for a little. */
+  async operation(id: string): Promise<OperatorReply> {
+    const { group } = this.#gear.hub;
+    await this.#informed();
+    const endMs = this.#gear.clock.nowMs() + FRESH_WAIT_MS;
+    while (group.held?.answers.some((answer) => answer.id === id) === true && group.ask(id) === undefined) {
+      if (this.#gear.clock.nowMs() > endMs) return failure('operation-unknown', 'not known to be agreed yet; ask again', { id });
+      await pause(POLL_MS);
+    }
+    const answer = group.ask(id);
     return answer === undefined ? failure('not-found', `nothing agreed is known of operation ${id}`, { id }) : decided(answer);
   }
 
--- a/packages/mast/src/program.ts
+++ b/packages/mast/src/program.ts
@@ -31,6 +31,25 @@
     --founders      names of the founding cores, with commas between
 `;
 
+/** Flags with a value; each may be given once, which the settings check. */
+const WORD_FLAGS = [
+  'settings',
+  'name',
+  'deployment',
+  'zone',
+  'bind',
+  'http',
+  'seeds',
+  'platform',
+  'drainMs',
+  'bodyMaxBytes',
+  'recordFile',
+  'recordMaxBytes',
+  'logLevel',
+  'folder',
+  'founders',
+];
+
 /**
  * Runs one of the daemons: settings, node, signals.
  * @example
@@ -41,22 +60,8 @@
     importMeta,
     allowUnknownFlags: false,
     flags: {
-      settings: { type: 'string' },
-      name: { type: 'string' },
-      deployment: { type: 'string' },
-      zone: { type: 'string' },
-      bind: { type: 'string' },
-      http: { type: 'string' },
-      seeds: { type: 'string' },
-      platform: { type: 'string' },
-      drainMs: { type: 'string' },
-      bodyMaxBytes: { type: 'string' },
-      recordFile: { type: 'string' },
-      recordMaxBytes: { type: 'string' },
+      ...Object.fromEntries(WORD_FLAGS.map((name) => [name, { type: 'string', isMultiple: true } as const])),
       recordContents: { type: 'boolean', default: false },
-      logLevel: { type: 'string' },
-      folder: { type: 'string' },
-      founders: { type: 'string' },
       check: { type: 'boolean', default: false },
     },
   });
--- a/packages/mast/src/settings.ts
+++ b/packages/mast/src/settings.ts
@@ -53,10 +53,15 @@
  * readSettings({ name: 'edge-1', zone: 'north' }, 'edge').isErr; // true: much is missing
  */
 export function readSettings(flags: Readonly<Record<string, unknown>>, role: 'edge' | 'core'): Result<Settings, Fault[]> {
-  const file = readFile(flags['settings']);
+  const given = Object.entries(flags).map(([key, value]): [string, unknown] => [key, Array.isArray(value) && value.length < 2 ? value[0] : value]);
+  const twice = given.filter(([, value]) => Array.isArray(value));
+  if (twice.length > 0) {
+    return Result.err(twice.map(([key, value]) => fault('bad-setting', `${key}: found ${JSON.stringify(value)}, expected one value`)));
+  }
+  const file = readFile(given.find(([key]) => key === 'settings')?.[1]);
   if (file.isErr) return Result.err([file.error]);
   const merged: Record<string, unknown> = { ...file.value };
-  for (const [key, value] of Object.entries(flags)) {
+  for (const [key, value] of given) {
     if (value === undefined || value === '' || key === 'settings' || key === 'check') continue;
     if (key === 'recordContents' && value === false) continue;
     merged[key] = fromFlag(key, value);
--- a/packages/nacelle/src/register.ts
+++ b/packages/nacelle/src/register.ts
@@ -22,10 +22,6 @@
     return this.#names.length - 1;
   }
 
-  find(name: string): number | undefined {
-    return this.#indices.get(name);
-  }
-
   name(index: number): string {
     return this.#names[index] ?? '';
   }
--- a/packages/nacelle/src/slab.ts
+++ b/packages/nacelle/src/slab.ts
@@ -41,8 +41,4 @@
     this.#count -= 1;
     return value;
   }
-
-  *values(): Generator<T> {
-    for (const value of this.#places) if (value !== undefined) yield value;
-  }
 }
--- a/packages/park/src/script.ts
+++ b/packages/park/src/script.ts
@@ -61,6 +61,10 @@
       case 'stall':
         if (machine.disk !== undefined) machine.disk.stallUntilMs = this.#site.time.nowMs() + Number(word);
         return undefined;
+      case 'full':
+      case 'free':
+        if (machine.disk !== undefined) machine.disk.full = verb === 'full';
+        return undefined;
       case 'wipe':
         machine.disk?.wipe();
         machine.address = `${machine.name}:new`;
--- a/packages/park/src/timelines.test.ts
+++ b/packages/park/src/timelines.test.ts
@@ -172,6 +172,20 @@
     ).toEqual([]);
   });
 
+  it('stop a core whose disk is full, and lose nothing that was agreed', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | full            |                 |                 | put 0           |
+        3500  | =down           |                 |                 |                 |
+        7500  |                 | =spec 1         | =spec 1         | =spec 1         | =spec 1
+        7500  | free, boot      |                 |                 |                 |
+        11000 | =spec 1         | =members 5      |                 | =admits         |
+      `),
+    ).toEqual([]);
+  });
+
   it('do not admit with an old right after waking from a freeze', () => {
     expect(
       play(`
--- a/packages/park/src/world.ts
+++ b/packages/park/src/world.ts
@@ -148,6 +148,8 @@
   #generation = 0;
   #freeMs = 0;
   stallUntilMs = 0;
+  /** Set when no more can be written, as on a full disk. */
+  full = false;
   writes = 0;
 
   constructor(time: VirtualTime, chance: Chance) {
@@ -173,6 +175,7 @@
     const generation = this.#generation;
     const nowMs = this.#time.nowMs();
     this.writes += 1;
+    if (this.full) return done(Result.err(fault('disk', 'no space left')));
     this.#freeMs = Math.max(this.#freeMs, nowMs, this.stallUntilMs) + 1 + this.#chance.next() * 6;
     this.#time.after(this.#freeMs - nowMs, () => {
       if (generation !== this.#generation) return;
@@ -183,14 +186,3 @@
     });
   }
 }
-
-/**
- * A disk that refuses every write, as a full one does.
- * @example
- * new FullDisk().store('promise', bytes, (result) => result.isErr); // true
- */
-export class FullDisk implements Vault {
-  store(_kind: RecordKind, _bytes: Uint8Array, done: (result: Result<Unit, Fault>) => void): void {
-    done(Result.err(fault('disk', 'no space left')));
-  }
-}
--- /dev/null
+++ b/programs/turnstile/src/turnstile.test.ts
@@ -0,0 +1,27 @@
+import { spawnSync } from 'node:child_process';
+import { it } from 'node:test';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'earl';
+
+const MAIN = fileURLToPath(new URL('./main.js', import.meta.url));
+
+function run(...flags: string[]): { status: number | null; stderr: string } {
+  const { status, stderr } = spawnSync(process.execPath, [MAIN, ...flags], { encoding: 'utf8' });
+  return { status, stderr };
+}
+
+const GOOD = ['--name', 'edge-1', '--deployment', 'd', '--zone', 'north', '--bind', '127.0.0.1:7001', '--http', '127.0.0.1:8001', '--seeds', '127.0.0.1:7002'];
+
+it('checks its settings and exits', () => {
+  expect(run(...GOOD, '--check').status).toEqual(0);
+});
+
+it('exits with 2 on a bad setting, naming key, value and what was expected', () => {
+  const { status, stderr } = run(...GOOD.map((word) => (word === '127.0.0.1:7001' ? 'nowhere' : word)), '--check');
+  expect([status, stderr.startsWith('turnstile: bind: found "nowhere", expected')]).toEqual([2, true]);
+});
+
+it('exits with 2 on an unknown flag and on one given twice', () => {
+  expect(run(...GOOD, '--colour', 'red').status).toEqual(2);
+  expect(run(...GOOD, '--name', 'edge-2').stderr.trim()).toEqual('turnstile: name: found ["edge-1","edge-2"], expected one value');
+});
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -7,6 +7,7 @@
 import type { Report } from '@rainrun/grandstand';
 import { readDay } from '@rainrun/playbill';
 import { Fleet } from './fleet.js';
+import { tryManners } from './manners.js';
 import { Trial } from './trial.js';
 import { exampleSpec, makeDay, SHAPES, type Shape } from './shapes.js';
 
@@ -109,6 +110,15 @@
   return breaches.length === 0 && ratio > 0.95 ? 0 : 1;
 }
 
+/** Good traffic, then bad input. */
+async function smoke(fleet: Fleet, shape: Shape): Promise<number> {
+  const code = await serve(fleet, shape, makeDay(shape, 10, 1), 1);
+  const faults = await tryManners(fleet);
+  for (const fault of faults) console.error(`fleet: ${fault}`);
+  console.log(`bad input: ${faults.length === 0 ? 'answered as it should be' : `${faults.length} faults`}`);
+  return code === 0 && faults.length === 0 ? 0 : 1;
+}
+
 /** Serves traffic for as long as the trial takes, and judges the whole. */
 async function tryOut(fleet: Fleet, shape: Shape): Promise<number> {
   const closed = await open(fleet, shape);
@@ -192,7 +202,7 @@
     case 'trial':
       return withFleet(shape, (fleet) => tryOut(fleet, shape));
     case 'smoke':
-      return withFleet(SHAPES['small'] ?? shape, (fleet) => serve(fleet, SHAPES['small'] ?? shape, makeDay(SHAPES['small'] ?? shape, 10, 1), 1));
+      return withFleet(SHAPES['small'] ?? shape, (fleet) => smoke(fleet, SHAPES['small'] ?? shape));
     case 'examples':
       return writeExamples();
     default:
--- /dev/null
+++ b/tools/fleet/src/manners.ts
@@ -0,0 +1,74 @@
+import type { Fleet } from './fleet.js';
+
+interface Case {
+  readonly name: string;
+  readonly method: 'GET' | 'POST' | 'PUT' | 'PATCH';
+  readonly path: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly status: number;
+  readonly kind: string;
+}
+
+const CHAT = '/v1/chat/completions';
+const GROUP = { 'rainrun-group': 'technicians', 'rainrun-kind': 'question' };
+
+function chat(model: string): string {
+  return JSON.stringify({ model, messages: [{ role: 'user', content: 'how high' }] });
+}
+
+const VISITOR_CASES: readonly Case[] = [
+  { name: 'not JSON', method: 'POST', path: CHAT, headers: GROUP, body: '{', status: 400, kind: 'bad-request' },
+  { name: 'no messages', method: 'POST', path: CHAT, headers: GROUP, body: '{"model":"model-1"}', status: 400, kind: 'bad-request' },
+  { name: 'unknown model', method: 'POST', path: CHAT, headers: GROUP, body: chat('none'), status: 404, kind: 'unknown-model' },
+  { name: 'unknown group', method: 'POST', path: CHAT, headers: { 'rainrun-group': 'none' }, body: chat('model-1'), status: 403, kind: 'unknown-group' },
+  { name: 'no route', method: 'GET', path: '/none', headers: GROUP, status: 404, kind: 'not-found' },
+  { name: 'body too large', method: 'POST', path: CHAT, headers: GROUP, body: 'x'.repeat(5 * 1024 * 1024), status: 413, kind: 'too-large' },
+  { name: 'deadline past', method: 'POST', path: CHAT, headers: { ...GROUP, 'rainrun-deadline-ms': '-5' }, body: chat('model-1'), status: 400, kind: 'deadline-past' },
+];
+
+const OPERATOR_CASES: readonly Case[] = [
+  { name: 'bad spec', method: 'PUT', path: '/rainrun/v1/spec', body: '{"text":"{}"}', status: 422, kind: 'bad-spec' },
+  { name: 'losing race', method: 'PATCH', path: '/rainrun/v1/spec', body: '{"base":0,"patch":{}}', status: 409, kind: 'conflict' },
+  { name: 'unknown zone', method: 'POST', path: '/rainrun/v1/zones/none/empty', body: '{}', status: 404, kind: 'not-found' },
+  { name: 'unknown operation', method: 'GET', path: '/rainrun/v1/operations/none', status: 404, kind: 'not-found' },
+  { name: 'unknown command', method: 'GET', path: '/rainrun/v1/none', status: 404, kind: 'not-found' },
+];
+
+async function tryCase(address: string, one: Case): Promise<string | undefined> {
+  const reply = await fetch(`http://${address}${one.path}`, {
+    method: one.method,
+    headers: { 'content-type': 'application/json', ...one.headers },
+    ...(one.body === undefined ? {} : { body: one.body }),
+  });
+  const text = await reply.text();
+  const kind = text.includes(`"kind":"${one.kind}"`);
+  return reply.status === one.status && kind ? undefined : `${one.name}: ${reply.status} ${text.slice(0, 200)}`;
+}
+
+/**
+ * Bad input at a running fleet, and whether all nodes say the same.
+ * @example
+ * const faults = await tryManners(fleet);
+ */
+export async function tryManners(fleet: Fleet): Promise<string[]> {
+  const faults: string[] = [];
+  const edge = fleet.edges[0]?.http ?? '';
+  for (const one of VISITOR_CASES) faults.push(...[await tryCase(edge, one)].filter((fault) => fault !== undefined));
+  for (const one of OPERATOR_CASES) {
+    for (const { http } of [fleet.nodes[0], fleet.edges[0]].filter((node) => node !== undefined)) {
+      faults.push(...[await tryCase(http, one)].filter((fault) => fault !== undefined));
+    }
+  }
+  const id = `once-${Date.now()}`;
+  const first = await fleet.ask(edge, 'POST', `/rainrun/v1/zones/north/restore`, { id });
+  const second = await fleet.ask(fleet.nodes[1]?.http ?? '', 'POST', `/rainrun/v1/zones/north/restore`, { id });
+  const asked = await fleet.ask(fleet.nodes[2]?.http ?? '', 'GET', `/rainrun/v1/operations/${id}`);
+  const answers = [first, second, asked].map((reply) => JSON.stringify(reply));
+  if (new Set(answers).size !== 1) faults.push(`one operation has several answers: ${answers.join(' ')}`);
+  for (const path of ['spec', 'spec/history', 'zones']) {
+    const replies = await Promise.all(fleet.nodes.map((node) => fleet.ask(node.http, 'GET', `/rainrun/v1/${path}`)));
+    if (new Set(replies.map((reply) => JSON.stringify(reply))).size !== 1) faults.push(`${path} is not the same at every node`);
+  }
+  return faults;
+}
