A duty begins one grant after a majority knows its epoch; garbled frames are tried

Cause: found by reading. The clock of a new holder began when its first version was held, which members of the old epoch could already hold without having heard of the new one; with lost beats the old holder's duty could reach into the new one's. Now it begins when a majority has granted the duty itself, and every version received carries its epoch.

--- a/packages/farm/src/coordinator.ts
+++ b/packages/farm/src/coordinator.ts
@@ -101,7 +101,7 @@
   #gone = new Set<string>();
   #forgotten = new Set<string>();
   #agreed = 0;
-  #readyMs: number | undefined;
+  #ready = false;
   #settled: (number: number) => void;
 
   constructor(desk: Desk<S>, epoch: number, base: Held<S>, entry: Entry, settled: (number: number) => void) {
@@ -120,9 +120,9 @@
     return this.#agreed;
   }
 
-  /** Since when this epoch has had an agreed version of its own. */
-  get readyMs(): number | undefined {
-    return this.#readyMs;
+  /** Whether this epoch has an agreed version of its own. */
+  get ready(): boolean {
+    return this.#ready;
   }
 
   /** Takes an operation; an id already decided or waiting is not taken twice. */
@@ -143,7 +143,7 @@
     if (number > (this.#heldBy.get(life) ?? 0)) this.#heldBy.set(life, number);
   }
 
-  accepted(accepted: Accepted, nowMs: number): void {
+  accepted(accepted: Accepted): void {
     const proposal = this.#proposal;
     if (proposal === undefined || accepted.refused) return;
     if (accepted.epoch !== this.#epoch || accepted.number !== proposal.held.number) return;
@@ -151,7 +151,7 @@
     const chosen = proposal.electors.every(
       (set) => set.filter((elector) => proposal.acks.has(elector.disk)).length >= majority(set.length),
     );
-    if (chosen) this.#choose(proposal, nowMs);
+    if (chosen) this.#choose(proposal);
   }
 
   flushed(life: string, flush: Flush): void {
@@ -161,7 +161,7 @@
 
   beat(nowMs: number): void {
     if (this.#proposal !== undefined) return this.#send(this.#proposal, nowMs);
-    if (this.#settling !== undefined && !this.#settle(this.#settling, nowMs)) return;
+    if (this.#settling !== undefined && !this.#settle(this.#settling)) return;
     if (this.#change !== undefined) return this.#pursue(this.#change, nowMs);
     if (this.#begin(nowMs)) return;
     if (this.#held.before !== undefined) return this.#next(create(EntrySchema), nowMs);
@@ -204,7 +204,7 @@
     }
   }
 
-  #choose(proposal: Proposal<S>, nowMs: number): void {
+  #choose(proposal: Proposal<S>): void {
     const old = this.#held;
     this.#proposal = undefined;
     this.#held = proposal.held;
@@ -212,7 +212,7 @@
     this.#settling = { number: proposal.held.number, views: [...before, proposal.held.view] };
     this.#desk.deliverSelf(proposal.version);
     this.#carry(proposal.version, old);
-    this.#settle(this.#settling, nowMs);
+    this.#settle(this.#settling);
   }
 
   #carry(version: Version, old: Held<S>): void {
@@ -227,7 +227,7 @@
     }
   }
 
-  #settle(settling: Settling, nowMs: number): boolean {
+  #settle(settling: Settling): boolean {
     this.#heldBy.set(this.#desk.self().life, this.#desk.heldNumber());
     const held = settling.views.every((view) =>
       this.#accounted(view, (seat) => (this.#heldBy.get(seat.life) ?? 0) >= settling.number),
@@ -235,7 +235,7 @@
     if (!held) return false;
     this.#settling = undefined;
     this.#agreed = settling.number;
-    this.#readyMs ??= nowMs;
+    this.#ready = true;
     this.#settled(settling.number);
     for (const answer of this.#held.answers) if (answer.number === settling.number) this.#answer(answer);
     return true;
--- a/packages/farm/src/grants.ts
+++ b/packages/farm/src/grants.ts
@@ -33,6 +33,11 @@
     this.#duties.set(life, Math.max(sentMs, this.#duties.get(life) ?? -Infinity));
   }
 
+  /** Forgets the words for an earlier duty. */
+  clearDuties(): void {
+    this.#duties.clear();
+  }
+
   clear(): void {
     this.#words.clear();
     this.#duties.clear();
--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -148,6 +148,8 @@
   #courtedMs = -Infinity;
   #unableUntilMs = -Infinity;
   #grantLostMs: number | undefined;
+  /** Since when a majority has known this node's epoch for the newest. */
+  #dutySinceMs: number | undefined;
   #waiting = new Map<string, { operation: Operation; sentMs: number }>();
   #beatSequence = 0;
   #beatSentMs = new Map<number, number>();
@@ -235,12 +237,15 @@
 
   /** The epoch in which this node may act alone for all, or undefined. Ends before the grant does. */
   dutyEpoch(): number | undefined {
-    const readyMs = this.#coordinator?.readyMs;
-    if (readyMs === undefined || !this.#inView || this.#held === undefined || this.#leaving) return undefined;
     const nowMs = this.#now();
-    if (nowMs < readyMs + this.#gear.times.grantMs) return undefined;
+    if (this.#dutySinceMs === undefined || nowMs < this.#dutySinceMs + this.#gear.times.grantMs) return undefined;
+    return this.#hasDuty(nowMs) ? this.#coordinator?.epoch : undefined;
+  }
+
+  #hasDuty(nowMs: number): boolean {
+    if (this.#coordinator?.ready !== true || !this.#inView || this.#held === undefined || this.#leaving) return false;
     const endMs = this.#grants.dutyEndMs(this.#held.view, this.#seat.life, nowMs) - this.#gear.times.grantMs / 4;
-    return endMs > nowMs ? this.#coordinator?.epoch : undefined;
+    return endMs > nowMs;
   }
 
   /** Multicasts a payload causally to the view; held back while the view is changing. */
@@ -293,6 +298,7 @@
     if (nowMs - this.#lastBeatMs >= this.#gear.times.beatMs && this.#inView) this.#sendBeats(nowMs);
     if (nowMs - this.#lastHelloMs >= this.#gear.times.helloMs && !stalled) this.#sendHellos(nowMs);
     if (!this.#leaving && !stalled) this.#lead(nowMs);
+    if (this.#hasDuty(nowMs)) this.#dutySinceMs ??= nowMs;
     this.#submitWaiting();
     this.#beatChannels(nowMs);
     if (this.#gapSinceMs !== undefined && nowMs - this.#gapSinceMs > GAP_MS) this.#rejoin();
@@ -633,6 +639,7 @@
 
   #takeVersion(from: string, version: Version): void {
     const held = this.#held;
+    this.#epochSeen = Math.max(this.#epochSeen, version.epoch);
     if (!this.#inView) {
       if (version.state !== undefined && version.number > (held?.number ?? 0)) this.#installWhole(version);
       return;
@@ -944,6 +951,8 @@
     if (base.isErr) return;
     this.#epochSeen = Math.max(this.#epochSeen, epoch);
     this.#grantLostMs = undefined;
+    this.#dutySinceMs = undefined;
+    this.#grants.clearDuties();
     this.#coordinator = new Coordinator(
       this.#desk(),
       epoch,
@@ -1022,7 +1031,7 @@
       this.#epochSeen = Math.max(this.#epochSeen, accepted.seenEpoch);
       return this.#resign();
     }
-    this.#coordinator?.accepted(accepted, this.#now());
+    this.#coordinator?.accepted(accepted);
   }
 
   // Founding.
--- /dev/null
+++ b/packages/park/src/garble.test.ts
@@ -0,0 +1,33 @@
+import { it } from 'node:test';
+import { unpack } from '@rainrun/courier';
+import { Dice } from '@rainrun/nacelle';
+import { expect } from 'earl';
+import { SITE, trialSpec } from './trial.js';
+import { Site } from './site.js';
+
+it('garbled frames never bring a node down', () => {
+  const site = new Site(5, SITE, 0);
+  const dice = new Dice(99);
+  const seen: Uint8Array[] = [];
+  site.net.tap = (bytes) => {
+    if (dice.next() < 0.2) seen.push(bytes);
+  };
+  for (const machine of site.machines) site.boot(machine);
+  site.time.runUntil(4000);
+  const [core, , , edge] = site.machines;
+  if (core !== undefined) site.submit(core, 'spec.put', { base: 0, text: JSON.stringify(trialSpec(0)) });
+  site.time.runUntil(8000);
+  let taken = 0;
+  for (const bytes of seen) {
+    const garbled = Uint8Array.from(bytes);
+    for (let flips = 0; flips < 1; flips += 1) garbled[Math.floor(dice.next() * garbled.length)] = Math.floor(dice.next() * 256);
+    const frame = unpack(garbled, 'park');
+    if (frame.isErr) continue;
+    taken += 1;
+    for (const machine of [core, edge]) {
+      machine?.running?.hub.receive({ ...frame.value, to: machine.running.hub.group.seat.life });
+      machine?.running?.hub.beat();
+    }
+  }
+  expect(taken).toBeGreaterThan(300);
+});
