--- a/packages/park/src/garble.test.ts
+++ b/packages/park/src/garble.test.ts
@@ -1,5 +1,5 @@
 import { it } from 'node:test';
-import { unpack } from '@rainrun/courier';
+import { pack, unpack } from '@rainrun/courier';
 import { Dice } from '@rainrun/nacelle';
 import { expect } from 'earl';
 import { SITE, trialSpec } from './trial.js';
@@ -9,8 +9,8 @@
   const site = new Site(5, SITE, 0);
   const dice = new Dice(99);
   const seen: Uint8Array[] = [];
-  site.net.tap = (bytes) => {
-    if (dice.next() < 0.2) seen.push(bytes);
+  site.net.tap = (_, frame) => {
+    if (dice.next() < 0.2) seen.push(pack(frame));
   };
   for (const machine of site.machines) site.boot(machine);
   site.time.runUntil(4000);
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -66,6 +66,8 @@
   readonly workers: SimWorker[] = [];
   /** Whether visitors come to the edges. */
   visitors = false;
+  /** Called when an operator has been answered. */
+  atAnswer: (() => void) | undefined;
   #models = new Map<string, string>();
   #grounds: Grounds;
   #dice: Dice;
@@ -177,6 +179,7 @@
     const sent = machine.running?.hub.submit(id, kind, JSON.stringify(payload), (answer: Answer) => {
       this.oracle.answered(id, answer.kind, answer.number, this.time.nowMs());
       this.note(machine.name, `${kind} ${answer.kind}@${answer.number}`);
+      this.atAnswer?.();
       const zone = (payload as { zone?: string }).zone;
       if (kind === 'zone.empty' && answer.kind === 'agreed' && zone !== undefined) this.oracle.zoneEmptied(zone, answer.number, this.time.nowMs());
     });
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -21,6 +21,7 @@
   readonly timeline: string;
 }
 
+const STEPS = ['propose', 'accepted', 'stop', 'flush', 'parcel', 'claim', 'promise'] as const;
 const START_MS = 8000;
 const FAULTS_END_MS = 38_000;
 const RECOVER_MS = 12_000;
@@ -165,6 +166,10 @@
       () => this.#crashWorker(),
       () => this.#darkWorker(),
       () => this.#leaveWorker(),
+      () => this.#crashLookups(),
+      () => this.#powerAtAnswer(),
+      () => this.#killInStep(),
+      () => this.#killInStep(),
     ];
     this.#pick(acts)();
     time.after(500 + this.#upTo(6000), () => this.#break());
@@ -271,6 +276,52 @@
     });
   }
 
+  #crashLookups(): void {
+    this.#fault('crash every lookup');
+    for (const worker of this.#site.workers) {
+      if (worker.kind !== 'lookup') continue;
+      worker.crash();
+      this.#later(1000 + this.#upTo(4000), () => {
+        worker.up = true;
+      });
+    }
+  }
+
+  /** Every core loses power at the moment an operator is answered, while two of their disks stall. */
+  #powerAtAnswer(): void {
+    const { time } = this.#site;
+    const cores = this.#cores();
+    this.#fault('all cores lose power at the next answer');
+    for (const machine of cores.slice(0, 2)) if (machine.disk !== undefined) machine.disk.stallUntilMs = time.nowMs() + 2000;
+    this.#site.atAnswer = () => {
+      this.#site.atAnswer = undefined;
+      for (const machine of cores) this.#killFor(machine, this.#upTo(1000));
+    };
+    this.#later(4000, () => {
+      this.#site.atAnswer = undefined;
+    });
+  }
+
+  /** The coordinator is killed in one step of a view change, an agreement or a claim, cut from another core just before. */
+  #killInStep(): void {
+    const { net, time, machines } = this.#site;
+    const step = this.#pick(STEPS);
+    const other = this.#pick(this.#cores()).name;
+    this.#fault(`kill the coordinator at its next ${step}`);
+    net.tap = (from, frame) => {
+      const leader = machines.find((machine) => machine.running?.hub.group.leading === true);
+      if (leader === undefined || frame.body.case !== step || (from !== leader.name && step !== 'flush' && step !== 'accepted')) return;
+      net.tap = undefined;
+      if (other !== leader.name) {
+        this.#cut(`${leader.name} and ${other} apart`, (one, two) => (one === leader.name && two === other) || (one === other && two === leader.name));
+      }
+      time.after(this.#upTo(6), () => this.#killFor(leader, this.#upTo(4000)));
+    };
+    this.#later(5000, () => {
+      net.tap = undefined;
+    });
+  }
+
   #leaveWorker(): void {
     const { name } = this.#pick(this.#site.workers);
     this.#fault(`${name} is leaving`);
--- a/packages/park/src/world.ts
+++ b/packages/park/src/world.ts
@@ -89,8 +89,8 @@
   #lossRatio: number;
   #ports = new Map<string, { name: string; take: (frame: Frame) => void }>();
   #cuts = new Set<Cut>();
-  /** Sees the bytes of every frame that is sent. */
-  tap: ((bytes: Uint8Array) => void) | undefined;
+  /** Sees every frame that is sent, and by whom. */
+  tap: ((from: string, frame: Frame) => void) | undefined;
   frames = 0;
   bytes = 0;
 
@@ -119,7 +119,7 @@
   post(from: string, address: string, frame: Frame): void {
     const bytes = pack(frame);
     this.frames += 1;
-    this.tap?.(bytes);
+    this.tap?.(from, frame);
     this.bytes += bytes.length;
     const copies = this.#chance.next() < this.#lossRatio ? 0 : this.#chance.next() < this.#lossRatio ? 2 : 1;
     for (let copy = 0; copy < copies; copy += 1) {
