--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -1,5 +1,5 @@
 import { createRequire } from 'node:module';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http';
 import type { Entry } from '@rainrun/courier';
 import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
 import { UndiciSender, type EndRecord } from '@rainrun/gate';
@@ -311,11 +311,13 @@
           },
         ],
       },
-      started() {
-        const server = (this as unknown as { server: Server }).server;
-        server.headersTimeout = HEADERS_MS;
-        server.requestTimeout = 3 * HEADERS_MS;
-        server.keepAliveTimeout = 65_000;
+      methods: {
+        /** Our own limits, checked every second: a visitor may not hold a connection by never ending its headers. */
+        createServer(this: { server: Server; isHTTPS: boolean; httpHandler: RequestListener }): void {
+          const limits = { headersTimeout: HEADERS_MS, requestTimeout: 3 * HEADERS_MS, keepAliveTimeout: 65_000 };
+          this.server = createServer({ ...limits, connectionsCheckingInterval: 1000 }, this.httpHandler);
+          this.isHTTPS = false;
+        },
       },
     };
   }
--- a/packages/park/src/oracle.test.ts
+++ b/packages/park/src/oracle.test.ts
@@ -67,6 +67,42 @@
     expect(rules(oracle)).toEqual(['in force within 2 s', 'one answer']);
   });
 
+  it('never run twice, refused never runs in either order', () => {
+    const oracle = new Oracle();
+    for (const id of ['twice', 'before', 'after']) oracle.asked(id, false);
+    oracle.ran('twice', 'w', 'z', 0);
+    oracle.ran('twice', 'w', 'z', 1);
+    oracle.toldRefused('before', 'no-worker', 2);
+    oracle.ran('before', 'w', 'z', 3);
+    oracle.ran('after', 'w', 'z', 4);
+    oracle.toldRefused('after', 'no-worker', 5);
+    expect(rules(oracle)).toEqual(['never run twice', 'refused never runs', 'refused never runs']);
+  });
+
+  it('no work to a leaving worker or an emptied zone', () => {
+    const oracle = new Oracle();
+    for (const id of ['a', 'b', 'c']) oracle.asked(id, false);
+    oracle.learnedLeaving(new Set(['w']), 0);
+    oracle.zoneEmptied('z', 1, 0);
+    oracle.ran('a', 'w', 'z', 2900);
+    oracle.ran('b', 'w', 'y', 3100);
+    oracle.ran('c', 'v', 'z', 5100);
+    expect(rules(oracle)).toEqual(['no work to a leaving worker', 'no work to an emptied zone']);
+  });
+
+  it('retries and pulls stay within their bounds', () => {
+    const oracle = new Oracle();
+    for (let place = 0; place < 12; place += 1) {
+      oracle.asked(`id-${place}`, true);
+      oracle.sent(`id-${place}`, place);
+      oracle.sent(`id-${place}`, place);
+    }
+    expect(rules(oracle)).toEqual([]);
+    for (let extra = 0; extra < 4; extra += 1) oracle.sent('id-0', 20);
+    for (let pull = 0; pull < 3; pull += 1) oracle.pulled(2, pull);
+    expect([...new Set(rules(oracle))]).toEqual(['retries stay within the budget', 'the store is not asked too often']);
+  });
+
   it('one holder of the duty, one node orders a worker', () => {
     const oracle = new Oracle();
     oracle.duty(['core-0', 'core-1'], 0);
--- a/tools/fleet/src/manners.ts
+++ b/tools/fleet/src/manners.ts
@@ -1,3 +1,4 @@
+import { createConnection } from 'node:net';
 import type { Fleet } from './fleet.js';
 
 interface Case {
@@ -46,6 +47,28 @@
   return reply.status === one.status && kind ? undefined : `${one.name}: ${reply.status} ${text.slice(0, 200)}`;
 }
 
+/** Headers that never end: the node must answer 408 and close, by itself. */
+function tryEndlessHeaders(address: string): Promise<string | undefined> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = createConnection({ host, port: Number(port) });
+    let text = '';
+    const late = setTimeout(() => {
+      socket.destroy();
+      resolve('headers that never end: the connection stayed open');
+    }, 20_000);
+    socket.write('GET / HTTP/1.1\r\nhost: x\r\nx-more: ');
+    socket.on('data', (part: Buffer) => {
+      text += part.toString();
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      clearTimeout(late);
+      resolve(text.includes(' 408 ') ? undefined : `headers that never end: answered "${text.slice(0, 40)}"`);
+    });
+  });
+}
+
 /**
  * Bad input at a running fleet, and whether all nodes say the same.
  * @example
@@ -54,6 +77,7 @@
 export async function tryManners(fleet: Fleet): Promise<string[]> {
   const faults: string[] = [];
   const edge = fleet.edges[0]?.http ?? '';
+  const endless = tryEndlessHeaders(edge);
   for (const one of VISITOR_CASES) faults.push(...[await tryCase(edge, one)].filter((fault) => fault !== undefined));
   for (const one of OPERATOR_CASES) {
     for (const { http } of [fleet.nodes[0], fleet.edges[0]].filter((node) => node !== undefined)) {
@@ -70,5 +94,6 @@
     const replies = await Promise.all(fleet.nodes.map((node) => fleet.ask(node.http, 'GET', `/rainrun/v1/${path}`)));
     if (new Set(replies.map((reply) => JSON.stringify(reply))).size !== 1) faults.push(`${path} is not the same at every node`);
   }
+  faults.push(...[await endless].filter((fault) => fault !== undefined));
   return faults;
 }
