--- a/packages/park/src/script.ts
+++ b/packages/park/src/script.ts
@@ -75,6 +75,9 @@
       case 'mute':
         this.#cut(machine.name, (from) => from === machine.name);
         return undefined;
+      case 'part':
+        this.#cut(machine.name, (from, to) => (from === machine.name && to === word) || (from === word && to === machine.name));
+        return undefined;
       case 'heal':
         this.#heal(machine.name);
         return undefined;
--- a/packages/park/src/timelines.test.ts
+++ b/packages/park/src/timelines.test.ts
@@ -158,6 +158,21 @@
     ).toEqual([]);
   });
 
+  it('take over what a claimant did not accept itself', () => {
+    expect(
+      play(`
+        ms    | core-0          | core-1          | core-2          | edge-0          | edge-1
+        0     | boot            | boot            | boot            | boot            | boot
+        3000  | =leads          | part core-0     |                 | put 0           |
+        3120  | kill            |                 |                 |                 |
+        7000  | =down           | =leads          |                 | put 1           |
+        8000  |                 | =spec 2         | =spec 2         | =spec 2         | =spec 2
+        8000  | boot            | heal            |                 |                 |
+        12000 | =spec 2         | =members 5      |                 | =admits         |
+      `),
+    ).toEqual([]);
+  });
+
   it('keep on agreeing while one disk stalls, without its node after a while', () => {
     expect(
       play(`
