--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -9,7 +9,7 @@
 import { Fleet } from './fleet.js';
 import { tryManners } from './manners.js';
 import { Trial } from './trial.js';
-import { exampleSpec, makeDay, SHAPES, type Shape } from './shapes.js';
+import { exampleSpec, makeDay, makeFlood, SHAPES, type Shape } from './shapes.js';
 
 const cli = meow(
   `
@@ -19,6 +19,7 @@
     $ fleet start --shape vejsargs     start it and leave it running until Ctrl-C
     $ fleet run --shape malabon        start, serve the example day after 12 s, report, stop
     $ fleet trial --shape small        failures, one after the other, while visitors call
+    $ fleet flood --shape vejsargs     the day alone, then beside a flood from its last group
     $ fleet smoke                      a short run of a small fleet, for tests
     $ fleet examples                   write the example specs and days anew
 
@@ -110,6 +111,35 @@
   return breaches.length === 0 && ratio > 0.95 ? 0 : 1;
 }
 
+const FLOOD_S = 25;
+const FLOOD_PER_S = 150;
+
+/** The same traffic twice: alone, and beside a group that floods. */
+async function flood(fleet: Fleet, shape: Shape): Promise<number> {
+  const closed = await open(fleet, shape);
+  if (closed !== undefined) {
+    console.error(`fleet: ${closed}`);
+    return 1;
+  }
+  const group = shape.kinds.at(-1)?.group ?? '';
+  const edges = fleet.edges.map((edge) => edge.http);
+  const day = readDay(makeDay(shape, FLOOD_S, 1));
+  const mass = readDay(makeFlood(shape, group, FLOOD_PER_S, FLOOD_S, 2));
+  if (day.isErr || mass.isErr) return 1;
+  await pause(25_000);
+  const alone = await new Crowd(edges).play(day.value.calls, 1);
+  await pause(3000);
+  const [beside, flooded] = await Promise.all([new Crowd(edges).play(day.value.calls, 1), new Crowd(edges).play(mass.value.calls, 1)]);
+  const workers = (await fleet.ask(fleet.platform, 'GET', '/report')).body as Report;
+  const breaches = [alone, beside, flooded].flatMap((report) => [...report.breaches, ...compare(report.seen, workers.runs)]);
+  console.log('alone');
+  show(alone, workers, breaches);
+  console.log(`beside a flood of ${FLOOD_PER_S} a second from ${group}`);
+  show(beside, workers, breaches);
+  console.log('the flood', JSON.stringify(flooded.outcomes), JSON.stringify(flooded.byKind));
+  return breaches.length + workers.breaches.length === 0 ? 0 : 1;
+}
+
 /** Good traffic, then bad input. */
 async function smoke(fleet: Fleet, shape: Shape): Promise<number> {
   const code = await serve(fleet, shape, makeDay(shape, 10, 1), 1);
@@ -201,12 +231,14 @@
       return withFleet(shape, (fleet) => serve(fleet, shape, dayOf(shape), cli.flags.speed));
     case 'trial':
       return withFleet(shape, (fleet) => tryOut(fleet, shape));
+    case 'flood':
+      return withFleet(shape, (fleet) => flood(fleet, shape));
     case 'smoke':
       return withFleet(SHAPES['small'] ?? shape, (fleet) => smoke(fleet, SHAPES['small'] ?? shape));
     case 'examples':
       return writeExamples();
     default:
-      console.error('fleet: start, run, trial, smoke or examples; see fleet --help');
+      console.error('fleet: start, run, trial, flood, smoke or examples; see fleet --help');
       return 2;
   }
 }
--- a/tools/fleet/src/shapes.ts
+++ b/tools/fleet/src/shapes.ts
@@ -168,6 +168,16 @@
   return `${[headLine(shape.deployment), ...calls.map((call) => callLine(call))].join('\n')}\n`;
 }
 
+/**
+ * A flood from one group: every call of one kind, at a rate far beyond its share.
+ * @example
+ * makeFlood(SHAPES['vejsargs'], 'overnight', 60, 20, 1);
+ */
+export function makeFlood(shape: Shape, group: string, perS: number, seconds: number, seed: number): string {
+  const kinds = shape.kinds.filter((kind) => kind.group === group).map((kind) => ({ ...kind, perS }));
+  return makeDay({ ...shape, kinds, lookupsPerS: 0.001 }, seconds, seed);
+}
+
 function gapMs(dice: Dice, perS: number): number {
   return (-Math.log(1 - dice.next()) / perS) * 1000;
 }
