Send no more to what is to be unloaded, and unload it only then

Cause: a worker was told to unload while edges that had not heard of it still sent there; it answered that it holds no such model. Now a holding counts for edges only while it is in the agreed target, and the order waits 1.5 s, longer than any right to admit without the new target. Ruled out: late news of loads (the workers had held the model before).

--- a/packages/hub/src/roster.ts
+++ b/packages/hub/src/roster.ts
@@ -87,7 +87,7 @@
         reachable: entry.kind === 'lookup' || (state?.reachable ?? false),
         roomMb,
         slots,
-        holdings: state?.holdings ?? [],
+        holdings: heldAndWanted(state?.holdings ?? [], stage.placement[entry.name] ?? []),
         sinceMs: this.#sinceMs.get(entry.name) ?? new Map<string, number>(),
         othersInFlight: this.#othersInFlight(entry.name, self, nowMs),
       };
@@ -103,6 +103,14 @@
   }
 }
 
+/** What a worker holds and should go on holding: nothing more is sent to what is to be unloaded. */
+function heldAndWanted(held: readonly HoldingTarget[], wanted: readonly HoldingTarget[]): HoldingTarget[] {
+  return held.flatMap(({ model, adapters }) => {
+    const target = wanted.find((holding) => holding.model === model);
+    return target === undefined ? [] : [{ model, adapters: adapters.filter((adapter) => target.adapters.includes(adapter)) }];
+  });
+}
+
 function roomOf(spec: Spec | undefined, name: string): { roomMb: number; slots: number } {
   if (spec === undefined) return { roomMb: 0, slots: 1 };
   return spec.workers.named.find((worker) => worker.name === name) ?? spec.workers;
--- a/packages/yaw/src/orderer.ts
+++ b/packages/yaw/src/orderer.ts
@@ -44,9 +44,13 @@
   notBeforeMs: number;
   faults: number;
   askedMs: number;
+  /** What is to be unloaded, and since when. */
+  surplus: { part: string; sinceMs: number } | undefined;
 }
 
 const CHECK_MS = 5000;
+/** By then every edge that may admit has heard of the new target and sends no more to what goes. */
+const UNLOAD_WAIT_MS = 1500;
 
 /** How many pulls the store allows: a bucket that starts empty, so that a new holder of the duty waits. */
 class PullBucket {
@@ -128,7 +132,7 @@
   #bay(name: string): Bay {
     let bay = this.#bays.get(name);
     if (bay === undefined) {
-      bay = { known: undefined, epoch: 0, flying: false, notBeforeMs: -Infinity, faults: 0, askedMs: -Infinity };
+      bay = { known: undefined, epoch: 0, flying: false, notBeforeMs: -Infinity, faults: 0, askedMs: -Infinity, surplus: undefined };
       this.#bays.set(name, bay);
     }
     return bay;
@@ -138,7 +142,11 @@
     const known = bay.known;
     if (known === undefined || !known.reachable || bay.epoch !== this.#epoch) return INVENTORY;
     const [surplus] = missing(target, known.holdings);
-    if (surplus !== undefined) return { action: 'unload', ...surplus };
+    if (surplus !== undefined) {
+      const part = `${surplus.model}/${surplus.adapter}`;
+      if (bay.surplus?.part !== part) bay.surplus = { part, sinceMs: nowMs };
+      return nowMs - bay.surplus.sinceMs >= UNLOAD_WAIT_MS ? { action: 'unload', ...surplus } : undefined;
+    }
     const [wanted] = missing(known.holdings, target).sort(
       (one, other) => urgency(other.model, other.adapter) - urgency(one.model, one.adapter),
     );
--- a/packages/yaw/src/yaw.test.ts
+++ b/packages/yaw/src/yaw.test.ts
@@ -157,6 +157,16 @@
     expect(yard.actions).toEqual(['inventory', 'unload m0', 'load m1']);
   });
 
+  it('leaves edges time to send no more to what it unloads', () => {
+    const yard = new Yard();
+    yard.holdings = [{ model: 'm0', adapters: [] }];
+    for (let nowMs = 0; nowMs < 1400; nowMs += 50) {
+      yard.beat(specOf(2), target, nowMs);
+      yard.reply();
+    }
+    expect(yard.actions).toEqual(['inventory']);
+  });
+
   it('orders nothing without the duty', () => {
     const yard = new Yard();
     yard.epoch = undefined;
