A copy that was loaded anew warms anew, even where the news of it did not come

A worker crashed and was loaded again while the core was cut off from the edges; they went on as if it had never been away and three requests met the new copy within 0.3 s. Ruled out: a lost news item (the cut stood). Loads now carry a growing number, so that a copy loaded anew is known by it; and a worker that failed a request, or took none, counts as warming for that edge from then on.

--- a/packages/gate/src/assign.ts
+++ b/packages/gate/src/assign.ts
@@ -10,6 +10,8 @@
   inFlight: number;
   faults: number;
   shunnedUntilMs: number;
+  /** When it last failed a request or took none: it may have started anew since. */
+  failedMs: number;
 }
 
 /** What is asked of a worker. */
@@ -91,6 +93,11 @@
     if (this.#prefixes.size > PREFIXES_KEPT && oldest.done !== true) this.#prefixes.delete(oldest.value);
   }
 
+  /** A send that was not answered: from here on the worker counts as warming. */
+  failed(worker: string, nowMs: number): void {
+    this.#desk(worker).failedMs = nowMs;
+  }
+
   ended(worker: string, well: boolean, nowMs: number): void {
     const desk = this.#desk(worker);
     desk.inFlight = Math.max(0, desk.inFlight - 1);
@@ -116,8 +123,8 @@
     const part = Math.ceil(worker.slots / Math.max(1, edges.length));
     const usual = Math.max(part, Math.floor(free / 2));
     if (need.model === '') return usual;
-    const key = need.adapter === '' ? need.model : `${need.model}/${need.adapter}`;
-    const warmMs = nowMs - (worker.sinceMs.get(key) ?? nowMs);
+    const since = [need.model, ...(need.adapter === '' ? [] : [`${need.model}/${need.adapter}`])].map((key) => worker.sinceMs.get(key) ?? nowMs);
+    const warmMs = nowMs - Math.max(...since, this.#desk(worker.name).failedMs);
     const allowed = 2 ** Math.floor(warmMs / WARM_STEP_MS);
     if (allowed >= worker.slots) return usual;
     const rank = edges.filter((edge) => score(worker.name, edge) > score(worker.name, this.#self)).length;
@@ -127,7 +134,7 @@
   #desk(worker: string): Desk {
     let desk = this.#desks.get(worker);
     if (desk === undefined) {
-      desk = { inFlight: 0, faults: 0, shunnedUntilMs: -Infinity };
+      desk = { inFlight: 0, faults: 0, shunnedUntilMs: -Infinity, failedMs: -Infinity };
       this.#desks.set(worker, desk);
     }
     return desk;
--- a/packages/gate/src/gate.test.ts
+++ b/packages/gate/src/gate.test.ts
@@ -353,6 +353,15 @@
     expect(port.seen).toEqual(['no-worker']);
   });
 
+  it('sends few at first to a worker that failed and may have started anew', () => {
+    const stand = new Stand();
+    stand.workers = [{ ...stand.worker('w1', 'models'), slots: 8 }];
+    stand.ask();
+    stand.reply(stand.last(), 503, '{}');
+    for (let place = 0; place < 8; place += 1) stand.ask();
+    expect(stand.flown.length).toEqual(2);
+  });
+
   it('sends no flood to a copy that is warming', () => {
     const stand = new Stand();
     stand.workers = [{ ...stand.worker('w1', 'models'), slots: 8, sinceMs: new Map([['m', 0]]) }];
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -408,6 +408,7 @@
     const nowMs = this.#gear.clock.nowMs();
     this.#groupInFlight[visit.group] = Math.max(0, (this.#groupInFlight[visit.group] ?? 0) - 1);
     this.#assigner.ended(worker.name, end.well, nowMs);
+    if (end.done === undefined && end.tried && !visit.left) this.#assigner.failed(worker.name, nowMs);
     if (!end.well) this.#faults.set(worker.name, (this.#faults.get(worker.name) ?? 0) + 1);
     visit.cancel = undefined;
     if (visit.left) return this.#ended(visit, 'visitor-left');
--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -207,11 +207,11 @@
     const state = create(WorkerStateSchema, {
       worker,
       reachable: known.reachable,
-      loadNumber: known.loadNumber,
       holdings: known.holdings.map(({ model, adapters }) => ({
         $typeName: 'rainrun.v1.Holding' as const,
         model,
         adapters: [...adapters],
+        load: known.loads.get(model) ?? 0,
       })),
     });
     const epoch = this.#group.epoch;
--- a/packages/hub/src/roster.ts
+++ b/packages/hub/src/roster.ts
@@ -38,6 +38,7 @@
   #list: WorkerList | undefined;
   #states = new Map<string, WorkerState>();
   #sinceMs = new Map<string, Map<string, number>>();
+  #loadOf = new Map<string, number>();
   #loads = new Map<string, Load>();
 
   get generation(): number {
@@ -52,9 +53,12 @@
     const before = this.#sinceMs.get(state.worker) ?? new Map<string, number>();
     const reset = !(this.#states.get(state.worker)?.reachable ?? false);
     const since = new Map<string, number>();
-    for (const { model, adapters } of state.holdings) {
+    for (const { model, adapters, load } of state.holdings) {
+      const copy = `${state.worker}/${model}`;
+      const anew = reset || load > (this.#loadOf.get(copy) ?? 0);
+      this.#loadOf.set(copy, Math.max(load, this.#loadOf.get(copy) ?? 0));
       for (const key of [model, ...adapters.map((adapter) => `${model}/${adapter}`)]) {
-        since.set(key, reset ? nowMs : (before.get(key) ?? nowMs));
+        since.set(key, anew ? nowMs : (before.get(key) ?? nowMs));
       }
     }
     this.#states.set(state.worker, state);
--- a/packages/yaw/src/orderer.ts
+++ b/packages/yaw/src/orderer.ts
@@ -23,7 +23,8 @@
 export interface KnownWorker {
   readonly holdings: readonly HoldingTarget[];
   readonly reachable: boolean;
-  readonly loadNumber: number;
+  /** For each model loaded by order: a number that grows with every load, so that warming is seen. */
+  readonly loads: ReadonlyMap<string, number>;
 }
 
 /** What the orderer needs from its node. */
@@ -49,6 +50,8 @@
 }
 
 const CHECK_MS = 5000;
+/** Loads ordered in a later epoch have higher numbers. */
+const LOADS_AN_EPOCH = 65_536;
 /** By then every edge that may admit has heard of the new target and sends no more to what goes. */
 const UNLOAD_WAIT_MS = 1500;
 
@@ -92,6 +95,7 @@
   #bucket: PullBucket | undefined;
   #epoch = 0;
   #sequence = 0;
+  #loads = 0;
 
   constructor(desk: OrderDesk) {
     this.#desk = desk;
@@ -169,18 +173,22 @@
   }
 
   #heard(name: string, bay: Bay, step: Step, epoch: number, reply: Result<OrderReply, Fault>, nowMs: number): void {
-    const loadNumber = (bay.known?.loadNumber ?? 0) + (step.action === 'load' ? 1 : 0);
+    const loads = new Map(bay.known?.loads);
+    if (step.action === 'load' && step.adapter === '') {
+      this.#loads += 1;
+      loads.set(step.model, epoch * LOADS_AN_EPOCH + this.#loads);
+    }
     if (reply.isErr) {
       bay.faults += 1;
       bay.notBeforeMs = nowMs + Math.min(4000, 500 * 2 ** bay.faults);
       bay.epoch = 0;
       const reachable = bay.faults < 2 && (bay.known?.reachable ?? false);
-      bay.known = { holdings: bay.known?.holdings ?? [], reachable, loadNumber };
+      bay.known = { holdings: bay.known?.holdings ?? [], reachable, loads };
     } else {
       bay.faults = 0;
       bay.epoch = reply.value.busy ? 0 : epoch;
       if (reply.value.busy) bay.notBeforeMs = nowMs + 1000;
-      bay.known = { holdings: reply.value.holdings, reachable: true, loadNumber };
+      bay.known = { holdings: reply.value.holdings, reachable: true, loads };
     }
     this.#desk.learned(name, bay.known);
   }
