--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -210,6 +210,11 @@
     return Math.max(this.#epochSeen, this.#gear.acceptor?.promisedEpoch ?? 0);
   }
 
+  /** Casts kept until all members are known to have them. */
+  get unstableCount(): number {
+    return this.#causal?.keptCount ?? 0;
+  }
+
   get contextBytes(): number {
     return this.#causal?.contextBytes ?? 0;
   }
@@ -798,7 +803,7 @@
     this.#stopEpoch = epoch;
     this.#staying = new Set(staying);
     const unstable = this.#causal?.stop() ?? [];
-    return create(FlushSchema, { epoch, change, delivered: [...(this.#causal?.delivered ?? [])], unstable });
+    return create(FlushSchema, { epoch, change, unstable });
   }
 
   // Electing a coordinator.
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -203,6 +203,7 @@
       admitting: group.granted() ? 1 : 0,
       leading: group.leading ? 1 : 0,
       contextBytes: group.contextBytes,
+      unstableCasts: group.unstableCount,
     };
   }
 
