A stand-in keeps its mood for the whole of an answer

Cause: a stand-in that was told to be well again in the middle of an answer that was to end early gave two pieces as a whole answer, which the visitor rightly reported. The router had passed on what it was given.

--- a/tools/grandstand/src/worker.ts
+++ b/tools/grandstand/src/worker.ts
@@ -220,9 +220,10 @@
 
   async #reply(work: Work, req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { model, adapter, prompt, run, stream } = work;
+    const mood = this.#mood;
     const crowdedMs = this.setup.pieceMs * Math.max(1, this.#running / this.setup.slots);
-    const count = this.#mood === 'early' ? 2 : pieceCount(prompt);
-    if (this.#mood === 'nonsense') {
+    const count = mood === 'early' ? 2 : pieceCount(prompt);
+    if (mood === 'nonsense') {
       res.end('no such thing');
       return;
     }
@@ -238,7 +239,7 @@
       whole += text;
       if (stream) res.write(`data: ${JSON.stringify({ choices: [{ index: 0, delta: { content: text } }] })}\n\n`);
     }
-    if (!stream && this.#mood === 'early') {
+    if (!stream && mood === 'early') {
       res.writeHead(200, { 'content-type': 'application/json', 'content-length': 10_000 });
       res.write('{"choices":');
       setImmediate(() => req.socket.destroy());
@@ -248,12 +249,12 @@
       json(res, 200, { choices: [{ index: 0, message: { role: 'assistant', content: whole } }] });
       return;
     }
-    if (this.#mood === 'early') {
+    if (mood === 'early') {
       req.socket.destroy();
       return;
     }
     res.write('data: [DONE]\n\n');
-    if (this.#mood === 'more') res.write(`data: ${JSON.stringify({ choices: [] })}\n\n`);
+    if (mood === 'more') res.write(`data: ${JSON.stringify({ choices: [] })}\n\n`);
     res.end();
   }
 }
