One hash and the library's own pause instead of copies

The hash of texts stood in courier, gate and grandstand, a promise over setTimeout in six files. The hash is now nacelle's hashText, giving the same values; the pause is node:timers/promises. A count of disk writes in the simulator that nobody read is gone.

--- a/packages/courier/src/news.ts
+++ b/packages/courier/src/news.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import type { Chance } from '@rainrun/nacelle';
+import { hashText, type Chance } from '@rainrun/nacelle';
 import {
   DigestSchema,
   MendSchema,
@@ -17,19 +17,6 @@
 
 const FANOUT = 3;
 
-/**
- * FNV-1a over a text, as used for ranges, digests and prefixes.
- * @example
- * hashText('') === 2166136261; // true
- */
-export function hashText(text: string, start = 2166136261): number {
-  let hash = start;
-  for (let place = 0; place < text.length; place += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(place), 16777619);
-  }
-  return hash >>> 0;
-}
-
 function newer(one: NewsItem, other: NewsItem): boolean {
   return one.major !== other.major ? one.major > other.major : one.minor > other.minor;
 }
--- a/packages/gate/src/assign.ts
+++ b/packages/gate/src/assign.ts
@@ -1,3 +1,4 @@
+import { hashText } from '@rainrun/nacelle';
 import type { RosterView } from './gate.js';
 
 const PREFIXES_KEPT = 4096;
@@ -26,11 +27,7 @@
 export type Assignment = { readonly worker: RosterView; readonly why: string } | { readonly worker: undefined; readonly why: string };
 
 function score(name: string, self: string): number {
-  let hash = 2166136261;
-  for (const text of [name, '|', self]) {
-    for (let place = 0; place < text.length; place += 1) hash = Math.imul(hash ^ text.charCodeAt(place), 16777619);
-  }
-  return hash >>> 0;
+  return hashText(`${name}|${self}`);
 }
 
 /**
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { createRequire } from 'node:module';
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http';
 import type { Entry } from '@rainrun/courier';
@@ -324,12 +325,6 @@
   }
 }
 
-function pause(waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, waitMs);
-  });
-}
-
 async function openDisk(settings: Settings, broken: (why: Fault) => void): Promise<Result<Acceptor, Fault>> {
   const opened = await Ledger.open(settings.folder);
   if (opened.isErr) return Result.err(opened.error);
--- a/packages/mast/src/operators.ts
+++ b/packages/mast/src/operators.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import type { Answer } from '@rainrun/courier';
 import type { EndRecord } from '@rainrun/gate';
 import type { Hub } from '@rainrun/hub';
@@ -35,12 +36,6 @@
   return { status: 200, body: { id, outcome: kind, detail, number } };
 }
 
-function pause(waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, waitMs);
-  });
-}
-
 /**
  * What operators may ask and order. Every node answers the same.
  * @example
--- a/packages/mast/src/visitors.ts
+++ b/packages/mast/src/visitors.ts
@@ -1,7 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { hashText } from '@rainrun/courier';
 import type { Ask, Gate, VisitorPort } from '@rainrun/gate';
-import { ANSWERS, fault, word, type Chance, type Fault } from '@rainrun/nacelle';
+import { ANSWERS, fault, hashText, word, type Chance, type Fault } from '@rainrun/nacelle';
 import { Result } from 'true-myth';
 import * as v from 'valibot';
 
--- a/packages/nacelle/src/index.ts
+++ b/packages/nacelle/src/index.ts
@@ -1,5 +1,6 @@
 export * from './kinds.js';
 export * from './chance.js';
+export * from './hash.js';
 export * from './slab.js';
 export * from './register.js';
 
--- a/packages/park/src/oracle.ts
+++ b/packages/park/src/oracle.ts
@@ -1,4 +1,4 @@
-import { hashText } from '@rainrun/courier';
+import { hashText } from '@rainrun/nacelle';
 import { toVersion, type Held, type Play } from '@rainrun/farm';
 import { encodeStage, type Stage } from '@rainrun/marquee';
 import { EntrySchema, StateSchema } from '@rainrun/courier';
--- a/packages/park/src/world.ts
+++ b/packages/park/src/world.ts
@@ -153,7 +153,6 @@
   stallUntilMs = 0;
   /** Set when no more can be written, as on a full disk. */
   full = false;
-  writes = 0;
 
   constructor(time: VirtualTime, chance: Chance) {
     this.#time = time;
@@ -177,7 +176,6 @@
   store(kind: RecordKind, bytes: Uint8Array, done: (result: Result<Unit, Fault>) => void): void {
     const generation = this.#generation;
     const nowMs = this.#time.nowMs();
-    this.writes += 1;
     if (this.full) return done(Result.err(fault('disk', 'no space left')));
     this.#freeMs = Math.max(this.#freeMs, nowMs, this.stallUntilMs) + 1 + this.#chance.next() * 6;
     this.#time.after(this.#freeMs - nowMs, () => {
--- a/tools/crowd/src/crowd.ts
+++ b/tools/crowd/src/crowd.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { wrong } from '@rainrun/grandstand';
 import { promptOf, type Call } from '@rainrun/playbill';
 import { Agent, type Dispatcher } from 'undici';
@@ -261,12 +262,6 @@
   }
 }
 
-function pause(waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, waitMs);
-  });
-}
-
 /**
  * Holds what the visitors were told against what the workers ran.
  * @example
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -1,4 +1,5 @@
 #!/usr/bin/env node
+import { setTimeout as pause } from 'node:timers/promises';
 import { readFileSync, writeFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -44,12 +45,6 @@
 
 const TRAFFIC_MS = 12_000;
 
-function pause(waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, waitMs);
-  });
-}
-
 /** Waits for a condition, asked often; false when the time is over. */
 async function until(waitMs: number, condition: () => Promise<boolean>): Promise<boolean> {
   const endMs = performance.now() + waitMs;
--- a/tools/fleet/src/trial.ts
+++ b/tools/fleet/src/trial.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import type { Crowd, CrowdReport, Seen } from '@rainrun/crowd';
 import type { Fleet, FleetNode } from './fleet.js';
 
@@ -16,12 +17,6 @@
 const RETURN_MS = 12_000;
 const SETTLE_MS = 1500;
 
-function pause(waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, waitMs);
-  });
-}
-
 /**
  * Failures brought about on a real fleet while visitors call, one after the
  * other, each followed by the question whether service came back.
--- a/tools/grandstand/src/answers.ts
+++ b/tools/grandstand/src/answers.ts
@@ -1,13 +1,13 @@
+import { hashText } from '@rainrun/nacelle';
+
 /**
- * FNV-1a, so that stand-in worker and stand-in visitor agree on an answer
+ * A short hash, so that stand-in worker and stand-in visitor agree on an answer
  * without speaking to each other.
  * @example
  * digest('a') === digest('a'); // true
  */
 export function digest(text: string): string {
-  let hash = 2166136261;
-  for (let place = 0; place < text.length; place += 1) hash = Math.imul(hash ^ text.charCodeAt(place), 16777619);
-  return (hash >>> 0).toString(16);
+  return hashText(text).toString(16);
 }
 
 /**
--- a/tools/grandstand/src/worker.ts
+++ b/tools/grandstand/src/worker.ts
@@ -1,3 +1,4 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { digest, piece, pieceCount } from './answers.js';
 import type { Book } from './report.js';
@@ -273,9 +274,3 @@
   readonly run: string;
   readonly stream: boolean;
 }
-
-function pause(waitMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, waitMs);
-  });
-}
