--- a/packages/gate/src/assign.ts
+++ b/packages/gate/src/assign.ts
@@ -1,5 +1,5 @@
 import { hashText } from '@rainrun/nacelle';
-import type { RosterView } from './gate.js';
+import type { RosterView } from './gear.js';
 
 const PREFIXES_KEPT = 4096;
 const WARM_STEP_MS = 500;
--- a/packages/gate/src/budget.ts
+++ b/packages/gate/src/budget.ts
@@ -1,33 +1,58 @@
-const WINDOW_MS = 10_000;
-
 /**
- * The retry budget of one node: a fifth of its own first sends in any ten
- * seconds, and this node's part of the small allowance for the fleet.
+ * The retry budget of one edge: a bucket that earns a ratio of a token with
+ * each request that is sent for the first time, and holds no more than this
+ * edge's part of the fleet's allowance. So in any window of time the extra
+ * sends of all edges stay within the ratio of the first ones plus the
+ * allowance, whoever restarts, joins or leaves: a new life begins empty.
+ *
+ * A retry is reserved when it is promised and spent when its first byte
+ * leaves, so that those which wait cannot pile up.
  * @example
  * const budget = new RetryBudget();
- * budget.first(nowMs);
- * budget.take(0.2, 1, nowMs); // true: one extra from the allowance
+ * budget.allot('life-1', 1);
+ * for (let sent = 0; sent < 5; sent += 1) budget.first(0.2);
+ * budget.reserve(); // true: five requests earned one extra send
+ * budget.spend(); // true: it leaves now
  */
 export class RetryBudget {
-  #firsts: number[] = [];
-  #extras: number[] = [];
+  #life = '';
+  #part = 0;
+  #tokens = 0;
+  #reserved = 0;
+
+  /** Says which life this is and what its part of the allowance is; another life begins with nothing. */
+  allot(life: string, part: number): void {
+    if (life !== this.#life) this.#tokens = 0;
+    this.#life = life;
+    this.#part = part;
+    this.#tokens = Math.min(this.#tokens, part);
+  }
 
-  /** Counts a first send. */
-  first(nowMs: number): void {
-    this.#firsts.push(nowMs);
-    this.#trim(nowMs);
+  /** A request is sent for the first time. */
+  first(ratio: number): void {
+    this.#tokens = Math.min(this.#part, this.#tokens + ratio);
   }
 
-  /** Takes one extra send, if the budget allows it now. */
-  take(ratio: number, allowance: number, nowMs: number): boolean {
-    this.#trim(nowMs);
-    if (this.#extras.length + 1 > ratio * this.#firsts.length + allowance) return false;
-    this.#extras.push(nowMs);
+  /** Promises one extra send, if there is a token that is not promised yet. */
+  reserve(): boolean {
+    if (this.#tokens - this.#reserved < 1 - ROUNDING) return false;
+    this.#reserved += 1;
     return true;
   }
 
-  #trim(nowMs: number): void {
-    while ((this.#firsts[0] ?? Infinity) <= nowMs - WINDOW_MS) this.#firsts.shift();
-    while ((this.#extras[0] ?? Infinity) <= nowMs - WINDOW_MS) this.#extras.shift();
+  /** The extra send is not wanted any more. */
+  release(): void {
+    this.#reserved -= 1;
+  }
+
+  /** A reserved extra send leaves now; false when its token has gone with an earlier life or a larger part. */
+  spend(): boolean {
+    this.#reserved -= 1;
+    if (this.#tokens < 1 - ROUNDING) return false;
+    this.#tokens -= 1;
+    return true;
   }
 }
+
+/** Five fifths make one. */
+const ROUNDING = 1e-9;
--- /dev/null
+++ b/packages/gate/src/doubt.ts
@@ -0,0 +1,55 @@
+import type { Send } from './send.js';
+import type { Sender } from './sender.js';
+
+const PROBE_GAP_MS = 200;
+const PROBES_FAILED = 2;
+
+interface Doubted {
+  failed: number;
+  flying: boolean;
+  notBeforeMs: number;
+}
+
+/**
+ * Sends whose worker may get no more work, or of which this node cannot know
+ * whether it may, and which have had no word from the worker yet: their bytes
+ * may still be held up on the way. Each such worker is probed for a
+ * connection; where two probes in a row find no way, its silent sends are
+ * given up and their connections reset, so that nothing arrives there late.
+ * @example
+ * const doubt = new Doubt(sender);
+ * doubt.beat(sends, (send) => isLeaving(send.worker), nowMs);
+ */
+export class Doubt {
+  #sender: Sender;
+  #doubted = new Map<string, Doubted>();
+
+  constructor(sender: Sender) {
+    this.#sender = sender;
+  }
+
+  beat(sends: Iterable<Send>, isDoubtful: (send: Send) => boolean, nowMs: number): void {
+    const silent = new Map<string, Send[]>();
+    for (const send of sends) {
+      if (!send.silent || !isDoubtful(send)) continue;
+      const { address } = send.worker;
+      silent.set(address, [...(silent.get(address) ?? []), send]);
+    }
+    for (const address of this.#doubted.keys()) if (!silent.has(address)) this.#doubted.delete(address);
+    for (const [address, unheard] of silent) {
+      const doubted = this.#doubted.get(address) ?? { failed: 0, flying: false, notBeforeMs: -Infinity };
+      this.#doubted.set(address, doubted);
+      if (doubted.failed >= PROBES_FAILED) for (const send of unheard) send.abandon();
+      else if (!doubted.flying && nowMs >= doubted.notBeforeMs) this.#probe(address, doubted, nowMs);
+    }
+  }
+
+  #probe(address: string, doubted: Doubted, nowMs: number): void {
+    doubted.flying = true;
+    doubted.notBeforeMs = nowMs + PROBE_GAP_MS;
+    this.#sender.probe(address, (reached) => {
+      doubted.flying = false;
+      doubted.failed = reached ? 0 : doubted.failed + 1;
+    });
+  }
+}
--- a/packages/gate/src/gate.test.ts
+++ b/packages/gate/src/gate.test.ts
@@ -3,7 +3,8 @@
 import { expect } from 'earl';
 import { Backlog } from './backlog.js';
 import { RetryBudget } from './budget.js';
-import { Gate, type Ask, type RosterView } from './gate.js';
+import { Gate } from './gate.js';
+import type { Ask, RosterView } from './gear.js';
 import type { SendHandler, Sender, Sending, SendRequest } from './sender.js';
 import { StreamWatch } from './stream.js';
 import type { VisitorPort } from './visit.js';
@@ -77,8 +78,11 @@
   granted = true;
   spec = specOf();
   edges = ['edge'];
+  life = 'life-1';
   workers: RosterView[] = [this.worker('w1', 'models'), this.worker('d1', 'desks'), this.worker('d2', 'desks')];
   readonly flown: Flown[] = [];
+  readonly probed: string[] = [];
+  cut = false;
   readonly gate = new Gate({
     name: 'edge',
     zone: 'z1',
@@ -87,6 +91,7 @@
     spec: () => this.spec,
     workers: () => this.workers,
     edges: () => this.edges,
+    life: () => this.life,
     granted: () => this.granted,
     weight: (group) => this.spec.groups.find((known) => known.name === group)?.share ?? 1,
   });
@@ -113,6 +118,11 @@
     return flown;
   }
 
+  probe(address: string, done: (reached: boolean) => void): void {
+    this.probed.push(address);
+    done(!this.cut);
+  }
+
   ask(change: Partial<Ask> = {}): { port: Port; leave: () => void } {
     const port = new Port();
     const ask: Ask = {
@@ -132,6 +142,14 @@
     return { port, leave: this.gate.enter(ask, port) };
   }
 
+  /** Five requests well served earn one extra send. */
+  earn(): void {
+    for (let place = 0; place < 5; place += 1) {
+      this.ask();
+      this.reply(this.last(), 200, '{}');
+    }
+  }
+
   look(): Port {
     return this.ask({ path: '/look/1', method: 'GET', model: '' }).port;
   }
@@ -164,11 +182,14 @@
   it('is sent elsewhere only when provably no byte left, and within the budget', () => {
     const stand = new Stand();
     stand.workers = [stand.worker('w1', 'models'), stand.worker('w2', 'models')];
+    const early = stand.ask().port;
+    stand.last().handler.failed(false, 'ECONNREFUSED');
+    stand.earn();
+    const before = stand.flown.length;
     const { port } = stand.ask();
     stand.last().handler.failed(false, 'ECONNREFUSED');
-    expect(stand.flown.length).toEqual(2);
     stand.reply(stand.last(), 200, '{}');
-    expect(port.seen).toEqual(['200 {}']);
+    expect([early.seen, port.seen, stand.flown.length - before]).toEqual([['no-worker'], ['200 {}'], 2]);
   });
 
   it('is not started when the grant ends, or the worker is marked as leaving, before the first byte', () => {
@@ -181,6 +202,30 @@
     expect(stand.last().handler.mayStart()).toEqual(false);
   });
 
+  it('is given up, and its connection reset, when its worker is leaving and no way there is found', () => {
+    const stand = new Stand();
+    stand.workers = [stand.worker('w1', 'models'), stand.worker('w2', 'models')];
+    const { port } = stand.ask();
+    stand.last().handler.mayStart();
+    const name = stand.last().request.address;
+    function pass(cut: boolean): unknown {
+      stand.cut = cut;
+      for (let place = 0; place < 4; place += 1) {
+        stand.nowMs += 250;
+        stand.gate.beat();
+      }
+      return [stand.probed.length > 0, [...port.seen], stand.last().aborted];
+    }
+    const usual = pass(true);
+    stand.workers = stand.workers.map((worker) => ({ ...worker, leaving: worker.name === name }));
+    const reached = pass(false);
+    expect([usual, reached, pass(true)]).toEqual([
+      [false, [], false],
+      [true, [], false],
+      [true, ['outcome-unknown'], true],
+    ]);
+  });
+
   it('waits again, unsent, when the last look forbade it', () => {
     const stand = new Stand();
     const { port } = stand.ask();
@@ -294,7 +339,7 @@
     const firsts = stand.gate.counts['sends'] ?? 0;
     const extra = stand.gate.counts['retries'] ?? 0;
     expect(sends).toEqual(firsts);
-    expect(extra <= 0.2 * (sends - extra) + 10).toEqual(true);
+    expect([extra > 0, extra <= 0.2 * (sends - extra)]).toEqual([true, true]);
     expect(ports.every((port) => port.seen.length <= 1)).toEqual(true);
   });
 });
@@ -388,13 +433,35 @@
     expect(served).toEqual([12, 4]);
   });
 
-  it('a retry budget allows a fifth and the allowance in any ten seconds', () => {
+  it('a retry budget earns a fifth of the first sends, holds its part, and begins each life with nothing', () => {
+    const budget = new RetryBudget();
+    function taken(): number {
+      let count = 0;
+      while (budget.reserve()) count += Number(budget.spend());
+      return count;
+    }
+    budget.allot('life-1', 3);
+    const atFirst = taken();
+    for (let sent = 0; sent < 5; sent += 1) budget.first(0.2);
+    const earned = taken();
+    for (let sent = 0; sent < 500; sent += 1) budget.first(0.2);
+    budget.allot('life-1', 2);
+    budget.allot('life-1', 4);
+    const held = taken();
+    for (let sent = 0; sent < 500; sent += 1) budget.first(0.2);
+    budget.allot('life-2', 4);
+    expect([atFirst, earned, held, taken()]).toEqual([0, 1, 2, 0]);
+  });
+
+  it('a retry that is promised cannot be promised twice, and is spent when it leaves', () => {
     const budget = new RetryBudget();
-    for (let nowMs = 0; nowMs < 5000; nowMs += 100) budget.first(nowMs);
-    let taken = 0;
-    while (budget.take(0.2, 2, 5000)) taken += 1;
-    expect(taken).toEqual(12);
-    expect(budget.take(0.2, 2, 20_000)).toEqual(true);
+    budget.allot('life-1', 2);
+    for (let sent = 0; sent < 5; sent += 1) budget.first(0.2);
+    const promises = [budget.reserve(), budget.reserve()];
+    budget.release();
+    promises.push(budget.reserve());
+    budget.allot('life-2', 2);
+    expect([promises, budget.spend()]).toEqual([[true, false, true], false]);
   });
 
   it('a stream watch knows a whole stream', () => {
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -1,99 +1,24 @@
 import { EventEmitter } from 'eventemitter3';
 import type { Spec } from '@rainrun/marquee';
-import { fault, Register, Slab, type Clock, type Fault, type FaultKind } from '@rainrun/nacelle';
+import { fault, Register, Slab, type Fault } from '@rainrun/nacelle';
 import { Assigner } from './assign.js';
 import { Backlog } from './backlog.js';
 import { RetryBudget } from './budget.js';
-import type { Sender } from './sender.js';
-import { StreamWatch } from './stream.js';
+import { Doubt } from './doubt.js';
+import type { Ask, EndRecord, GateGear, RosterView } from './gear.js';
+import { demandKey, Measures, type Measured } from './measures.js';
+import { Send, type SendEnd } from './send.js';
 import type { Visit, VisitorPort } from './visit.js';
 
-/** A worker as the gate needs to see it. */
-export interface RosterView {
-  readonly name: string;
-  readonly address: string;
-  readonly zone: string;
-  readonly pool: string;
-  readonly leaving: boolean;
-  readonly emptied: boolean;
-  readonly reachable: boolean;
-  readonly slots: number;
-  readonly holdings: readonly { readonly model: string; readonly adapters: readonly string[] }[];
-  readonly sinceMs: ReadonlyMap<string, number>;
-  readonly othersInFlight: number;
-}
-
-/** What the gate asks of its node. */
-export interface GateGear {
-  readonly name: string;
-  readonly zone: string;
-  readonly clock: Clock;
-  readonly sender: Sender;
-  spec(): Spec | undefined;
-  workers(): readonly RosterView[];
-  /** Names of the edges in the view. */
-  edges(): readonly string[];
-  granted(): boolean;
-  /** The weight of a group now, from its share and its loop. */
-  weight(group: string): number;
-}
-
-/** What a visitor asked, as read from HTTP. */
-export interface Ask {
-  readonly id: string;
-  readonly path: string;
-  readonly method: 'GET' | 'POST';
-  readonly group: string;
-  readonly kind: string;
-  readonly model: string;
-  readonly adapter: string;
-  readonly prefix: number;
-  readonly streamed: boolean;
-  readonly body: Uint8Array | undefined;
-  /** How long the visitor is ready to wait, from now; undefined without a wish. */
-  readonly deadlineMs: number | undefined;
-}
-
-/** Counters since the last observation, by group and kind. */
-export interface Measure {
-  readonly group: string;
-  readonly kind: string;
-  served: number;
-  refused: number;
-  prompt: number;
-  waitSumMs: number;
-}
-
 interface GateEvents {
   ended: (record: EndRecord) => void;
 }
 
-/** How one request ended. */
-export interface EndRecord {
-  readonly id: string;
-  readonly group: string;
-  readonly kind: string;
-  readonly model: string;
-  readonly adapter: string;
-  readonly path: string;
-  readonly stream: boolean;
-  readonly prefix: number;
-  readonly body: Uint8Array | undefined;
-  readonly worker: string;
-  readonly outcome: 'served' | 'cut' | FaultKind;
-  readonly arrivedMs: number;
-  readonly firstPieceMs: number | undefined;
-  readonly endedMs: number;
-  readonly sends: number;
-  readonly trail: readonly string[];
-}
-
 type Filter = (visit: Visit) => Fault | undefined;
 
 const DEADLINE_MS = 120_000;
 const STALL_MS = 15_000;
 const LOOKUP_SEND_MS = 1500;
-const WHOLE_MAX_BYTES = 8 * 1024 * 1024;
 const BACKLOG_LEAST = 8;
 const BACKLOG_PER_SLOT = 4;
 const ACTIVE_MS = 10_000;
@@ -120,9 +45,8 @@
   #filters: readonly Filter[];
   #groupInFlight: number[] = [];
   #groupSeenMs: number[] = [];
-  #measures = new Map<string, Measure>();
-  #arrivals = new Map<string, { model: string; adapter: string; arrivals: number }>();
-  #faults = new Map<string, number>();
+  #measures = new Measures();
+  #doubt: Doubt;
   #flights = new Set<Send>();
   #draining = false;
   #counts = new Map<string, number>();
@@ -131,6 +55,7 @@
     super();
     this.#gear = gear;
     this.#assigner = new Assigner(gear.name, gear.zone);
+    this.#doubt = new Doubt(gear.sender);
     this.#filters = [
       (visit) => this.#mayAdmit(visit),
       (visit) => this.#knows(visit),
@@ -182,6 +107,8 @@
       deadlineMs: nowMs + (ask.deadlineMs ?? DEADLINE_MS),
       left: false,
       sends: 0,
+      started: false,
+      retry: 'none',
       worker: '',
       cancel: undefined,
       firstPieceMs: undefined,
@@ -215,17 +142,13 @@
       }
     }
     for (const send of [...this.#flights]) if (nowMs > send.deadlineMs) send.expire();
+    this.#doubt.beat([...this.#flights], (send) => !this.#gear.granted() || !this.#mayServe(send.worker), nowMs);
     if (!this.#gear.granted()) return;
     while (this.#sendNext(nowMs));
   }
 
   /** Takes the counters since the last call, for an observation. */
-  takeMeasures(): {
-    measures: Measure[];
-    demands: { model: string; adapter: string; arrivals: number; backlog: number }[];
-    faults: ReadonlyMap<string, number>;
-  } {
-    const measures = [...this.#measures.values()];
+  takeMeasures(): Measured {
     const backlogs = new Map<string, number>();
     for (const lane of this.#backlog.order()) {
       for (const { key } of lane) {
@@ -235,12 +158,7 @@
         backlogs.set(name, (backlogs.get(name) ?? 0) + 1);
       }
     }
-    const demands = [...this.#arrivals].map(([key, arrival]) => ({ ...arrival, backlog: backlogs.get(key) ?? 0 }));
-    const faults = this.#faults;
-    this.#measures = new Map();
-    this.#arrivals = new Map([...this.#arrivals].filter(([key]) => backlogs.has(key)).map(([key, arrival]) => [key, { ...arrival, arrivals: 0 }]));
-    this.#faults = new Map();
-    return { measures, demands, faults };
+    return this.#measures.take(backlogs);
   }
 
   groupNow(group: string): { inFlight: number; backlog: number } {
@@ -367,14 +285,13 @@
     const nowMs = clock.nowMs();
     visit.sends += 1;
     visit.worker = worker.name;
-    if (visit.sends === 1) this.#budget.first(nowMs);
     this.#assigner.begun(worker.name, visit.prefix);
     this.#backlog.charge(visit.group, this.#gear.weight(this.#groups.name(visit.group)));
     this.#groupInFlight[visit.group] = (this.#groupInFlight[visit.group] ?? 0) + 1;
     this.#count('sends');
     const send = new Send(visit, worker, {
       nowMs: () => clock.nowMs(),
-      mayStart: () => this.#mayStart(visit, worker),
+      mayStart: () => this.#mayStart(visit, worker) && this.#pay(visit),
       over: (end) => {
         this.#flights.delete(send);
         this.#sendOver(visit, worker, end);
@@ -400,16 +317,40 @@
   /** The last look before the first byte. */
   #mayStart(visit: Visit, worker: RosterView): boolean {
     if (visit.left || !this.#gear.granted() || this.#gear.clock.nowMs() > visit.deadlineMs) return false;
+    return this.#mayServe(worker);
+  }
+
+  /** Whether a worker may get work now, as far as this node knows. */
+  #mayServe(worker: RosterView): boolean {
     const now = this.#gear.workers().find((known) => known.name === worker.name);
     return now !== undefined && now.address === worker.address && !now.leaving && !now.emptied;
   }
 
+  /** Each request that leaves for the first time earns a part of a retry; each that leaves again costs one. */
+  #pay(visit: Visit): boolean {
+    this.#allot();
+    if (visit.retry === 'reserved') {
+      visit.retry = this.#budget.spend() ? 'none' : 'lost';
+      return visit.retry === 'none';
+    }
+    if (!visit.started) this.#budget.first(this.#gear.spec()?.retries.ratio ?? 0);
+    visit.started = true;
+    return true;
+  }
+
+  /** The allowance is parted among the edges of the view; outside of it there is none. */
+  #allot(): void {
+    const edges = this.#gear.edges().length;
+    const allowance = this.#gear.spec()?.retries.allowance ?? 0;
+    this.#budget.allot(this.#gear.life(), edges === 0 ? 0 : allowance / edges);
+  }
+
   #sendOver(visit: Visit, worker: RosterView, end: SendEnd): void {
     const nowMs = this.#gear.clock.nowMs();
     this.#groupInFlight[visit.group] = Math.max(0, (this.#groupInFlight[visit.group] ?? 0) - 1);
     this.#assigner.ended(worker.name, end.well, nowMs);
     if (end.done === undefined && end.tried && !visit.left) this.#assigner.failed(worker.name, nowMs);
-    if (!end.well) this.#faults.set(worker.name, (this.#faults.get(worker.name) ?? 0) + 1);
+    if (!end.well) this.#measures.failed(worker.name);
     visit.cancel = undefined;
     if (visit.left) return this.#ended(visit, 'visitor-left');
     if (end.done === undefined && this.#again(visit, end, nowMs)) this.#wait(visit);
@@ -425,14 +366,14 @@
   #again(visit: Visit, end: SendEnd, nowMs: number): boolean {
     if (this.#draining || nowMs > visit.deadlineMs || visit.sends >= 4) return false;
     if (end.sent && !visit.repeatable) return false;
-    const retries = this.#gear.spec()?.retries;
-    if (retries === undefined) return false;
     if (!end.sent && !end.tried) {
       visit.sends -= 1;
-      return true;
+      return visit.retry !== 'lost';
     }
-    const allowance = Math.floor(retries.allowance / Math.max(1, this.#gear.edges().length));
-    if (!this.#budget.take(retries.ratio, allowance, nowMs)) {
+    this.#allot();
+    if (visit.retry === 'reserved') this.#budget.spend();
+    visit.retry = this.#budget.reserve() ? 'reserved' : 'lost';
+    if (visit.retry === 'lost') {
       this.#count('retries-refused');
       return false;
     }
@@ -454,13 +395,14 @@
 
   #refuse(visit: Visit, why: Fault): void {
     visit.port.refuse(why);
-    this.#measure(visit).refused += 1;
+    this.#measures.refused(this.#groups.name(visit.group), this.#kinds.name(visit.kind));
     visit.trail.push(`${why.kind}: ${why.detail}`);
     this.#ended(visit, why.kind);
   }
 
   #ended(visit: Visit, outcome: EndRecord['outcome']): void {
     this.#count(outcome);
+    if (visit.retry === 'reserved') this.#budget.release();
     this.emit('ended', {
       id: visit.id,
       group: this.#groups.name(visit.group),
@@ -485,41 +427,18 @@
     this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1);
   }
 
-  #measure(visit: Visit): Measure {
-    const group = this.#groups.name(visit.group);
-    const kind = this.#kinds.name(visit.kind);
-    const key = `${group}/${kind}`;
-    let measure = this.#measures.get(key);
-    if (measure === undefined) {
-      measure = { group, kind, served: 0, refused: 0, prompt: 0, waitSumMs: 0 };
-      this.#measures.set(key, measure);
-    }
-    return measure;
-  }
-
   #measureServed(visit: Visit, nowMs: number): void {
     const waitMs = (visit.firstPieceMs ?? nowMs) - visit.arrivedMs;
-    const measure = this.#measure(visit);
-    measure.served += 1;
-    measure.waitSumMs += waitMs;
-    if (waitMs <= visit.targetMs) measure.prompt += 1;
+    this.#measures.served(this.#groups.name(visit.group), this.#kinds.name(visit.kind), waitMs, visit.targetMs);
   }
 
   #demandKey(visit: Visit): string {
-    return `${visit.model}/${visit.adapter}`;
+    return demandKey(this.#models.name(visit.model), this.#adapters.name(visit.adapter));
   }
 
   #noteArrival(visit: Visit, nowMs: number): void {
     this.#groupSeenMs[visit.group] = nowMs;
-    if (visit.repeatable) return;
-    const key = this.#demandKey(visit);
-    const known = this.#arrivals.get(key);
-    if (known !== undefined) known.arrivals += 1;
-    else {
-      const model = this.#models.name(visit.model);
-      const adapter = this.#adapters.name(visit.adapter);
-      this.#arrivals.set(key, { model, adapter, arrivals: 1 });
-    }
+    if (!visit.repeatable) this.#measures.arrived(this.#models.name(visit.model), this.#adapters.name(visit.adapter));
   }
 }
 
@@ -528,169 +447,3 @@
   if (route.serve === 'chat') return route.path === bare;
   return bare === route.path || bare.startsWith(`${route.path}/`);
 }
-
-/** How a send ended; `done` is set when the visitor has had an answer. */
-interface SendEnd {
-  readonly done: 'served' | 'cut' | undefined;
-  readonly well: boolean;
-  /** Whether any byte may have left. */
-  readonly sent: boolean;
-  /** Whether a connection was tried at all. */
-  readonly tried: boolean;
-  readonly fault: Fault;
-}
-
-interface SendDesk {
-  nowMs(): number;
-  mayStart(): boolean;
-  over(end: SendEnd): void;
-}
-
-const NO_FAULT = fault('outcome-unknown', '');
-
-/** One send: takes the worker's reply apart and passes it on to the visitor. */
-class Send {
-  #visit: Visit;
-  #worker: RosterView;
-  #desk: SendDesk;
-  #sending: { abort(): void; pause(): void; resume(): void } | undefined;
-  #status = 0;
-  #contentType = '';
-  #watch: StreamWatch | undefined;
-  #whole: Buffer[] = [];
-  #wholeBytes = 0;
-  #opened = false;
-  #withheld = false;
-  #over = false;
-
-  constructor(visit: Visit, worker: RosterView, desk: SendDesk) {
-    this.#visit = visit;
-    this.#worker = worker;
-    this.#desk = desk;
-  }
-
-  attach(sending: { abort(): void; pause(): void; resume(): void }): void {
-    this.#sending = sending;
-    if (this.#over) sending.abort();
-  }
-
-  get deadlineMs(): number {
-    return this.#visit.deadlineMs;
-  }
-
-  /** The deadline has passed while the worker was at it. */
-  expire(): void {
-    if (this.#opened) this.#cut();
-    else this.#fail(true, fault('deadline-exceeded', 'the deadline passed after it was sent'));
-    this.#sending?.abort();
-  }
-
-  /** The visitor has left: the worker's connection is closed. */
-  leave(): void {
-    this.#finish({ done: undefined, well: true, sent: true, tried: true, fault: NO_FAULT });
-    this.#sending?.abort();
-  }
-
-  mayStart(): boolean {
-    if (this.#over) return false;
-    this.#withheld = !this.#desk.mayStart();
-    return !this.#withheld;
-  }
-
-  start(status: number, contentType: string): void {
-    this.#status = status;
-    this.#contentType = contentType;
-    const streaming = status === 200 && contentType.startsWith('text/event-stream');
-    if (status === 200 && streaming !== this.#visit.streamed) return this.#nonsense(`${contentType} instead of what was asked`);
-    if (streaming) this.#watch = new StreamWatch();
-  }
-
-  chunk(bytes: Buffer): void {
-    if (this.#over) return;
-    if (this.#watch === undefined) {
-      this.#wholeBytes += bytes.length;
-      if (this.#wholeBytes > WHOLE_MAX_BYTES) return this.#nonsense('an answer without end');
-      this.#whole.push(bytes);
-      return;
-    }
-    const step = this.#watch.take(bytes);
-    if ('nonsense' in step) return this.#nonsense(step.nonsense);
-    if (step.events.length > 0) this.#pass(step.events);
-  }
-
-  end(): void {
-    if (this.#over) return;
-    if (this.#watch !== undefined) return this.#endStream(this.#watch);
-    const body = Buffer.concat(this.#whole);
-    if (this.#status === 429 || this.#status === 503) {
-      return this.#fail(true, fault('no-worker', `${this.#worker.name} took no more`), !this.#visit.repeatable);
-    }
-    if (this.#status >= 500 || this.#status < 200) return this.#fail(true, fault('worker-nonsense', `${this.#worker.name} answered ${this.#status}`));
-    if (!isJson(body)) return this.#fail(true, fault('worker-nonsense', `${this.#worker.name} did not answer in JSON`));
-    this.#visit.firstPieceMs ??= this.#desk.nowMs();
-    this.#visit.port.answer(this.#status, this.#contentType, body);
-    this.#finish({ done: 'served', well: true, sent: true, tried: true, fault: NO_FAULT });
-  }
-
-  failed(sent: boolean, why: string): void {
-    if (this.#over) return;
-    if (!sent) {
-      const tried = !this.#withheld;
-      this.#finish({ done: undefined, well: !tried, sent: false, tried, fault: fault('no-worker', why) });
-      return;
-    }
-    if (this.#opened) return this.#cut();
-    const late = this.#desk.nowMs() >= this.#visit.deadlineMs;
-    this.#fail(true, late ? fault('deadline-exceeded', 'the deadline passed after it was sent') : fault('outcome-unknown', `${this.#worker.name}: ${why}`));
-  }
-
-  #pass(events: Buffer): void {
-    const { port } = this.#visit;
-    if (!this.#opened) {
-      this.#opened = true;
-      this.#visit.firstPieceMs ??= this.#desk.nowMs();
-      port.open(this.#contentType);
-    }
-    if (!port.piece(events, () => this.#sending?.resume())) this.#sending?.pause();
-  }
-
-  #endStream(watch: StreamWatch): void {
-    if (!watch.finished) {
-      if (this.#opened) return this.#cut();
-      return this.#fail(true, fault('outcome-unknown', `${this.#worker.name} ended early`));
-    }
-    this.#pass(watch.closing);
-    this.#visit.port.close();
-    this.#finish({ done: 'served', well: true, sent: true, tried: true, fault: NO_FAULT });
-  }
-
-  #nonsense(why: string): void {
-    if (this.#opened) this.#cut();
-    else this.#fail(true, fault('worker-nonsense', `${this.#worker.name}: ${why}`));
-    this.#sending?.abort();
-  }
-
-  #cut(): void {
-    this.#visit.port.cut();
-    this.#finish({ done: 'cut', well: false, sent: true, tried: true, fault: NO_FAULT });
-  }
-
-  #fail(sent: boolean, why: Fault, well = false): void {
-    this.#finish({ done: undefined, well, sent, tried: true, fault: why });
-  }
-
-  #finish(end: SendEnd): void {
-    if (this.#over) return;
-    this.#over = true;
-    this.#desk.over(end);
-  }
-}
-
-function isJson(body: Buffer): boolean {
-  try {
-    JSON.parse(body.toString('utf8'));
-    return true;
-  } catch {
-    return false;
-  }
-}
--- /dev/null
+++ b/packages/gate/src/gear.ts
@@ -0,0 +1,71 @@
+import type { Spec } from '@rainrun/marquee';
+import type { Clock, FaultKind } from '@rainrun/nacelle';
+import type { Sender } from './sender.js';
+
+/** A worker as the gate needs to see it. */
+export interface RosterView {
+  readonly name: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly pool: string;
+  readonly leaving: boolean;
+  readonly emptied: boolean;
+  readonly reachable: boolean;
+  readonly slots: number;
+  readonly holdings: readonly { readonly model: string; readonly adapters: readonly string[] }[];
+  readonly sinceMs: ReadonlyMap<string, number>;
+  readonly othersInFlight: number;
+}
+
+/** What the gate asks of its node. */
+export interface GateGear {
+  readonly name: string;
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly sender: Sender;
+  spec(): Spec | undefined;
+  workers(): readonly RosterView[];
+  /** Names of the edges in the view; none while this node is in no view. */
+  edges(): readonly string[];
+  /** This node's life in the group. */
+  life(): string;
+  granted(): boolean;
+  /** The weight of a group now, from its share and its loop. */
+  weight(group: string): number;
+}
+
+/** What a visitor asked, as read from HTTP. */
+export interface Ask {
+  readonly id: string;
+  readonly path: string;
+  readonly method: 'GET' | 'POST';
+  readonly group: string;
+  readonly kind: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly prefix: number;
+  readonly streamed: boolean;
+  readonly body: Uint8Array | undefined;
+  /** How long the visitor is ready to wait, from now; undefined without a wish. */
+  readonly deadlineMs: number | undefined;
+}
+
+/** How one request ended. */
+export interface EndRecord {
+  readonly id: string;
+  readonly group: string;
+  readonly kind: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly path: string;
+  readonly stream: boolean;
+  readonly prefix: number;
+  readonly body: Uint8Array | undefined;
+  readonly worker: string;
+  readonly outcome: 'served' | 'cut' | FaultKind;
+  readonly arrivedMs: number;
+  readonly firstPieceMs: number | undefined;
+  readonly endedMs: number;
+  readonly sends: number;
+  readonly trail: readonly string[];
+}
--- /dev/null
+++ b/packages/gate/src/measures.ts
@@ -0,0 +1,89 @@
+/** Counters since the last observation, by group and kind. */
+export interface Measure {
+  readonly group: string;
+  readonly kind: string;
+  served: number;
+  refused: number;
+  prompt: number;
+  waitSumMs: number;
+}
+
+/** What was asked of one model, or of one adapter of it, since the last observation. */
+export interface Demand {
+  readonly model: string;
+  readonly adapter: string;
+  readonly arrivals: number;
+  readonly backlog: number;
+}
+
+/** What one edge measured since it last told the others. */
+export interface Measured {
+  readonly measures: readonly Measure[];
+  readonly demands: readonly Demand[];
+  /** Failed sends by worker. */
+  readonly faults: ReadonlyMap<string, number>;
+}
+
+/**
+ * Counts what the gate sees, to be taken twice a second as an observation.
+ * @example
+ * measures.refused('technicians', 'question');
+ * measures.take(new Map()).measures[0].refused; // 1
+ */
+export class Measures {
+  #measures = new Map<string, Measure>();
+  #arrivals = new Map<string, { model: string; adapter: string; arrivals: number }>();
+  #faults = new Map<string, number>();
+
+  arrived(model: string, adapter: string): void {
+    const key = demandKey(model, adapter);
+    const known = this.#arrivals.get(key) ?? { model, adapter, arrivals: 0 };
+    known.arrivals += 1;
+    this.#arrivals.set(key, known);
+  }
+
+  refused(group: string, kind: string): void {
+    this.#of(group, kind).refused += 1;
+  }
+
+  served(group: string, kind: string, waitMs: number, targetMs: number): void {
+    const measure = this.#of(group, kind);
+    measure.served += 1;
+    measure.waitSumMs += waitMs;
+    if (waitMs <= targetMs) measure.prompt += 1;
+  }
+
+  failed(worker: string): void {
+    this.#faults.set(worker, (this.#faults.get(worker) ?? 0) + 1);
+  }
+
+  /** Everything since the last call; `backlogs` says how many wait now, by demand. */
+  take(backlogs: ReadonlyMap<string, number>): Measured {
+    const measures = [...this.#measures.values()];
+    const demands = [...this.#arrivals].map(([key, arrival]) => ({ ...arrival, backlog: backlogs.get(key) ?? 0 }));
+    const faults = this.#faults;
+    this.#measures = new Map();
+    this.#arrivals = new Map([...this.#arrivals].filter(([key]) => backlogs.has(key)).map(([key, arrival]) => [key, { ...arrival, arrivals: 0 }]));
+    this.#faults = new Map();
+    return { measures, demands, faults };
+  }
+
+  #of(group: string, kind: string): Measure {
+    const key = `${group}/${kind}`;
+    let measure = this.#measures.get(key);
+    if (measure === undefined) {
+      measure = { group, kind, served: 0, refused: 0, prompt: 0, waitSumMs: 0 };
+      this.#measures.set(key, measure);
+    }
+    return measure;
+  }
+}
+
+/**
+ * The key under which demand for a model and adapter is counted.
+ * @example
+ * demandKey('model-1', ''); // 'model-1/'
+ */
+export function demandKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/gate/src/send.ts
@@ -0,0 +1,196 @@
+import { fault, type Fault } from '@rainrun/nacelle';
+import { StreamWatch } from './stream.js';
+import type { RosterView } from './gear.js';
+import type { SendHandler, Sending } from './sender.js';
+import type { Visit } from './visit.js';
+
+const WHOLE_MAX_BYTES = 8 * 1024 * 1024;
+
+/** How a send ended; `done` is set when the visitor has had an answer. */
+export interface SendEnd {
+  readonly done: 'served' | 'cut' | undefined;
+  readonly well: boolean;
+  /** Whether any byte may have left. */
+  readonly sent: boolean;
+  /** Whether a connection was tried at all. */
+  readonly tried: boolean;
+  readonly fault: Fault;
+}
+
+/** What a send needs of its gate. */
+export interface SendDesk {
+  nowMs(): number;
+  mayStart(): boolean;
+  over(end: SendEnd): void;
+}
+
+const NO_FAULT = fault('outcome-unknown', '');
+
+/**
+ * One send: takes the worker's reply apart and passes it on to the visitor.
+ * @example
+ * const send = new Send(visit, worker, desk);
+ * send.attach(sender.send(request, send));
+ */
+export class Send implements SendHandler {
+  #visit: Visit;
+  #worker: RosterView;
+  #desk: SendDesk;
+  #sending: Sending | undefined;
+  #status = 0;
+  #contentType = '';
+  #watch: StreamWatch | undefined;
+  #whole: Buffer[] = [];
+  #wholeBytes = 0;
+  #opened = false;
+  #started = false;
+  #withheld = false;
+  #over = false;
+
+  constructor(visit: Visit, worker: RosterView, desk: SendDesk) {
+    this.#visit = visit;
+    this.#worker = worker;
+    this.#desk = desk;
+  }
+
+  attach(sending: Sending): void {
+    this.#sending = sending;
+    if (this.#over) sending.abort();
+  }
+
+  get worker(): RosterView {
+    return this.#worker;
+  }
+
+  /** Sent, and no word of the worker yet. */
+  get silent(): boolean {
+    return this.#started && this.#status === 0 && !this.#over;
+  }
+
+  get deadlineMs(): number {
+    return this.#visit.deadlineMs;
+  }
+
+  /** The deadline has passed while the worker was at it. */
+  expire(): void {
+    if (this.#opened) this.#cut();
+    else this.#fail(true, fault('deadline-exceeded', 'the deadline passed after it was sent'));
+    this.#sending?.abort();
+  }
+
+  /** No way to the worker is found, and what was sent must not arrive there late. */
+  abandon(): void {
+    this.#fail(true, fault('outcome-unknown', `no way to ${this.#worker.name}, which may get no more work`));
+    this.#sending?.abort();
+  }
+
+  /** The visitor has left: the worker's connection is closed. */
+  leave(): void {
+    this.#finish({ done: undefined, well: true, sent: true, tried: true, fault: NO_FAULT });
+    this.#sending?.abort();
+  }
+
+  mayStart(): boolean {
+    if (this.#over) return false;
+    this.#started = this.#desk.mayStart();
+    this.#withheld = !this.#started;
+    return this.#started;
+  }
+
+  start(status: number, contentType: string): void {
+    this.#status = status;
+    this.#contentType = contentType;
+    const streaming = status === 200 && contentType.startsWith('text/event-stream');
+    if (status === 200 && streaming !== this.#visit.streamed) return this.#nonsense(`${contentType} instead of what was asked`);
+    if (streaming) this.#watch = new StreamWatch();
+  }
+
+  chunk(bytes: Buffer): void {
+    if (this.#over) return;
+    if (this.#watch === undefined) {
+      this.#wholeBytes += bytes.length;
+      if (this.#wholeBytes > WHOLE_MAX_BYTES) return this.#nonsense('an answer without end');
+      this.#whole.push(bytes);
+      return;
+    }
+    const step = this.#watch.take(bytes);
+    if ('nonsense' in step) return this.#nonsense(step.nonsense);
+    if (step.events.length > 0) this.#pass(step.events);
+  }
+
+  end(): void {
+    if (this.#over) return;
+    if (this.#watch !== undefined) return this.#endStream(this.#watch);
+    const body = Buffer.concat(this.#whole);
+    if (this.#status === 429 || this.#status === 503) {
+      return this.#fail(true, fault('no-worker', `${this.#worker.name} took no more`), !this.#visit.repeatable);
+    }
+    if (this.#status >= 500 || this.#status < 200) return this.#fail(true, fault('worker-nonsense', `${this.#worker.name} answered ${this.#status}`));
+    if (!isJson(body)) return this.#fail(true, fault('worker-nonsense', `${this.#worker.name} did not answer in JSON`));
+    this.#visit.firstPieceMs ??= this.#desk.nowMs();
+    this.#visit.port.answer(this.#status, this.#contentType, body);
+    this.#finish({ done: 'served', well: true, sent: true, tried: true, fault: NO_FAULT });
+  }
+
+  failed(sent: boolean, why: string): void {
+    if (this.#over) return;
+    if (!sent) {
+      const tried = !this.#withheld;
+      this.#finish({ done: undefined, well: !tried, sent: false, tried, fault: fault('no-worker', why) });
+      return;
+    }
+    if (this.#opened) return this.#cut();
+    const late = this.#desk.nowMs() >= this.#visit.deadlineMs;
+    this.#fail(true, late ? fault('deadline-exceeded', 'the deadline passed after it was sent') : fault('outcome-unknown', `${this.#worker.name}: ${why}`));
+  }
+
+  #pass(events: Buffer): void {
+    const { port } = this.#visit;
+    if (!this.#opened) {
+      this.#opened = true;
+      this.#visit.firstPieceMs ??= this.#desk.nowMs();
+      port.open(this.#contentType);
+    }
+    if (!port.piece(events, () => this.#sending?.resume())) this.#sending?.pause();
+  }
+
+  #endStream(watch: StreamWatch): void {
+    if (!watch.finished) {
+      if (this.#opened) return this.#cut();
+      return this.#fail(true, fault('outcome-unknown', `${this.#worker.name} ended early`));
+    }
+    this.#pass(watch.closing);
+    this.#visit.port.close();
+    this.#finish({ done: 'served', well: true, sent: true, tried: true, fault: NO_FAULT });
+  }
+
+  #nonsense(why: string): void {
+    if (this.#opened) this.#cut();
+    else this.#fail(true, fault('worker-nonsense', `${this.#worker.name}: ${why}`));
+    this.#sending?.abort();
+  }
+
+  #cut(): void {
+    this.#visit.port.cut();
+    this.#finish({ done: 'cut', well: false, sent: true, tried: true, fault: NO_FAULT });
+  }
+
+  #fail(sent: boolean, why: Fault, well = false): void {
+    this.#finish({ done: undefined, well, sent, tried: true, fault: why });
+  }
+
+  #finish(end: SendEnd): void {
+    if (this.#over) return;
+    this.#over = true;
+    this.#desk.over(end);
+  }
+}
+
+function isJson(body: Buffer): boolean {
+  try {
+    JSON.parse(body.toString('utf8'));
+    return true;
+  } catch {
+    return false;
+  }
+}
--- a/packages/gate/src/sender.ts
+++ b/packages/gate/src/sender.ts
@@ -1,4 +1,5 @@
-import { Pool, type Dispatcher } from 'undici';
+import { createConnection } from 'node:net';
+import { buildConnector, Pool, type Dispatcher } from 'undici';
 
 /** What a send reports; `sent` tells whether any byte may have left. */
 export interface SendHandler {
@@ -30,9 +31,26 @@
 /** How requests reach workers; the tests have one of their own. */
 export interface Sender {
   send(request: SendRequest, handler: SendHandler): Sending;
+  /** Tells whether there is a way to an address now; nothing is sent there. */
+  probe(address: string, done: (reached: boolean) => void): void;
 }
 
 const CONNECT_MS = 1000;
+const PROBE_MS = 600;
+const connect = buildConnector({ timeout: CONNECT_MS });
+
+/**
+ * Connections whose end is an error are reset: what the system still held of a
+ * request that was given up is dropped, and cannot arrive after a cut has healed.
+ */
+function connectReset(options: buildConnector.Options, callback: buildConnector.Callback): void {
+  connect(options, (...[thrown, socket]: Parameters<buildConnector.Callback>) => {
+    if (thrown !== null) return callback(thrown, null);
+    const destroy = socket.destroy.bind(socket);
+    socket.destroy = (why?: Error) => (why === undefined ? destroy() : socket.resetAndDestroy());
+    callback(null, socket);
+  });
+}
 
 class Flight implements Dispatcher.DispatchHandler, Sending {
   #handler: SendHandler;
@@ -118,6 +136,21 @@
     return flight;
   }
 
+  probe(address: string, done: (reached: boolean) => void): void {
+    const [host, port] = address.split(':');
+    const socket = createConnection({ host, port: Number(port), timeout: PROBE_MS });
+    let reached = false;
+    socket.on('connect', () => {
+      reached = true;
+      socket.destroy();
+    });
+    socket.on('timeout', () => socket.destroy());
+    socket.on('error', (thrown: NodeJS.ErrnoException) => {
+      reached = thrown.code === 'ECONNREFUSED' || thrown.code === 'ECONNRESET';
+    });
+    socket.on('close', () => done(reached));
+  }
+
   /** Closes the pools of workers that are gone. */
   keepOnly(addresses: ReadonlySet<string>): void {
     for (const [address, pool] of this.#pools) {
@@ -135,7 +168,7 @@
   #pool(address: string): Pool {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
-      pool = new Pool(`http://${address}`, { pipelining: 1, connect: { timeout: CONNECT_MS }, keepAliveTimeout: 2000 });
+      pool = new Pool(`http://${address}`, { pipelining: 1, connect: connectReset, keepAliveTimeout: 2000 });
       this.#pools.set(address, pool);
     }
     return pool;
--- a/packages/gate/src/visit.ts
+++ b/packages/gate/src/visit.ts
@@ -38,6 +38,10 @@
   /** Set once the visitor has gone. */
   left: boolean;
   sends: number;
+  /** Set once its first byte has left for a worker. */
+  started: boolean;
+  /** Whether an extra send is reserved for it in the budget, or was lost there. */
+  retry: 'none' | 'reserved' | 'lost';
   /** The worker it was last sent to. */
   worker: string;
   cancel: (() => void) | undefined;
--- a/packages/hub/src/edge.ts
+++ b/packages/hub/src/edge.ts
@@ -33,6 +33,7 @@
       spec: () => hub.stage.spec?.spec,
       workers: () => hub.workers(),
       edges: () => hub.edges,
+      life: () => hub.group.seat.life,
       granted: () => hub.group.granted(),
       weight: (group) => this.#weight(group),
     });
@@ -40,7 +41,8 @@
 
   /** Casts what the gate measured since the last time, and moves the loops. */
   observe(): void {
-    const { measures, demands, faults } = this.gate.takeMeasures();
+    const { measures: measured, demands, faults } = this.gate.takeMeasures();
+    const measures = [...measured];
     const known = new Set(measures.map((measure) => measure.group));
     for (const { name } of this.#hub.stage.spec?.spec.groups ?? []) {
       const now = this.gate.groupNow(name);
--- a/packages/park/src/grounds.ts
+++ b/packages/park/src/grounds.ts
@@ -1,4 +1,3 @@
-import type { SendHandler, Sender, Sending, SendRequest } from '@rainrun/gate';
 import type { HoldingTarget, Spec } from '@rainrun/marquee';
 import { fault, type Chance, type Fault } from '@rainrun/nacelle';
 import { sizeMb, type Order, type OrderReply } from '@rainrun/yaw';
@@ -8,6 +7,8 @@
 
 const WARM_MS = 500;
 const WARM_MOST = 2;
+/** Part of the answers that take long. */
+const LONG_RATIO = 0.15;
 
 /** What the simulated workers share. */
 export interface Grounds {
@@ -15,14 +16,42 @@
   readonly oracle: Oracle;
   readonly dice: Chance;
   spec(): Spec | undefined;
+  /** Whether nothing gets through now from one name to another. */
+  isCut(from: string, to: string): boolean;
+  /** What a request asks for. */
+  wish(id: string): Wish;
 }
 
+/** What a simulated visitor asked for. */
+export interface Wish {
+  readonly model: string;
+  readonly streamed: boolean;
+}
+
+/** Where a worker writes its reply. */
+export interface Reply {
+  start(status: number, type: string): void;
+  chunk(text: string): void;
+  end(): void;
+  fail(): void;
+}
+
+/** A request at a worker; `left` says that the edge has closed the connection. */
+export interface WorkerLine {
+  left(): void;
+}
+
+/** How a worker behaves at its answers. */
+export type SimMood = 'well' | 'early' | 'more' | 'nonsense';
+
 interface Work {
   readonly model: string;
-  lost: boolean;
-  readonly fail: () => void;
+  over: boolean;
+  readonly reply: Reply;
 }
 
+const SSE = 'text/event-stream';
+
 /** A simulated worker: takes orders and requests, and tells the oracle what it did. */
 export class SimWorker {
   readonly name: string;
@@ -32,6 +61,8 @@
   holdings: HoldingTarget[] = [];
   up = true;
   dark = false;
+  mood: SimMood = 'well';
+  #runs = 0;
   #grounds: Grounds;
   #loadedMs = new Map<string, number>();
   #busyUntilMs = 0;
@@ -56,15 +87,15 @@
     this.#busyUntilMs = 0;
     this.#grounds.oracle.orderEnds(this.name);
     for (const work of this.#works) {
-      work.lost = true;
-      work.fail();
+      work.over = true;
+      work.reply.fail();
     }
     this.#works.clear();
   }
 
   order(by: string, order: Order, done: (reply: Result<OrderReply, Fault>) => void): void {
-    const { time, oracle, dice } = this.#grounds;
-    if (!this.up || this.dark) return time.after(500, () => done(Result.err(fault('unreached', 'no reply'))));
+    const { time, oracle, dice, isCut } = this.#grounds;
+    if (!this.up || this.dark || isCut(by, this.name)) return time.after(500, () => done(Result.err(fault('unreached', 'no reply'))));
     const acts = order.action !== 'inventory';
     if (acts) oracle.orderBegins(this.name, by, order.epoch, time.nowMs());
     if (order.epoch < this.#epoch) oracle.breach('orders are fenced', `${this.name} got epoch ${order.epoch} after ${this.#epoch}`, time.nowMs());
@@ -81,19 +112,31 @@
       if (boots !== this.#boots) return done(Result.err(fault('unreached', 'torn')));
       if (acts) oracle.orderEnds(this.name);
       if (!busy) this.#carryOut(order);
-      if (dice.next() < 0.02) done(Result.err(fault('worker-nonsense', 'no reply')));
+      if (dice.next() < 0.02 || isCut(this.name, by)) done(Result.err(fault('worker-nonsense', 'no reply')));
       else done(Result.ok({ holdings: this.holdings, busy }));
     });
   }
 
   /** Serves a request; the reply may never come. */
-  serve(id: string, model: string, reply: (status: number) => void, fail: () => void): void {
+  serve(id: string, reply: Reply): WorkerLine {
     const { time, oracle, dice } = this.#grounds;
-    if (!this.up) return fail();
-    if (this.dark) return;
-    if (this.kind === 'model' && !this.holdings.some((held) => held.model === model)) return reply(503);
-    if (this.#works.size >= 2 * this.slots) return reply(503);
-    const work: Work = { model, lost: false, fail };
+    const { model, streamed } = this.#grounds.wish(id);
+    const work: Work = { model, over: false, reply };
+    const line: WorkerLine = {
+      left: () => {
+        work.over = true;
+        this.#works.delete(work);
+      },
+    };
+    if (!this.up) reply.fail();
+    if (!this.up || this.dark) return line;
+    const takes = this.kind === 'lookup' || this.holdings.some((held) => held.model === model);
+    if (!takes || this.#works.size >= 2 * this.slots) {
+      reply.start(503, 'application/json');
+      reply.chunk('{}');
+      reply.end();
+      return line;
+    }
     this.#works.add(work);
     oracle.ran(id, this.name, this.zone, time.nowMs());
     const warmMs = time.nowMs() - (this.#loadedMs.get(model) ?? -Infinity);
@@ -101,14 +144,77 @@
     if (warmMs < WARM_MS && atOnce > WARM_MOST) {
       oracle.breach('a warming worker is not flooded', `${this.name}, ${atOnce} at once ${warmMs.toFixed(0)} ms after loading`, time.nowMs());
     }
-    const workMs = this.kind === 'lookup' ? 5 : 100 + dice.next() * 300;
-    time.after(workMs, () => {
-      if (work.lost) return;
-      this.#works.delete(work);
-      reply(200);
+    this.#runs += 1;
+    const run = `${this.name}-${this.#runs}`;
+    const of = this.kind === 'lookup' ? 1 : 2 + Math.floor(dice.next() * 6);
+    const pieces = Array.from({ length: of }, (_, place) => JSON.stringify({ id, run, place, of }));
+    const longMs = dice.next() < LONG_RATIO ? 3000 : 300;
+    const gapMs = this.kind === 'lookup' ? 5 : (100 + dice.next() * longMs) / of;
+    if (streamed) this.#stream(work, pieces, gapMs);
+    else this.#plain(work, pieces, gapMs);
+    return line;
+  }
+
+  /** One act after the other; a dark worker goes on where it stopped, once it is back. */
+  #run(work: Work, gapMs: number, acts: readonly (() => void)[]): void {
+    const [act, ...later] = acts;
+    if (act === undefined) return;
+    this.#grounds.time.after(gapMs, () => {
+      if (work.over) return;
+      if (this.dark) return this.#run(work, gapMs, acts);
+      act();
+      this.#run(work, gapMs, later);
     });
   }
 
+  #done(work: Work): void {
+    work.over = true;
+    this.#works.delete(work);
+  }
+
+  #plain(work: Work, pieces: readonly string[], gapMs: number): void {
+    const body = `[${pieces.join(',')}]`;
+    this.#run(work, gapMs * pieces.length, [
+      () => {
+        this.#done(work);
+        work.reply.start(200, 'application/json');
+        work.reply.chunk(this.mood === 'nonsense' ? '<html>' : body.slice(0, body.length / 2));
+        if (this.mood === 'early') return work.reply.fail();
+        work.reply.chunk(body.slice(body.length / 2));
+        work.reply.end();
+      },
+    ]);
+  }
+
+  /** One event after another, each in two chunks, and the closing event. */
+  #stream(work: Work, pieces: readonly string[], gapMs: number): void {
+    const { reply } = work;
+    if (this.mood === 'nonsense') {
+      this.#done(work);
+      reply.start(200, 'text/html');
+      return reply.end();
+    }
+    const acts = pieces.map((piece, place) => () => {
+      if (place === 0) reply.start(200, SSE);
+      const event = `data: ${piece}\n\n`;
+      const middle = Math.floor(event.length * this.#grounds.dice.next());
+      reply.chunk(event.slice(0, middle));
+      reply.chunk(event.slice(middle));
+      if (this.mood !== 'early' || place !== 1) return;
+      this.#done(work);
+      reply.end();
+    });
+    this.#run(work, gapMs, [
+      ...acts,
+      () => {
+        this.#done(work);
+        reply.chunk('data: [DONE]\n\n');
+        if (this.mood === 'more') reply.chunk(`data: ${pieces[0] ?? ''}\n\n`);
+        reply.end();
+      },
+    ]);
+  }
+
   #carryOut(order: Order): void {
     const { model, adapter } = order;
     const others = this.holdings.filter((holding) => holding.model !== model);
@@ -124,63 +230,3 @@
     if (heldMb > spec.workers.roomMb) this.#grounds.oracle.breach('room is kept', `${this.name} was told to hold ${heldMb} MB`, this.#grounds.time.nowMs());
   }
 }
-
-/** The edge process that a sender belongs to: runs an act there, when it is awake, or never if it has died. */
-export type AtEdge = (act: () => void) => void;
-
-/** Carries requests from one simulated edge process to the workers. */
-export class SimSender implements Sender {
-  #grounds: Grounds;
-  #workers: readonly SimWorker[];
-  #atEdge: AtEdge;
-  #modelOf: (id: string) => string;
-
-  constructor(grounds: Grounds, workers: readonly SimWorker[], atEdge: AtEdge, modelOf: (id: string) => string) {
-    this.#grounds = grounds;
-    this.#workers = workers;
-    this.#atEdge = atEdge;
-    this.#modelOf = modelOf;
-  }
-
-  send(request: SendRequest, handler: SendHandler): Sending {
-    const { time, oracle } = this.#grounds;
-    const id = request.headers['rainrun-id'] ?? '';
-    const worker = this.#workers.find((known) => known.name === request.address);
-    const state = { over: false };
-    time.after(this.#lagMs(), () =>
-      this.#atEdge(() => {
-        if (worker?.up !== true) return this.#end(state, () => handler.failed(false, 'refused'));
-        if (state.over || !handler.mayStart()) return this.#end(state, () => handler.failed(false, 'not started'));
-        oracle.sent(id, time.nowMs());
-        time.after(request.stallMs, () => this.#end(state, () => handler.failed(true, 'silent')));
-        time.after(this.#lagMs(), () => {
-          worker.serve(
-            id,
-            this.#modelOf(id),
-            (status) => this.#end(state, () => {
-              handler.start(status, 'application/json');
-              handler.chunk(Buffer.from('{}'));
-              handler.end();
-            }),
-            () => this.#end(state, () => handler.failed(true, 'reset')),
-          );
-        });
-      }),
-    );
-    return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
-  }
-
-  /** Tells the edge how a send ended, once. */
-  #end(state: { over: boolean }, act: () => void): void {
-    this.#grounds.time.after(this.#lagMs(), () =>
-      this.#atEdge(() => {
-        if (!state.over) act();
-        state.over = true;
-      }),
-    );
-  }
-
-  #lagMs(): number {
-    return 0.2 + this.#grounds.dice.next() * 2;
-  }
-}
--- a/packages/park/src/oracle.test.ts
+++ b/packages/park/src/oracle.test.ts
@@ -79,6 +79,32 @@
     expect(rules(oracle)).toEqual(['never run twice', 'refused never runs', 'refused never runs']);
   });
 
+  it('whose answer, in what order, of one run, whole only at its end', () => {
+    const oracle = new Oracle();
+    const piece = { id: 'a', run: 'w-1', place: 0, of: 3 };
+    for (const id of ['a', 'b', 'c', 'd', 'e']) oracle.asked(id, false);
+    oracle.piece('b', piece, 0);
+    oracle.piece('a', piece, 0);
+    oracle.piece('a', { ...piece, place: 2 }, 0);
+    oracle.piece('a', { ...piece, run: 'w-2', place: 3 }, 0);
+    oracle.piece('c', { ...piece, id: 'c' }, 0);
+    oracle.whole('c', 0);
+    oracle.whole('d', 0);
+    oracle.piece('c', { ...piece, id: 'c', place: 1 }, 0);
+    oracle.toldRefused('e', 'no-worker', 0);
+    oracle.whole('e', 0);
+    expect(rules(oracle)).toEqual([
+      "nobody else's answer",
+      'no piece skipped or repeated',
+      'one run in an answer',
+      'a cut answer does not look whole',
+      'a cut answer does not look whole',
+      'nothing after the end',
+      'one end',
+      'a cut answer does not look whole',
+    ]);
+  });
+
   it('no work to a leaving worker or an emptied zone', () => {
     const oracle = new Oracle();
     for (const id of ['a', 'b', 'c']) oracle.asked(id, false);
@@ -98,7 +124,7 @@
       oracle.sent(`id-${place}`, place);
     }
     expect(rules(oracle)).toEqual([]);
-    for (let extra = 0; extra < 4; extra += 1) oracle.sent('id-0', 20);
+    oracle.sent('id-0', 20);
     for (let pull = 0; pull < 3; pull += 1) oracle.pulled(2, pull);
     expect([...new Set(rules(oracle))]).toEqual(['retries stay within the budget', 'the store is not asked too often']);
   });
--- a/packages/park/src/oracle.ts
+++ b/packages/park/src/oracle.ts
@@ -1,4 +1,5 @@
 import { hashText } from '@rainrun/nacelle';
+import type { Piece } from './visitor.js';
 import { toVersion, type Held, type Play } from '@rainrun/farm';
 import { encodeStage, type Stage } from '@rainrun/marquee';
 import { EntrySchema, StateSchema } from '@rainrun/courier';
@@ -33,6 +34,8 @@
 const LEAVING_MS = 3000;
 const EMPTIED_MS = 5000;
 const RETRY_WINDOW_MS = 10_000;
+/** Extra sends allowed in a window beside a fifth of the first ones, in the whole fleet. */
+const RETRY_ALLOWANCE = 10;
 
 /** A visitor's request as the oracle follows it. */
 interface VisitNote {
@@ -40,6 +43,11 @@
   sends: number;
   runs: number;
   told: string | undefined;
+  /** The pieces that its visitor has seen, all of one run. */
+  run: string;
+  pieces: number;
+  of: number;
+  whole: boolean;
 }
 
 const NO_PLAY: Play<Stage> = {
@@ -72,8 +80,8 @@
   refused = 0;
   refusals: Record<string, number> = {};
   unknown = 0;
-  /** Extra sends allowed beside a fifth of the first ones: the allowance, and again that of each edge that starts anew. */
-  allowance = 10;
+  /** Streams that ended visibly cut. */
+  cuts = 0;
   versions = 0;
   casts = 0;
   #digests = new Map<number, { digest: string; by: string }>();
@@ -118,7 +126,30 @@
 
   /** A visitor's request enters an edge. */
   asked(id: string, repeatable: boolean): void {
-    this.#visits.set(id, { repeatable, sends: 0, runs: 0, told: undefined });
+    this.#visits.set(id, { repeatable, sends: 0, runs: 0, told: undefined, run: '', pieces: 0, of: 0, whole: false });
+  }
+
+  /** A visitor is given a piece of an answer. */
+  piece(id: string, piece: Piece, atMs: number): void {
+    const visit = this.#visits.get(id);
+    if (visit === undefined) return;
+    if (piece.id !== id) this.breach('nobody else\'s answer', `${id} was given a piece of ${piece.id}`, atMs);
+    if (visit.whole) this.breach('nothing after the end', `${id} was given piece ${piece.place} after its end`, atMs);
+    if (visit.pieces > 0 && visit.run !== piece.run) this.breach('one run in an answer', `${id} was given ${piece.run} after ${visit.run}`, atMs);
+    if (piece.place !== visit.pieces) this.breach('no piece skipped or repeated', `${id} was given piece ${piece.place} after ${visit.pieces} pieces`, atMs);
+    visit.run = piece.run;
+    visit.of = piece.of;
+    visit.pieces = piece.place + 1;
+  }
+
+  /** A visitor is told that its answer is whole. */
+  whole(id: string, atMs: number): void {
+    const visit = this.#visits.get(id);
+    if (visit === undefined) return;
+    this.served += 1;
+    if (visit.whole || visit.told !== undefined) this.breach('one end', `${id} was told of a second end`, atMs);
+    if (visit.pieces === 0 || visit.pieces < visit.of) this.breach('a cut answer does not look whole', `${id} ended as whole after ${visit.pieces} of ${visit.of} pieces`, atMs);
+    visit.whole = true;
   }
 
   /** A request leaves an edge for a worker. */
@@ -129,7 +160,7 @@
     (visit.sends === 1 ? this.#firsts : this.#extras).push(atMs);
     while ((this.#firsts[0] ?? Infinity) <= atMs - RETRY_WINDOW_MS) this.#firsts.shift();
     while ((this.#extras[0] ?? Infinity) <= atMs - RETRY_WINDOW_MS) this.#extras.shift();
-    const most = 0.2 * this.#firsts.length + this.allowance;
+    const most = 0.2 * this.#firsts.length + RETRY_ALLOWANCE;
     if (this.#extras.length > most) this.breach('retries stay within the budget', `${this.#extras.length} extra sends for ${this.#firsts.length} first ones`, atMs);
   }
 
@@ -150,6 +181,7 @@
   toldRefused(id: string, kind: string, atMs: number): void {
     const visit = this.#visits.get(id);
     if (visit === undefined) return;
+    if (visit.whole || visit.pieces > 0) this.breach('one end', `${id} was refused as ${kind} after ${visit.pieces} pieces`, atMs);
     this.refused += 1;
     this.refusals[kind] = (this.refusals[kind] ?? 0) + 1;
     visit.told = kind;
--- a/packages/park/src/script.ts
+++ b/packages/park/src/script.ts
@@ -1,3 +1,4 @@
+import type { SimWorker } from './grounds.js';
 import type { Site, Machine } from './site.js';
 import type { Cut } from './world.js';
 import { trialSpec } from './trial.js';
@@ -26,10 +27,12 @@
     site.time.runUntil(Number(row[0]));
     names.forEach((name, place) => {
       const cell = row[place + 1] ?? '';
+      if (cell === '') return;
       const machine = site.machines.find((known) => known.name === name);
-      if (cell === '' || machine === undefined) return;
+      const worker = site.workers.find((known) => known.name === name);
       for (const part of cell.split(',').map((text) => text.trim())) {
-        const fault = part.startsWith('=') ? see(machine, part.slice(1)) : stage.act(machine, part);
+        const fault =
+          machine === undefined ? actWorker(worker, part) : part.startsWith('=') ? see(machine, part.slice(1)) : stage.act(machine, part);
         if (fault !== undefined) wrong.push(`${row[0] ?? ''} ms, ${name}: ${fault}`);
       }
     });
@@ -81,6 +84,10 @@
       case 'heal':
         this.#heal(machine.name);
         return undefined;
+      case 'look':
+        return this.#visit(machine, true, Number(word));
+      case 'ask':
+        return this.#visit(machine, false, Number(word));
       case 'leave':
         machine.running?.hub.group.leave();
         return undefined;
@@ -93,6 +100,14 @@
     }
   }
 
+  /** So many visitors at once: lookups, or questions to one model after the other. */
+  #visit(machine: Machine, lookup: boolean, count: number): string | undefined {
+    const edge = machine.running?.edge;
+    if (edge === undefined) return 'is no edge that runs';
+    for (let place = 0; place < count; place += 1) this.#site.visit(edge, lookup, lookup ? '' : `model-${place % 8}`);
+    return undefined;
+  }
+
   #submitted(id: string): string | undefined {
     return id === '' ? 'nothing was sent' : undefined;
   }
@@ -108,6 +123,24 @@
   }
 }
 
+function actWorker(worker: SimWorker | undefined, text: string): string | undefined {
+  if (worker === undefined) return 'no such machine or worker';
+  switch (text) {
+    case 'crash':
+      worker.crash();
+      return undefined;
+    case 'return':
+      worker.up = true;
+      return undefined;
+    case 'dark':
+    case 'light':
+      worker.dark = text === 'dark';
+      return undefined;
+    default:
+      return `no act "${text}"`;
+  }
+}
+
 function see(machine: Machine, text: string): string | undefined {
   const [what = '', word = ''] = text.split(' ');
   const hub = machine.running?.hub;
--- a/packages/park/src/seeds.ts
+++ b/packages/park/src/seeds.ts
@@ -31,6 +31,7 @@
 let served = 0;
 let refused = 0;
 let unknown = 0;
+let cuts = 0;
 const refusals: Record<string, number> = {};
 for (let seed = cli.flags.from; seed < cli.flags.from + cli.flags.count; seed += 1) {
   const result = runTrial(seed);
@@ -41,6 +42,7 @@
   served += result.served;
   refused += result.refused;
   unknown += result.unknown;
+  cuts += result.cuts;
   for (const [kind, count] of Object.entries(result.refusals)) refusals[kind] = (refusals[kind] ?? 0) + count;
   if (result.breaches.length > 0) {
     failed += 1;
@@ -50,6 +52,6 @@
   if (result.breaches.length > 0 || cli.flags.show) console.log(result.timeline);
 }
 console.log(`operations answered ${agreed}, versions delivered ${versions}, casts delivered ${casts}, slowest recovery ${slowestMs.toFixed(0)} ms`);
-console.log(`requests served ${served}, refused ${refused} ${JSON.stringify(refusals)}, of unknown outcome ${unknown}`);
+console.log(`requests served ${served}, refused ${refused} ${JSON.stringify(refusals)}, of unknown outcome ${unknown}, streams cut ${cuts}`);
 console.log(`seeds: ${cli.flags.count - failed} passed, ${failed} failed`);
 process.exitCode = failed === 0 ? 0 : 1;
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -9,19 +9,22 @@
 import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
 import { Edge, Hub } from '@rainrun/hub';
 import type { Spec, Stage } from '@rainrun/marquee';
-import { ANSWERS, Dice, word, type Fault } from '@rainrun/nacelle';
+import { Dice, word, type Fault } from '@rainrun/nacelle';
 import type { Order, OrderReply } from '@rainrun/yaw';
 import type { Result } from 'true-myth';
-import { SimSender, SimWorker, type Grounds } from './grounds.js';
+import { SimWorker, type Grounds, type Wish } from './grounds.js';
+import { SimSender } from './lines.js';
 import { Oracle } from './oracle.js';
+import { SimVisitor } from './visitor.js';
 import { Net, SimDisk, VirtualTime } from './world.js';
 
 const BEAT_MS = 50;
 const CLOSED_MS = 3;
 const LIST_BEATS = 10;
-const ALLOWANCE_ANEW = 2;
 const SLOTS = 4;
 const LOOKUP_SLOTS = 64;
+/** Part of the visitors that go before they are answered. */
+const LEAVES_RATIO = 0.02;
 /** First byte of a note; no message of ours begins so. */
 const NOTE = Buffer.from([0xff]);
 
@@ -68,7 +71,7 @@
   visitors = false;
   /** Called when an operator has been answered. */
   atAnswer: (() => void) | undefined;
-  #models = new Map<string, string>();
+  #wishes = new Map<string, Wish>();
   #grounds: Grounds;
   #dice: Dice;
   #list: WorkerList;
@@ -81,7 +84,14 @@
   constructor(seed: number, size: SiteSize, lossRatio: number) {
     this.#dice = new Dice(seed);
     this.net = new Net(this.time, this.#dice, lossRatio);
-    this.#grounds = { time: this.time, oracle: this.oracle, dice: this.#dice, spec: () => this.#newestSpec() };
+    this.#grounds = {
+      time: this.time,
+      oracle: this.oracle,
+      dice: this.#dice,
+      spec: () => this.#newestSpec(),
+      isCut: (from, to) => this.net.isCut(from, to),
+      wish: (id) => this.#wishes.get(id) ?? { model: '', streamed: false },
+    };
     this.#zones = size.zones;
     for (let place = 0; place < size.cores + size.edges; place += 1) {
       const core = place < size.cores;
@@ -124,7 +134,6 @@
   boot(machine: Machine): void {
     if (machine.running !== undefined) return;
     machine.boots += 1;
-    if (machine.boots > 1 && machine.disk === undefined) this.oracle.allowance += ALLOWANCE_ANEW;
     const opening = machine.disk === undefined ? undefined : readRecords(machine.disk.records, word(this.#dice));
     if (opening?.isErr === true) {
       this.oracle.breach('disk reads back', `${machine.name}: ${opening.error.detail}`, this.time.nowMs());
@@ -270,7 +279,9 @@
     if (running.edge === undefined) return;
     running.edge.gate.beat();
     if (running.beats % LIST_BEATS === 0) running.edge.observe();
-    if (this.visitors && this.#dice.next() < 0.4) this.#visit(running.edge);
+    if (!this.visitors || this.#dice.next() >= 0.4) return;
+    const lookup = this.#dice.next() < 0.4;
+    this.visit(running.edge, lookup, lookup ? '' : `model-${Math.floor(8 * this.#dice.next() ** 2)}`);
   }
 
   #readList(running: Running): void {
@@ -301,20 +312,20 @@
     const clock = { nowMs: () => this.time.nowMs() + running.skewMs };
     const sender = new SimSender(
       this.#grounds,
+      machine.name,
       this.workers,
       (act) => this.#atNode(machine, running, act),
-      (id) => this.#models.get(id) ?? '',
     );
     return new Edge(running.hub, machine.name, machine.zone, clock, sender);
   }
 
-  #visit(edge: Edge): void {
+  /** A visitor comes to an edge: a lookup, or a question that is streamed or not. */
+  visit(edge: Edge, lookup: boolean, model: string): void {
     const id = word(this.#dice);
-    const lookup = this.#dice.next() < 0.4;
-    const model = lookup ? '' : `model-${Math.floor(8 * this.#dice.next() ** 2)}`;
-    this.#models.set(id, model);
+    const streamed = !lookup && this.#dice.next() < 0.6;
+    this.#wishes.set(id, { model, streamed });
     this.oracle.asked(id, lookup);
-    edge.gate.enter(
+    const leave = edge.gate.enter(
       {
         id,
         path: lookup ? '/lookup/1' : '/v1/chat/completions',
@@ -324,24 +335,13 @@
         model,
         adapter: '',
         prefix: Math.floor(this.#dice.next() * 8),
-        streamed: false,
+        streamed,
         body: undefined,
         deadlineMs: undefined,
       },
-      {
-        answer: () => {
-          this.oracle.served += 1;
-        },
-        refuse: (why) => {
-          if (ANSWERS[why.kind].ran === 'no') this.oracle.toldRefused(id, why.kind, this.time.nowMs());
-          else this.oracle.unknown += 1;
-        },
-        open: () => undefined,
-        piece: () => true,
-        close: () => undefined,
-        cut: () => undefined,
-      },
+      new SimVisitor(this.oracle, id, () => this.time.nowMs()),
     );
+    if (this.#dice.next() < LEAVES_RATIO) this.time.after(this.#dice.next() * 400, leave);
   }
 
   #probe(machine: Machine, running: Running): void {
--- a/packages/park/src/timelines.test.ts
+++ b/packages/park/src/timelines.test.ts
@@ -214,4 +214,20 @@
       `),
     ).toEqual([]);
   });
+
+  it('keep retries within the fleet\'s budget though edges restart and lookups are silent', () => {
+    expect(
+      play(`
+        ms    | core-0 | core-1 | core-2 | edge-0          | edge-1          | lookup-0 | lookup-1 | lookup-2
+        0     | boot   | boot   | boot   | boot            | boot            |          |          |
+        3000  | put 0  |        |        |                 |                 |          |          |
+        4000  |        |        |        | =admits         | =admits         | dark     | dark     | dark
+        4000  |        |        |        | look 6          | look 6          |          |          |
+        7000  |        |        |        | look 4          | look 4          |          |          |
+        7700  |        |        |        | kill, boot      | kill, boot      |          |          |
+        9800  |        |        |        | =admits, look 6 | =admits, look 6 |          |          |
+        13000 |        |        |        | =admits         | =admits         | light    | light    | light
+      `),
+    ).toEqual([]);
+  });
 });
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -13,6 +13,7 @@
   readonly served: number;
   readonly refused: number;
   readonly unknown: number;
+  readonly cuts: number;
   readonly refusals: Readonly<Record<string, number>>;
   readonly frames: number;
   readonly bytes: number;
@@ -97,6 +98,7 @@
       served: oracle.served,
       refused: oracle.refused,
       unknown: oracle.unknown,
+      cuts: oracle.cuts,
       refusals: oracle.refusals,
       frames: net.frames,
       bytes: net.bytes,
@@ -167,6 +169,9 @@
       () => this.#darkWorker(),
       () => this.#leaveWorker(),
       () => this.#crashLookups(),
+      () => this.#cutWorker(),
+      () => this.#cutWorker(),
+      () => this.#moodyWorker(),
       () => this.#powerAtAnswer(),
       () => this.#killInStep(),
       () => this.#killInStep(),
@@ -244,7 +249,8 @@
 
   #cutZone(): void {
     const zone = this.#pick(this.#site.zones);
-    const inside = new Set(this.#site.machines.filter((machine) => machine.zone === zone).map((machine) => machine.name));
+    const { machines, workers } = this.#site;
+    const inside = new Set([...machines, ...workers].filter((one) => one.zone === zone).map((one) => one.name));
     this.#cut(`cut off zone ${zone}`, (from, to) => inside.has(from) !== inside.has(to));
   }
 
@@ -258,6 +264,31 @@
     this.#cut(`cut ${name} from the other cores`, (from, to) => cores.has(from) && cores.has(to) && (from === name) !== (to === name));
   }
 
+  /** Between one edge, or all, and one worker, or all: both ways, or only the requests or only the answers. */
+  #cutWorker(): void {
+    const { machines, workers, dice } = this.#site;
+    const edge = this.#pick(machines).name;
+    const worker = this.#pick(workers).name;
+    const names = new Set(workers.map((one) => one.name));
+    const [oneEdge, oneWorker] = [dice.next() < 0.7, dice.next() < 0.7];
+    const way = this.#pick(['both', 'requests', 'answers'] as const);
+    function crosses(from: string, to: string): boolean {
+      return (!oneEdge || from === edge) && (oneWorker ? to === worker : names.has(to)) && !names.has(from);
+    }
+    this.#cut(`cut ${way} between ${oneEdge ? edge : 'all'} and ${oneWorker ? worker : 'every worker'}`, (from, to) =>
+      (way !== 'answers' && crosses(from, to)) || (way !== 'requests' && crosses(to, from)),
+    );
+  }
+
+  #moodyWorker(): void {
+    const worker = this.#pick(this.#site.workers);
+    worker.mood = this.#pick(['early', 'more', 'nonsense'] as const);
+    this.#fault(`${worker.name} answers ${worker.mood}`);
+    this.#later(this.#upTo(4000), () => {
+      worker.mood = 'well';
+    });
+  }
+
   #crashWorker(): void {
     const worker = this.#pick(this.#site.workers);
     this.#fault(`crash ${worker.name}`);
--- a/packages/park/src/world.ts
+++ b/packages/park/src/world.ts
@@ -116,6 +116,12 @@
     this.#cuts.delete(cut);
   }
 
+  /** Whether nothing gets through now from one name to another. */
+  isCut(from: string, to: string): boolean {
+    for (const cut of this.#cuts) if (cut(from, to)) return true;
+    return false;
+  }
+
   post(from: string, address: string, frame: Frame): void {
     const bytes = pack(frame);
     this.frames += 1;
@@ -131,7 +137,7 @@
   #arrive(from: string, address: string, bytes: Uint8Array, deployment: string): void {
     const port = this.#ports.get(address);
     if (port === undefined) return;
-    for (const cut of this.#cuts) if (cut(from, port.name)) return;
+    if (this.isCut(from, port.name)) return;
     const frame = unpack(bytes, deployment);
     if (frame.isOk) port.take(frame.value);
   }
