Timelines for requests held up on their way and for streams that end wrongly

Timelines now have columns for workers (crash, dark, unheard, mute, answers early or more). Worker moods come twice as often in random trials.

--- a/packages/park/src/script.ts
+++ b/packages/park/src/script.ts
@@ -1,4 +1,4 @@
-import type { SimWorker } from './grounds.js';
+import type { SimMood, SimWorker } from './grounds.js';
 import type { Site, Machine } from './site.js';
 import type { Cut } from './world.js';
 import { trialSpec } from './trial.js';
@@ -32,7 +32,7 @@
       const worker = site.workers.find((known) => known.name === name);
       for (const part of cell.split(',').map((text) => text.trim())) {
         const fault =
-          machine === undefined ? actWorker(worker, part) : part.startsWith('=') ? see(machine, part.slice(1)) : stage.act(machine, part);
+          machine === undefined ? stage.actWorker(worker, part) : part.startsWith('=') ? see(machine, part.slice(1)) : stage.act(machine, part);
         if (fault !== undefined) wrong.push(`${row[0] ?? ''} ms, ${name}: ${fault}`);
       }
     });
@@ -100,6 +100,38 @@
     }
   }
 
+  actWorker(worker: SimWorker | undefined, text: string): string | undefined {
+    if (worker === undefined) return 'no such machine or worker';
+    const [verb = '', word = ''] = text.split(' ');
+    const { name } = worker;
+    switch (verb) {
+      case 'crash':
+        worker.crash();
+        return undefined;
+      case 'return':
+        worker.up = true;
+        return undefined;
+      case 'dark':
+      case 'light':
+        worker.dark = verb === 'dark';
+        return undefined;
+      case 'answers':
+        worker.mood = word as SimMood;
+        return undefined;
+      case 'unheard':
+        this.#cut(name, (_, to) => to === name);
+        return undefined;
+      case 'mute':
+        this.#cut(name, (from) => from === name);
+        return undefined;
+      case 'heal':
+        this.#heal(name);
+        return undefined;
+      default:
+        return `no act "${text}"`;
+    }
+  }
+
   /** So many visitors at once: lookups, or questions to one model after the other. */
   #visit(machine: Machine, lookup: boolean, count: number): string | undefined {
     const edge = machine.running?.edge;
@@ -123,24 +155,6 @@
   }
 }
 
-function actWorker(worker: SimWorker | undefined, text: string): string | undefined {
-  if (worker === undefined) return 'no such machine or worker';
-  switch (text) {
-    case 'crash':
-      worker.crash();
-      return undefined;
-    case 'return':
-      worker.up = true;
-      return undefined;
-    case 'dark':
-    case 'light':
-      worker.dark = text === 'dark';
-      return undefined;
-    default:
-      return `no act "${text}"`;
-  }
-}
-
 function see(machine: Machine, text: string): string | undefined {
   const [what = '', word = ''] = text.split(' ');
   const hub = machine.running?.hub;
--- a/packages/park/src/timelines.test.ts
+++ b/packages/park/src/timelines.test.ts
@@ -230,4 +230,36 @@
       `),
     ).toEqual([]);
   });
+
+  it('let nothing that was held up on its way arrive long after its zone was emptied', () => {
+    expect(
+      play(`
+        ms    | core-0      | core-1 | core-2 | edge-0  | edge-1  | worker-0 | lookup-0
+        0     | boot        | boot   | boot   | boot    | boot    |          |
+        3000  | put 0       |        |        |         |         |          |
+        12000 |             |        |        |         |         | unheard  | unheard
+        12000 |             |        |        | ask 24  | ask 24  |          |
+        12010 |             |        |        | look 24 | look 24 |          |
+        12100 | empty north |        |        |         |         |          |
+        18000 |             |        |        |         |         | heal     | heal
+        20000 |             |        |        | =admits | =admits |          |
+      `),
+    ).toEqual([]);
+  });
+
+  it('end streams visibly cut when their worker is lost, ends early or goes on after its end', () => {
+    expect(
+      play(`
+        ms    | core-0 | core-1 | core-2 | edge-0 | edge-1 | worker-0       | worker-1     | worker-2
+        0     | boot   | boot   | boot   | boot   | boot   |                |              |
+        3000  | put 0  |        |        |        |        |                |              |
+        12000 |        |        |        | ask 24 | ask 24 | answers early  | answers more |
+        13000 |        |        |        | ask 24 | ask 24 |                |              |
+        13150 |        |        |        |        |        |                |              | crash
+        14000 |        |        |        | ask 24 | ask 24 | mute           |              | return
+        18000 |        |        |        | ask 24 | ask 24 | heal           |              |
+        20000 |        |        |        |        |        |                |              |
+      `),
+    ).toEqual([]);
+  });
 });
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -172,6 +172,7 @@
       () => this.#cutWorker(),
       () => this.#cutWorker(),
       () => this.#moodyWorker(),
+      () => this.#moodyWorker(),
       () => this.#powerAtAnswer(),
       () => this.#killInStep(),
       () => this.#killInStep(),
