--- a/packages/courier/src/codec.ts
+++ b/packages/courier/src/codec.ts
@@ -7,6 +7,15 @@
 /** Version of the frames on the wire; nodes of another version are not understood. */
 export const WIRE = 1;
 
+/** Levels of the protocol that a program speaks. */
+export interface Speaks {
+  readonly least: number;
+  readonly most: number;
+}
+
+/** What this build speaks: its own level and the one before, so that neighbours can be rolled out. */
+export const SPEAKS: Speaks = { least: 1, most: 2 };
+
 /** No frame is larger. */
 export const FRAME_MAX_BYTES = 8 * 1024 * 1024;
 
--- a/packages/farm/src/coordinator.ts
+++ b/packages/farm/src/coordinator.ts
@@ -19,7 +19,7 @@
   type View,
 } from '@rainrun/courier';
 import { cutOf } from './causal.js';
-import { advance, bare, majority, rankOf, toVersion, type Held, type Play } from './play.js';
+import { advance, bare, levelOf, majority, rankOf, rememberedCount, REMEMBERED_MOST, toVersion, unbridged, type Held, type Play } from './play.js';
 import type { GroupTimes } from './times.js';
 
 /** What the coordinator needs from the node that it runs in. */
@@ -78,7 +78,7 @@
  * held by a majority of the view (of the old and the new one when the view
  * changes); only then is it agreed and the next one begun.
  * @example
- * const coordinator = new Coordinator(desk, 3, base, entry);
+ * const coordinator = new Coordinator(desk, 3, base, entry, nowMs, (number) => note(number));
  * coordinator.beat(nowMs);
  */
 export class Coordinator<S> {
@@ -103,8 +103,11 @@
   #agreed = 0;
   #ready = false;
   #settled: (number: number) => void;
+  /** When the group's clock was last moved. */
+  #clockedMs: number;
 
-  constructor(desk: Desk<S>, epoch: number, base: Held<S>, entry: Entry, settled: (number: number) => void) {
+  constructor(desk: Desk<S>, epoch: number, base: Held<S>, entry: Entry, nowMs: number, settled: (number: number) => void) {
+    this.#clockedMs = nowMs;
     this.#desk = desk;
     this.#epoch = epoch;
     this.#held = base;
@@ -167,11 +170,28 @@
     if (this.#held.before !== undefined) return this.#next(create(EntrySchema), nowMs);
     const electors = this.#replacement(nowMs);
     if (electors !== undefined) return this.#next(create(EntrySchema, { electors }), nowMs);
-    const operations = this.#backlog.splice(0, BATCH);
+    const operations = this.#batch();
     if (operations.length > 0) this.#next(create(EntrySchema, { operations }), nowMs);
   }
 
+  /** Operations for the next version: as many as their answers can be remembered. */
+  #batch(): Operation[] {
+    let room = REMEMBERED_MOST - rememberedCount(this.#held);
+    const batch: Operation[] = [];
+    const later: Operation[] = [];
+    for (const operation of this.#backlog) {
+      const fits = batch.length < BATCH && (operation.brief || room > 0);
+      if (fits && !operation.brief) room -= 1;
+      (fits ? batch : later).push(operation);
+    }
+    this.#backlog = later;
+    return batch;
+  }
+
   #next(entry: Entry, nowMs: number): void {
+    entry.level = levelOf(entry.view?.members ?? this.#held.view.members);
+    if (entry.level > 1) entry.elapsedMs = nowMs - this.#clockedMs;
+    this.#clockedMs = nowMs;
     this.#propose(advance(this.#desk.play, this.#held, this.#epoch, entry), entry, nowMs);
   }
 
@@ -290,10 +310,11 @@
     const view = this.#held.view;
     const staying = this.#staying(nowMs);
     const names = new Set(staying.map((seat) => seat.name));
-    const joiners = this.#desk
-      .joiners()
-      .filter((seat) => !names.has(seat.name) && rankOf(view, seat.life) < 0 && !this.#forgotten.has(seat.name))
-      .sort((one, other) => (one.name < other.name ? -1 : 1));
+    const joiners: Seat[] = [];
+    for (const seat of [...this.#desk.joiners()].sort((one, other) => (one.name < other.name ? -1 : 1))) {
+      const known = names.has(seat.name) || rankOf(view, seat.life) >= 0 || this.#forgotten.has(seat.name);
+      if (!known && unbridged(seat, [...staying, ...joiners]) === undefined) joiners.push(seat);
+    }
     if (staying.length === view.members.length && joiners.length === 0 && !this.#owed) {
       this.#wantedSinceMs = undefined;
       return false;
--- a/packages/farm/src/farm.test.ts
+++ b/packages/farm/src/farm.test.ts
@@ -19,7 +19,7 @@
 import { Acceptor, readRecords } from './acceptor.js';
 import { Causal, cutOf } from './causal.js';
 import { Grants } from './grants.js';
-import { advance, type Held, type Play } from './play.js';
+import { advance, levelOf, REMEMBERED_MS, unbridged, type Held, type Play } from './play.js';
 
 const VIEW = create(ViewSchema, {
   epoch: 1,
@@ -185,14 +185,15 @@
 describe('agreed operations', () => {
   const counter: Play<number> = {
     empty: () => 0,
-    encode: (state) => new Uint8Array([state]),
-    decode: (bytes) => Result.ok(bytes[0] ?? 0),
+    encode: (state) => ({ play: new Uint8Array([state]), extra: new Uint8Array() }),
+    decode: ({ play }) => Result.ok(play[0] ?? 0),
+    plain: (state) => state,
     apply: (state, operation) =>
       operation.kind === 'add'
         ? { state: state + 1, outcome: { kind: 'agreed', detail: '' } }
         : { state, outcome: fault('bad-request', 'no such kind') },
   };
-  const start: Held<number> = { epoch: 1, number: 1, deployment: 'd', view: VIEW, before: undefined, electors: [], play: 0, answers: [] };
+  const start: Held<number> = { epoch: 1, number: 1, deployment: 'd', view: VIEW, before: undefined, electors: [], play: 0, answers: [], level: 1, clockMs: 0 };
 
   it('take effect once for each id, and a refused one never', () => {
     const operations = ['x', 'x', 'y'].map((id) => create(OperationSchema, { id, kind: id === 'y' ? 'no' : 'add' }));
@@ -201,4 +202,23 @@
     expect([once.play, again.play, again.number]).toEqual([1, 1, 3]);
     expect(again.answers.map((answer) => `${answer.id} ${answer.kind}@${answer.number}`)).toEqual(['x agreed@2', 'y bad-request@2']);
   });
+
+  it('are remembered by their ids for ten minutes of the group\'s clock, placements for less', () => {
+    function add(held: Held<number>, id: string, elapsedMs: number, brief = false): Held<number> {
+      return advance(counter, held, 1, create(EntrySchema, { level: 2, elapsedMs, operations: [create(OperationSchema, { id, kind: 'add', brief })] }));
+    }
+    let held = add(start, 'first', 5);
+    for (let place = 0; place < 600; place += 1) held = add(held, `place-${place}`, 900, true);
+    const soon = add(held, 'first', REMEMBERED_MS - 600 * 900);
+    const late = add(held, 'first', REMEMBERED_MS - 600 * 900 + 1);
+    expect([held.play, soon.play, late.play, held.answers.length]).toEqual([601, 601, 602, 65]);
+  });
+
+  it('follow the rules that all members speak, and no joiner comes in whom they cannot reach', () => {
+    expect([levelOf([{ speaks: 2 }, { speaks: 0 }]), levelOf([{ speaks: 3 }, { speaks: 2 }])]).toEqual([1, 2]);
+    const group = [{ speaks: 2, speaksFrom: 1 }, { speaks: 3, speaksFrom: 2 }];
+    expect(unbridged({ speaks: 2, speaksFrom: 1 }, group)).toEqual(undefined);
+    expect(unbridged({ speaks: 0, speaksFrom: 0 }, group)).toEqual('it speaks levels 1 to 1 of the protocol, the group 2 to 2');
+    expect(unbridged({ speaks: 4, speaksFrom: 3 }, group)).toEqual('it speaks levels 3 to 4 of the protocol, the group 2 to 2');
+  });
 });
--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -35,6 +35,7 @@
   type Promise as Promised,
   type Propose,
   type Seat,
+  type Speaks,
   type Stop,
   type Version,
   type View,
@@ -45,7 +46,7 @@
 import { Causal } from './causal.js';
 import { Coordinator, type Desk } from './coordinator.js';
 import { Grants } from './grants.js';
-import { advance, bare, fromVersion, later, majority, rankOf, reborn, toVersion, type Held, type Play } from './play.js';
+import { advance, bare, fromVersion, later, majority, rankOf, reborn, rememberedCount, REMEMBERED_MOST, toVersion, unbridged, type Held, type Play } from './play.js';
 import type { GroupTimes } from './times.js';
 
 /** What the group tells the rest of its node. */
@@ -58,6 +59,8 @@
   onReborn(life: string): void;
   /** A frame that the group does not know: news. */
   onFrame(from: string, body: Frame['body']): void;
+  /** This node cannot join the group, and why. */
+  onRefused(why: string): void;
 }
 
 /** Where a node stands and what it is given. */
@@ -74,6 +77,8 @@
   readonly times: GroupTimes;
   readonly play: Play<S>;
   readonly acceptor: Acceptor | undefined;
+  /** Levels of the protocol that this program speaks. */
+  readonly speaks: Speaks;
   readonly audience: Audience<S>;
   /** Sends a frame; it may be lost, late or doubled. */
   post(address: string, frame: Frame): void;
@@ -171,6 +176,8 @@
       address: gear.address,
       zone: gear.zone,
       disk: gear.acceptor?.disk ?? '',
+      speaks: gear.speaks.most,
+      speaksFrom: gear.speaks.least,
     });
     this.#grants = new Grants(gear.times.grantMs);
     this.#anemometer = new Anemometer(gear.times);
@@ -278,6 +285,11 @@
     return answer !== undefined && answer.number <= this.agreed ? answer : undefined;
   }
 
+  /** Whether no further operation of an operator can be remembered now. */
+  get full(): boolean {
+    return this.#held !== undefined && rememberedCount(this.#held) >= REMEMBERED_MOST;
+  }
+
   /** An operator's word that a name will not come back. Only the coordinator can use it. */
   forget(name: string): boolean {
     this.#coordinator?.forget(name);
@@ -481,6 +493,7 @@
       inView: this.#inView,
       number: this.#number(),
       founding: this.#mayFound(),
+      refused: (view === undefined || member ? undefined : unbridged(seat, view.members)) ?? '',
     });
     this.#post(seat, { case: 'helloAck', value });
   }
@@ -503,6 +516,7 @@
     this.#greetings.set(seat.life, ack.greeting);
     this.#anemometer.answered(seat.life, nowMs);
     const { inView, number, founding } = ack;
+    if (ack.refused !== '' && !this.#inView) this.#gear.audience.onRefused(ack.refused);
     this.#contacts.set(seat.life, { seat, atMs: nowMs, inView, number, founding });
     for (const known of ack.known) if (known.life !== this.#seat.life) this.#addresses.add(known.address);
     const listed = ack.known.some((known) => known.life === this.#seat.life);
@@ -963,6 +977,7 @@
       epoch,
       base.value,
       version.entry ?? create(EntrySchema),
+      this.#now(),
       (number) => {
         this.#agreedSeen = Math.max(this.#agreedSeen, number);
       },
@@ -1069,6 +1084,8 @@
       electors,
       play: play.empty(),
       answers: [],
+      level: 1,
+      clockMs: 0,
     };
     if (acceptor.busy) return;
     acceptor.claim(create(ClaimSchema, { epoch, disk: acceptor.disk }), (promise) => {
--- a/packages/farm/src/play.ts
+++ b/packages/farm/src/play.ts
@@ -30,9 +30,19 @@
  */
 export interface Play<S> {
   empty(): S;
-  encode(state: S): Uint8Array;
-  decode(bytes: Uint8Array): Result<S, Fault>;
-  apply(state: S, operation: Operation): { state: S; outcome: Outcome };
+  /** The state in two parts: one that every level can read, and what came with later levels. */
+  encode(state: S): Encoded;
+  decode(encoded: Encoded): Result<S, Fault>;
+  /** Applies by the rules of a level of the protocol. */
+  apply(state: S, operation: Operation, level: number): { state: S; outcome: Outcome };
+  /** The state without what level 1 cannot carry. */
+  plain(state: S): S;
+}
+
+/** The application's state as bytes. */
+export interface Encoded {
+  readonly play: Uint8Array;
+  readonly extra: Uint8Array;
 }
 
 /** The agreed state as held in memory, at one version. Never changed in place. */
@@ -46,9 +56,24 @@
   readonly electors: readonly Elector[];
   readonly play: S;
   readonly answers: readonly Answer[];
+  /** The level of the protocol by which the newest entry was applied. */
+  readonly level: number;
+  /** The group's clock: it runs while a coordinator sequences, and never faster than time. */
+  readonly clockMs: number;
 }
 
-const ANSWERS_KEPT = 512;
+/** Answers kept at level 1, and brief ones kept at any. */
+const PLAIN_KEPT = 512;
+const BRIEF_KEPT = 64;
+
+/** So long by the group's clock an answer to an operator is remembered, and its id applied no second time. */
+export const REMEMBERED_MS = 600_000;
+
+/** No more answers to operators are remembered; further operations wait or are refused at the door. */
+export const REMEMBERED_MOST = 2048;
+
+/** No detail of an answer is longer. */
+const DETAIL_CHARS = 600;
 
 /**
  * More than half of a set.
@@ -77,21 +102,46 @@
   return one.epoch !== other.epoch ? one.epoch > other.epoch : one.number > other.number;
 }
 
+/**
+ * How many answers to operators are remembered now.
+ * @example
+ * rememberedCount(held) >= REMEMBERED_MOST; // true: no room for another operation
+ */
+export function rememberedCount(held: { readonly answers: readonly Answer[] }): number {
+  return held.answers.filter((answer) => !answer.brief).length;
+}
+
+/** What is remembered of earlier operations: level 1 counts, later levels go by the group's clock. */
+function remember(answers: readonly Answer[], level: number, clockMs: number): readonly Answer[] {
+  if (level === 1) return answers.slice(-PLAIN_KEPT);
+  const brief = answers.filter((answer) => answer.brief).slice(-BRIEF_KEPT);
+  const kept = answers.filter((answer) => (answer.brief ? brief.includes(answer) : clockMs - answer.clockMs <= REMEMBERED_MS));
+  return kept.length === answers.length ? answers : kept;
+}
+
 /**
  * The state that follows from an entry. The same on every node.
  * @example
  * const next = advance(play, held, 2, create(EntrySchema, { operations: [operation] }));
  */
 export function advance<S>(play: Play<S>, held: Held<S>, epoch: number, entry: Entry): Held<S> {
-  let state = held.play;
-  let answers = held.answers;
+  const level = Math.max(1, entry.level);
+  const clockMs = level === 1 ? 0 : held.clockMs + entry.elapsedMs;
+  let state = level === 1 ? play.plain(held.play) : held.play;
+  let answers = level === 1 ? held.answers : remember(held.answers, level, clockMs);
   const number = held.number + 1;
   for (const operation of entry.operations) {
     if (answers.some((answer) => answer.id === operation.id)) continue;
-    const applied = play.apply(state, operation);
+    const applied = play.apply(state, operation, level);
     state = applied.state;
     const { kind, detail } = applied.outcome;
-    answers = [...answers, create(AnswerSchema, { id: operation.id, kind, detail, number })].slice(-ANSWERS_KEPT);
+    const answer = create(AnswerSchema, { id: operation.id, kind, detail, number });
+    if (level > 1) {
+      answer.clockMs = clockMs;
+      answer.brief = operation.brief;
+      answer.detail = detail.slice(0, DETAIL_CHARS);
+    }
+    answers = remember([...answers, answer], level, clockMs);
   }
   return {
     epoch,
@@ -102,20 +152,53 @@
     electors: entry.electors.length > 0 ? entry.electors : held.electors,
     play: state,
     answers,
+    level,
+    clockMs,
   };
 }
 
+/**
+ * The level that all of some seats speak.
+ * @example
+ * levelOf([{ speaks: 2 }, { speaks: 0 }]); // 1
+ */
+export function levelOf(seats: readonly { readonly speaks: number }[]): number {
+  return Math.min(...seats.map((seat) => Math.max(1, seat.speaks)));
+}
+
+/**
+ * Why a seat cannot join others, or undefined if there is a level that all speak.
+ * @example
+ * unbridged({ speaks: 1, speaksFrom: 1 }, [{ speaks: 3, speaksFrom: 2 }]);
+ * // 'it speaks levels 1 to 1 of the protocol, the group 2 to 3'
+ */
+export function unbridged(seat: Range, others: readonly Range[]): string | undefined {
+  if (others.length === 0) return undefined;
+  const least = Math.max(...others.map((other) => Math.max(1, other.speaksFrom)));
+  const most = levelOf(others);
+  if (Math.max(1, seat.speaks) >= least && Math.max(1, seat.speaksFrom) <= most) return undefined;
+  return `it speaks levels ${Math.max(1, seat.speaksFrom)} to ${Math.max(1, seat.speaks)} of the protocol, the group ${least} to ${most}`;
+}
+
+interface Range {
+  readonly speaks: number;
+  readonly speaksFrom: number;
+}
+
 /**
  * Held state as it goes to disks and joiners, with the entry that made it.
  * @example
  * const version = toVersion(play, held, entry);
  */
 export function toVersion<S>(play: Play<S>, held: Held<S>, entry: Entry): Version {
+  const { play: bytes, extra } = play.encode(held.play);
   const state = create(StateSchema, {
+    extra,
+    clockMs: held.clockMs,
     deployment: held.deployment,
     view: held.view,
     electors: [...held.electors],
-    play: play.encode(held.play),
+    play: bytes,
     answers: [...held.answers],
   });
   if (held.before !== undefined) state.before = held.before;
@@ -129,7 +212,7 @@
  */
 export function fromVersion<S>(play: Play<S>, version: Version): Result<Held<S>, Fault> {
   const state: State = version.state ?? create(StateSchema);
-  return play.decode(state.play).map((own) => ({
+  return play.decode(state).map((own) => ({
     epoch: version.epoch,
     number: version.number,
     deployment: state.deployment,
@@ -138,6 +221,8 @@
     electors: state.electors,
     play: own,
     answers: state.answers,
+    level: Math.max(1, version.entry?.level ?? 0),
+    clockMs: state.clockMs,
   }));
 }
 
--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -14,7 +14,7 @@
   type WorkerList,
 } from '@rainrun/courier';
 import { Group, type GroupGear, type Held, type Outcome, type Play } from '@rainrun/farm';
-import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, type Stage } from '@rainrun/marquee';
+import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, plainStage, type Stage } from '@rainrun/marquee';
 import { fault, type Fault } from '@rainrun/nacelle';
 import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type ModelDemand, type Order, type OrderReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
@@ -26,9 +26,10 @@
   empty: () => EMPTY_STAGE,
   encode: encodeStage,
   decode: decodeStage,
-  apply(state, operation): { state: Stage; outcome: Outcome } {
+  plain: plainStage,
+  apply(state, operation, level): { state: Stage; outcome: Outcome } {
     const { id, kind } = operation;
-    return applyToStage(state, { id, kind, payload: new TextDecoder().decode(operation.payload) });
+    return applyToStage(state, { id, kind, payload: new TextDecoder().decode(operation.payload) }, level);
   },
 };
 
@@ -49,6 +50,8 @@
   heard(sender: string, payload: Uint8Array): void;
   /** Called at each change of standing, for the logs. */
   reborn(life: string): void;
+  /** Called when the group says that this node cannot join it. */
+  refused(why: string): void;
 }
 
 /**
@@ -91,6 +94,7 @@
         onCast: (sender, payload) => this.#onCast(sender, payload),
         onAnswer: (answer) => this.#onAnswer(answer),
         onReborn: (life) => gear.reborn(life),
+        onRefused: (why) => gear.refused(why),
         onFrame: (from, body) => this.#onFrame(from, body),
       },
       post: (address, frame) => gear.post(address, frame),
@@ -138,7 +142,7 @@
    * caller that cannot wait asks later by the id.
    */
   submit(id: string, kind: string, payload: string, done: (answer: Answer) => void): Result<string, Fault> {
-    const operation = create(OperationSchema, { id, kind, payload: new TextEncoder().encode(payload) });
+    const operation = create(OperationSchema, { id, kind, payload: new TextEncoder().encode(payload), brief: kind === 'place' });
     this.#waiting.set(id, done);
     if (this.#group.submit(operation)) return Result.ok(id);
     this.#waiting.delete(id);
--- /dev/null
+++ b/packages/marquee/src/edit.ts
@@ -0,0 +1,156 @@
+import { Result } from 'true-myth';
+import * as v from 'valibot';
+import type { SpecFault } from './spec.js';
+
+const Named = v.looseObject({ name: v.string() });
+const Routed = v.looseObject({ path: v.string() });
+const Names = v.optional(v.array(v.string()), []);
+const Entries = v.optional(v.array(Named), []);
+
+const Lists = { models: Entries, adapters: Entries, groups: Entries, routes: v.optional(v.array(Routed), []), workers: Entries };
+
+/** The parts of a spec that are no lists; each is set whole. */
+const SETTABLE = ['store', 'retries', 'workers'] as const;
+
+const EditSchema = v.strictObject({
+  add: v.optional(v.strictObject({ zones: Names, ...Lists }), {}),
+  replace: v.optional(v.strictObject(Lists), {}),
+  remove: v.optional(v.strictObject({ zones: Names, models: Names, adapters: Names, groups: Names, routes: Names, workers: Names }), {}),
+  set: v.optional(
+    v.strictObject({
+      store: v.optional(v.looseObject({})),
+      retries: v.optional(v.looseObject({})),
+      workers: v.optional(v.strictObject({ roomMb: v.optional(v.number()), slots: v.optional(v.number()) })),
+    }),
+    {},
+  ),
+});
+
+/** A change that names the entries it adds, replaces or removes. */
+export type Edit = v.InferOutput<typeof EditSchema>;
+
+/** The lists of a spec whose entries have names. `workers` stands for those that differ from the others. */
+export const SECTIONS = ['zones', 'models', 'adapters', 'groups', 'routes', 'workers'] as const;
+type Section = (typeof SECTIONS)[number];
+type Entry = Record<string, unknown> | string;
+type Raw = Record<string, unknown>;
+
+/**
+ * Whether a JSON value is meant as an edit and not as a merge patch.
+ * @example
+ * isEdit({ add: { zones: ['west'] } }); // true
+ */
+export function isEdit(data: unknown): boolean {
+  return typeof data === 'object' && data !== null && Object.keys(data).length > 0 && Object.keys(data).every((key) => key in EditSchema.entries);
+}
+
+/**
+ * Reads an edit, or names what is wrong in it, with its path.
+ * @example
+ * readEdit({ add: { groups: [{}] } }).isErr; // true: the entry has no name
+ */
+export function readEdit(data: unknown): Result<Edit, SpecFault[]> {
+  const parsed = v.safeParse(EditSchema, data);
+  if (!parsed.success) {
+    return Result.err(parsed.issues.map((issue) => ({ path: v.getDotPath(issue) ?? 'change', message: issue.message })));
+  }
+  const seen = new Set<string>();
+  const faults: SpecFault[] = [];
+  for (const { path, key } of named(parsed.output)) {
+    if (seen.has(key)) faults.push({ path, message: `${key} is named a second time` });
+    seen.add(key);
+  }
+  return faults.length > 0 ? Result.err(faults) : Result.ok(parsed.output);
+}
+
+/**
+ * The keys of all entries that an edit touches, such as `groups/analysts`.
+ * @example
+ * keysOf({ add: {}, replace: {}, remove: { zones: ['west'] }, set: {} }); // ['zones/west']
+ */
+export function keysOf(edit: Edit): string[] {
+  return named(edit).map(({ key }) => key);
+}
+
+function named(edit: Edit): { path: string; key: string }[] {
+  const keys: { path: string; key: string }[] = [];
+  for (const verb of ['add', 'replace', 'remove'] as const) {
+    const lists = edit[verb] as Partial<Record<Section, readonly Entry[]>>;
+    for (const section of SECTIONS) {
+      (lists[section] ?? []).forEach((entry, place) => {
+        keys.push({ path: `${verb}.${section}.${place}`, key: `${section}/${nameOf(entry)}` });
+      });
+    }
+  }
+  for (const part of SETTABLE) if (edit.set[part] !== undefined) keys.push({ path: `set.${part}`, key: part });
+  return keys;
+}
+
+function nameOf(entry: Entry): string {
+  if (typeof entry === 'string') return entry;
+  const name = entry['name'] ?? entry['path'];
+  return typeof name === 'string' ? name : '';
+}
+
+function listOf(spec: Raw, section: Section): readonly Entry[] {
+  const list = section === 'workers' ? (spec['workers'] as Raw | undefined)?.['named'] : spec[section];
+  return (list ?? []) as readonly Entry[];
+}
+
+function withList(spec: Raw, section: Section, list: readonly Entry[]): Raw {
+  if (section === 'workers') return { ...spec, workers: { ...(spec['workers'] as Raw), named: list } };
+  return { ...spec, [section]: list };
+}
+
+/**
+ * The spec with an edit made, or what stands against it: an entry to be added
+ * that is there, one to be replaced or removed that is not.
+ * @example
+ * makeEdit({ zones: ['north'] }, edit);
+ */
+export function makeEdit(spec: Raw, edit: Edit): Result<Raw, SpecFault[]> {
+  const faults: SpecFault[] = [];
+  let edited = spec;
+  for (const section of SECTIONS) {
+    const there = new Map(listOf(edited, section).map((entry) => [nameOf(entry), entry]));
+    const { add, replace, remove } = edit as Record<'add' | 'replace' | 'remove', Partial<Record<Section, readonly Entry[]>>>;
+    (remove[section] ?? []).forEach((entry, place) => {
+      if (!there.delete(nameOf(entry))) faults.push({ path: `remove.${section}.${place}`, message: `there is no "${nameOf(entry)}" in ${section}` });
+    });
+    (replace[section] ?? []).forEach((entry, place) => {
+      if (!there.has(nameOf(entry))) faults.push({ path: `replace.${section}.${place}`, message: `there is no "${nameOf(entry)}" in ${section}` });
+      there.set(nameOf(entry), entry);
+    });
+    (add[section] ?? []).forEach((entry, place) => {
+      if (there.has(nameOf(entry))) faults.push({ path: `add.${section}.${place}`, message: `"${nameOf(entry)}" is in ${section} already` });
+      there.set(nameOf(entry), entry);
+    });
+    if (there.size > 0 || listOf(edited, section).length > 0) edited = withList(edited, section, [...there.values()]);
+  }
+  for (const part of SETTABLE) {
+    const value = edit.set[part];
+    if (value !== undefined) edited = { ...edited, [part]: part === 'workers' ? { ...(edited[part] as Raw), ...value } : value };
+  }
+  return faults.length > 0 ? Result.err(faults) : Result.ok(edited);
+}
+
+/**
+ * The keys of all entries in which two specs differ.
+ * @example
+ * differing({ zones: ['a'] }, { zones: ['a', 'b'] }); // ['zones/b']
+ */
+export function differing(one: Raw, other: Raw): string[] {
+  const keys: string[] = [];
+  for (const section of SECTIONS) {
+    const before = new Map(listOf(one, section).map((entry) => [nameOf(entry), JSON.stringify(entry)]));
+    const after = new Map(listOf(other, section).map((entry) => [nameOf(entry), JSON.stringify(entry)]));
+    for (const name of new Set([...before.keys(), ...after.keys()])) {
+      if (before.get(name) !== after.get(name)) keys.push(`${section}/${name}`);
+    }
+  }
+  function plainOf(spec: Raw, part: string): string | undefined {
+    return JSON.stringify(part === 'workers' ? { ...(spec[part] as Raw | undefined), named: undefined } : spec[part]);
+  }
+  for (const part of SETTABLE) if (plainOf(one, part) !== plainOf(other, part)) keys.push(part);
+  return keys;
+}
--- a/packages/marquee/src/index.ts
+++ b/packages/marquee/src/index.ts
@@ -1,2 +1,3 @@
+export * from './edit.js';
 export * from './spec.js';
 export * from './stage.js';
--- a/packages/marquee/src/marquee.test.ts
+++ b/packages/marquee/src/marquee.test.ts
@@ -22,7 +22,7 @@
 }
 
 function put(state: Stage, base: number | undefined, text: string): ReturnType<typeof applyToStage> {
-  return applyToStage(state, { id: 'op', kind: 'spec.put', payload: JSON.stringify({ base, text }) });
+  return applyToStage(state, { id: 'op', kind: 'spec.put', payload: JSON.stringify({ base, text }) }, 2);
 }
 
 describe('spec', () => {
@@ -56,30 +56,64 @@
 
   it('changes nothing for a bad spec or an unknown operation', () => {
     expect(put(EMPTY_STAGE, 0, '{}').state).toEqual(EMPTY_STAGE);
-    expect(applyToStage(EMPTY_STAGE, { id: '1', kind: 'no', payload: '{}' }).outcome.kind).toEqual('bad-request');
-    expect(applyToStage(EMPTY_STAGE, { id: '1', kind: 'place', payload: 'x' }).state).toEqual(EMPTY_STAGE);
+    expect(applyToStage(EMPTY_STAGE, { id: '1', kind: 'no', payload: '{}' }, 2).outcome.kind).toEqual('bad-request');
+    expect(applyToStage(EMPTY_STAGE, { id: '1', kind: 'place', payload: 'x' }, 2).state).toEqual(EMPTY_STAGE);
   });
 
   it('merges a change, and refuses one that breaks the spec', () => {
     const { state } = put(EMPTY_STAGE, 0, JSON.stringify(good()));
     function change(patch: unknown): ReturnType<typeof applyToStage> {
-      return applyToStage(state, { id: 'c', kind: 'spec.change', payload: JSON.stringify({ base: 1, patch }) });
+      return applyToStage(state, { id: 'c', kind: 'spec.change', payload: JSON.stringify({ base: 1, patch }) }, 2);
     }
     expect(change({ store: { concurrentPulls: 3 } }).state.spec?.spec.store).toEqual({ pullsPerMinute: 60, concurrentPulls: 3 });
     expect(change({ zones: null }).outcome.kind).toEqual('bad-spec');
   });
 
+  it('lets changes to different entries both hold, and one of two to the same entry win', () => {
+    const { state } = put(EMPTY_STAGE, 0, JSON.stringify(good()));
+    function edit(from: typeof state, seen: number, change: unknown, level = 2): ReturnType<typeof applyToStage> {
+      return applyToStage(from, { id: 'e', kind: 'spec.edit', payload: JSON.stringify({ seen, edit: change }) }, level);
+    }
+    const one = edit(state, 1, { add: { zones: ['west'], routes: [{ path: '/a', serve: 'chat' }] } });
+    const other = edit(one.state, 1, { add: { routes: [{ path: '/b', serve: 'chat' }] }, set: { store: { pullsPerMinute: 9, concurrentPulls: 1 } } });
+    const paths = other.state.spec?.spec.routes.map((route) => route.path) ?? [];
+    expect([paths.includes('/a'), paths.includes('/b'), other.state.spec?.spec.zones.includes('west')]).toEqual([true, true, true]);
+    expect(edit(other.state, 1, { replace: { routes: [{ path: '/a', serve: 'lookup' }] } }).outcome).toEqual({
+      kind: 'conflict',
+      detail: 'routes//a was changed in version 2, after version 1',
+    });
+    expect(edit(other.state, 3, { remove: { routes: ['/a'] } }).outcome.kind).toEqual('agreed');
+    const wrong = [{ add: { zones: ['west'] } }, { remove: { models: ['x'] } }, { add: { zones: ['w', 'w'] } }, { add: { groups: [{}] } }, { zones: [] }];
+    expect(wrong.map((change) => edit(other.state, 3, change).outcome)).toEqual([
+      { kind: 'conflict', detail: 'add.zones.0: "west" is in zones already' },
+      { kind: 'conflict', detail: 'remove.models.0: there is no "x" in models' },
+      { kind: 'bad-request', detail: 'add.zones.1: zones/w is named a second time' },
+      { kind: 'bad-request', detail: 'add.groups.0.name: Invalid key: Expected "name" but received undefined' },
+      { kind: 'bad-request', detail: 'zones: Invalid key: Expected never but received "zones"' },
+    ]);
+    expect(edit(other.state, 9, {}).outcome.detail).toEqual('made for version 9; version 3 is in force, and what was touched is known back to 0');
+    expect(edit(other.state, 3, {}, 1).outcome.detail).toEqual('no operation "spec.edit"');
+  });
+
+  it('refuses a merge patch that would replace a list whole, unless it names its base', () => {
+    const { state } = put(EMPTY_STAGE, 0, JSON.stringify(good()));
+    function patch(more: object): string {
+      return applyToStage(state, { id: 'c', kind: 'spec.change', payload: JSON.stringify({ patch: { zones: good().zones }, ...more }) }, 2).outcome.kind;
+    }
+    expect([patch({}), patch({ base: 1 }), patch({ base: 7 })]).toEqual(['bad-request', 'agreed', 'conflict']);
+  });
+
   it('empties and restores zones it knows, and forgets an emptied zone that the spec drops', () => {
     const { state } = put(EMPTY_STAGE, 0, JSON.stringify(good()));
-    const emptied = applyToStage(state, { id: 'z', kind: 'zone.empty', payload: '{"zone":"north"}' });
+    const emptied = applyToStage(state, { id: 'z', kind: 'zone.empty', payload: '{"zone":"north"}' }, 2);
     expect(emptied.state.emptied).toEqual(['north']);
-    expect(applyToStage(state, { id: 'z', kind: 'zone.empty', payload: '{"zone":"x"}' }).outcome.kind).toEqual('not-found');
+    expect(applyToStage(state, { id: 'z', kind: 'zone.empty', payload: '{"zone":"x"}' }, 2).outcome.kind).toEqual('not-found');
     expect(put(emptied.state, 1, JSON.stringify({ ...good(), zones: ['south'] })).state.emptied).toEqual([]);
   });
 
   it('refuses a placement from an epoch that is over', () => {
-    const later = applyToStage(EMPTY_STAGE, { id: 'p', kind: 'place', payload: '{"epoch":5,"workers":{}}' });
-    const older = applyToStage(later.state, { id: 'q', kind: 'place', payload: '{"epoch":4,"workers":{"w":[]}}' });
+    const later = applyToStage(EMPTY_STAGE, { id: 'p', kind: 'place', payload: '{"epoch":5,"workers":{}}' }, 2);
+    const older = applyToStage(later.state, { id: 'q', kind: 'place', payload: '{"epoch":4,"workers":{"w":[]}}' }, 2);
     expect(older.outcome.kind).toEqual('conflict');
   });
 
@@ -87,7 +121,7 @@
     const { state } = put(EMPTY_STAGE, 0, JSON.stringify(good()));
     const read = decodeStage(encodeStage(state));
     expect(read.isOk && read.value).toEqual(state);
-    expect(decodeStage(new TextEncoder().encode('{"version":1}')).isErr).toEqual(true);
+    expect(decodeStage({ play: new TextEncoder().encode('{"version":1}'), extra: new Uint8Array() }).isErr).toEqual(true);
   });
 });
 
--- a/packages/marquee/src/stage.ts
+++ b/packages/marquee/src/stage.ts
@@ -1,6 +1,7 @@
 import { fault, type Fault, type FaultKind } from '@rainrun/nacelle';
 import { Result } from 'true-myth';
 import * as v from 'valibot';
+import { differing, keysOf, makeEdit, readEdit } from './edit.js';
 import { mergePatch, readJson, readSpec, specFaultText, type Spec } from './spec.js';
 
 /** What a worker should hold, or holds. */
@@ -32,15 +33,22 @@
   /** The epoch whose placer decided last; an older one is refused. */
   readonly placedBy: number;
   readonly placement: Readonly<Record<string, readonly HoldingTarget[]>>;
+  /** In which version each entry of the spec was last touched, as far back as `since`; for changes that race. */
+  readonly touched: Readonly<Record<string, number>>;
+  /** What was touched before this version is not known any more. */
+  readonly since: number;
 }
 
 /** The state before anything was agreed. */
-export const EMPTY_STAGE: Stage = { spec: undefined, history: [], emptied: [], placedBy: 0, placement: {} };
+export const EMPTY_STAGE: Stage = { spec: undefined, history: [], emptied: [], placedBy: 0, placement: {}, touched: {}, since: 0 };
 
 const HISTORY_KEPT = 100;
+/** For so many versions it is known who touched what. */
+const TOUCHED_KEPT = 1000;
 
 const Put = v.strictObject({ base: v.optional(v.number()), text: v.string() });
 const Change = v.strictObject({ base: v.optional(v.number()), patch: v.record(v.string(), v.unknown()) });
+const EditCall = v.strictObject({ base: v.optional(v.number()), seen: v.number(), edit: v.unknown() });
 const Zone = v.strictObject({ zone: v.string() });
 const Holdings = v.array(v.strictObject({ model: v.string(), adapters: v.array(v.string()) }));
 const Place = v.strictObject({ epoch: v.number(), workers: v.record(v.string(), Holdings) });
@@ -55,6 +63,8 @@
   placement: v.record(v.string(), Holdings),
 });
 
+const Extra = v.object({ touched: v.record(v.string(), v.number()), since: v.number() });
+
 /** How an operation on the stage ended. */
 export interface StageOutcome {
   readonly kind: 'agreed' | FaultKind;
@@ -82,13 +92,50 @@
   const version = current + 1;
   const history = [...state.history, { version, operation, bytes: Buffer.byteLength(text) }].slice(-HISTORY_KEPT);
   const emptied = state.emptied.filter((zone) => read.value.zones.includes(zone));
-  return agree({ ...state, spec: { version, operation, text, spec: read.value }, history, emptied }, `version ${version}`);
+  const { touched, since } = touch(state, text, version);
+  return agree({ ...state, spec: { version, operation, text, spec: read.value }, history, emptied, touched, since }, `version ${version}`);
+}
+
+/** Notes what a new text changes, and forgets what is long ago. */
+function touch(state: Stage, text: string, version: number): { touched: Record<string, number>; since: number } {
+  const since = Math.max(state.since, version - TOUCHED_KEPT);
+  const touched = Object.fromEntries(Object.entries(state.touched).filter(([, at]) => at > since));
+  for (const key of differing(rawOf(state.spec?.text ?? '{}'), rawOf(text))) touched[key] = version;
+  return { touched, since };
 }
 
-function changeSpec(state: Stage, operation: string, base: number | undefined, patch: unknown): Applied {
-  const current = readJson(state.spec?.text ?? '{}');
-  const target = current.isOk ? current.value : {};
-  return adopt(state, operation, base, JSON.stringify(mergePatch(target, patch), undefined, 2));
+function rawOf(text: string): Record<string, unknown> {
+  const read = readJson(text);
+  return read.isOk ? (read.value as Record<string, unknown>) : {};
+}
+
+function changeSpec(state: Stage, operation: string, base: number | undefined, patch: Record<string, unknown>, level: number): Applied {
+  const lists = Object.keys(patch).filter((key) => Array.isArray(patch[key]));
+  if (level > 1 && base === undefined && lists.length > 0) {
+    return refuse(state, 'bad-request', `${lists.join(', ')}: a list would be replaced whole; name its entries (add, replace, remove), or give the base version`);
+  }
+  return adopt(state, operation, base, JSON.stringify(mergePatch(rawOf(state.spec?.text ?? '{}'), patch), undefined, 2));
+}
+
+/**
+ * An edit names what it touches. What others touched since the version that
+ * its author had seen makes it a conflict; all else of theirs stays.
+ */
+function editSpec(state: Stage, operation: string, call: v.InferOutput<typeof EditCall>): Applied {
+  const current = state.spec?.version ?? 0;
+  if (state.spec === undefined) return refuse(state, 'not-found', 'no spec has been agreed yet');
+  const { base, seen } = call;
+  if (base !== undefined && base !== current) return refuse(state, 'conflict', `version ${current} is in force, not ${base}`);
+  if (seen < state.since || seen > current) return refuse(state, 'conflict', `made for version ${seen}; version ${current} is in force, and what was touched is known back to ${state.since}`);
+  const read = readEdit(call.edit);
+  if (read.isErr) return refuse(state, 'bad-request', specFaultText(read.error));
+  const others = keysOf(read.value).filter((key) => (state.touched[key] ?? 0) > seen);
+  if (others.length > 0) {
+    return refuse(state, 'conflict', others.map((key) => `${key} was changed in version ${state.touched[key] ?? 0}, after version ${seen}`).join('\n'));
+  }
+  const edited = makeEdit(rawOf(state.spec.text), read.value);
+  if (edited.isErr) return refuse(state, 'conflict', specFaultText(edited.error));
+  return adopt(state, operation, undefined, JSON.stringify(edited.value, undefined, 2));
 }
 
 function setZone(state: Stage, kind: string, zone: string): Applied {
@@ -107,9 +154,24 @@
 /**
  * Applies one operation to the stage: a pure function, the same on every node.
  * @example
- * applyToStage(EMPTY_STAGE, { id: '1', kind: 'zone.empty', payload: '{"zone":"north"}' }).outcome.kind; // 'not-found'
+ * applyToStage(EMPTY_STAGE, { id: '1', kind: 'zone.empty', payload: '{"zone":"north"}' }, 2).outcome.kind; // 'not-found'
+ */
+export function applyToStage(state: Stage, operation: { id: string; kind: string; payload: string }, level: number): Applied {
+  const applied = applyKind(state, operation, level);
+  return level === 1 ? { ...applied, state: plainStage(applied.state) } : applied;
+}
+
+/**
+ * The stage without what level 1 of the protocol does not carry.
+ * @example
+ * plainStage(state).touched; // {}
  */
-export function applyToStage(state: Stage, operation: { id: string; kind: string; payload: string }): Applied {
+export function plainStage(state: Stage): Stage {
+  const since = state.spec?.version ?? 0;
+  return state.since === since && Object.keys(state.touched).length === 0 ? state : { ...state, touched: {}, since };
+}
+
+function applyKind(state: Stage, operation: { id: string; kind: string; payload: string }, level: number): Applied {
   const read = readJson(operation.payload);
   const data = read.isOk ? read.value : undefined;
   switch (operation.kind) {
@@ -120,7 +182,12 @@
     case 'spec.change': {
       const change = v.safeParse(Change, data);
       if (!change.success) return refuse(state, 'bad-request', 'not a change');
-      return changeSpec(state, operation.id, change.output.base, change.output.patch);
+      return changeSpec(state, operation.id, change.output.base, change.output.patch, level);
+    }
+    case 'spec.edit': {
+      if (level === 1) return refuse(state, 'bad-request', `no operation "${operation.kind}"`);
+      const edit = v.safeParse(EditCall, data);
+      return edit.success ? editSpec(state, operation.id, edit.output) : refuse(state, 'bad-request', 'not an edit');
     }
     case 'zone.empty':
     case 'zone.restore': {
@@ -137,11 +204,11 @@
 }
 
 /**
- * The stage as bytes for disks and joiners.
+ * The stage as bytes for disks and joiners: what level 1 can read, and the rest.
  * @example
  * decodeStage(encodeStage(EMPTY_STAGE)).isOk; // true
  */
-export function encodeStage(state: Stage): Uint8Array {
+export function encodeStage(state: Stage): { play: Uint8Array; extra: Uint8Array } {
   const stored = {
     version: state.spec?.version ?? 0,
     operation: state.spec?.operation ?? '',
@@ -151,20 +218,24 @@
     placedBy: state.placedBy,
     placement: state.placement,
   };
-  return new TextEncoder().encode(JSON.stringify(stored));
+  const { touched, since } = state;
+  const encoder = new TextEncoder();
+  return { play: encoder.encode(JSON.stringify(stored)), extra: encoder.encode(JSON.stringify({ touched, since })) };
 }
 
 /**
  * The stage that bytes stand for, or that they are damaged.
  * @example
- * decodeStage(new Uint8Array([1])).isErr; // true
+ * decodeStage({ play: new Uint8Array([1]), extra: new Uint8Array() }).isErr; // true
  */
-export function decodeStage(bytes: Uint8Array): Result<Stage, Fault> {
-  return readJson(new TextDecoder().decode(bytes)).andThen((data) => {
+export function decodeStage(encoded: { play: Uint8Array; extra: Uint8Array }): Result<Stage, Fault> {
+  return readJson(new TextDecoder().decode(encoded.play)).andThen((data) => {
     const stored = v.safeParse(Stored, data);
     if (!stored.success) return Result.err<Stage, Fault>(fault('damaged', 'the stage cannot be read'));
     const { version, operation, text, history, emptied, placedBy, placement } = stored.output;
-    const rest = { history, emptied, placedBy, placement };
+    const extra = v.safeParse(Extra, encoded.extra.length === 0 ? undefined : rawOf(new TextDecoder().decode(encoded.extra)));
+    const { touched, since } = extra.success ? extra.output : { touched: {}, since: version };
+    const rest = { history, emptied, placedBy, placement, touched, since };
     if (version === 0) return Result.ok<Stage, Fault>({ spec: undefined, ...rest });
     return readSpec(text)
       .map((spec): Stage => ({ spec: { version, operation, text, spec }, ...rest }))
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createRequire } from 'node:module';
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http';
-import type { Entry } from '@rainrun/courier';
+import { SPEAKS, type Entry } from '@rainrun/courier';
 import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
 import { UndiciSender, type EndRecord } from '@rainrun/gate';
 import { Edge, Hub, OBSERVE_MS } from '@rainrun/hub';
@@ -45,6 +45,7 @@
   #settings: Settings;
   #role: Role;
   #log: Logger;
+  #broken: (why: Fault) => void;
   #wire: Wire;
   #hub: Hub;
   #edge: Edge | undefined;
@@ -57,7 +58,8 @@
   #listing = false;
   #listFaults = 0;
 
-  private constructor(settings: Settings, role: Role, acceptor: Acceptor | undefined, log: Logger) {
+  private constructor(settings: Settings, role: Role, acceptor: Acceptor | undefined, log: Logger, broken: (why: Fault) => void) {
+    this.#broken = broken;
     this.#settings = settings;
     this.#role = role;
     this.#log = log;
@@ -79,7 +81,7 @@
     const log = pino({ level: settings.logLevel, base: { node: settings.name } });
     const acceptor = role === 'core' ? await openDisk(settings, broken) : Result.ok<undefined, Fault>(undefined);
     if (acceptor.isErr) return Result.err(acceptor.error);
-    const node = new Node(settings, role, acceptor.value, log);
+    const node = new Node(settings, role, acceptor.value, log, broken);
     const open = await node.#open();
     return open.map(() => node);
   }
@@ -122,6 +124,8 @@
       },
       changed: (held, entry) => this.#changed(held, entry),
       heard: () => undefined,
+      speaks: SPEAKS,
+      refused: (why) => this.#broken(fault('unbridged', why)),
       reborn: (life) => this.#log.warn({ life }, 'dropped from the view, joining as new'),
     });
   }
@@ -217,8 +221,8 @@
     function text(value: unknown): string {
       return typeof value === 'string' ? value : value === undefined ? '' : JSON.stringify(value);
     }
-    function base(params: Record<string, unknown>): Record<string, number> {
-      return params['base'] === undefined ? {} : { base: Number(params['base']) };
+    function base(params: Record<string, unknown>): number | undefined {
+      return params['base'] === undefined ? undefined : Number(params['base']);
     }
     function action(run: (params: Record<string, unknown>) => OperatorReply | Promise<OperatorReply>) {
       return async (ctx: Context<Record<string, unknown>, { $statusCode?: number }>): Promise<unknown> => {
@@ -234,8 +238,8 @@
         spec: action(() => operators.fresh(() => operators.spec())),
         history: action(() => operators.fresh(() => operators.history())),
         check: action((params) => operators.check(text(params['text']))),
-        put: action((params) => operators.submit('spec.put', { ...base(params), text: text(params['text']) }, text(params['id']))),
-        change: action((params) => operators.submit('spec.change', { ...base(params), patch: params['patch'] ?? {} }, text(params['id']))),
+        put: action((params) => operators.put(text(params['text']), base(params), text(params['id']))),
+        change: action((params) => operators.change(params['patch'] ?? {}, base(params), text(params['id']))),
         operation: action((params) => operators.operation(text(params['id']))),
         zones: action(() => operators.fresh(() => operators.zones())),
         empty: action((params) => operators.submit('zone.empty', { zone: text(params['zone']) }, text(params['id']))),
--- a/packages/mast/src/operators.ts
+++ b/packages/mast/src/operators.ts
@@ -2,7 +2,8 @@
 import type { Answer } from '@rainrun/courier';
 import type { EndRecord } from '@rainrun/gate';
 import type { Hub } from '@rainrun/hub';
-import { readSpec } from '@rainrun/marquee';
+import { REMEMBERED_MOST } from '@rainrun/farm';
+import { isEdit, readEdit, readSpec } from '@rainrun/marquee';
 import { ANSWERS, isFaultKind, word, type Chance, type Clock, type FaultKind } from '@rainrun/nacelle';
 
 /** An answer to an operator. */
@@ -80,9 +81,10 @@
         coordinator: held?.view.members.find((member) => member.life === group.coordinatorLife)?.name ?? null,
         epoch: group.epoch,
         number: held?.number ?? 0,
+        level: held?.level ?? 0,
         agreed: group.agreed,
         view: group.view === undefined ? null : { epoch: group.view.epoch, number: group.view.number },
-        members: (group.view?.members ?? []).map(({ name, zone, address, disk }) => ({ name, zone, address, core: disk !== '' })),
+        members: (group.view?.members ?? []).map(({ name, zone, address, disk, speaks }) => ({ name, zone, address, core: disk !== '', speaks: Math.max(1, speaks) })),
         electors: (held?.electors ?? []).map(({ name, disk }) => ({ name, disk })),
       },
     };
@@ -197,9 +199,36 @@
     return failure('conflict', 'only the coordinator can forget a name; ask it (see view)');
   }
 
+  /**
+   * Puts a whole spec in force. Without a base it is meant for the version
+   * that is in force when this node is asked, so that of two that race one
+   * wins and the other is told.
+   */
+  async put(text: string, base: number | undefined, wishedId: string): Promise<OperatorReply> {
+    return this.submit('spec.put', { base: base ?? (await this.#newest()), text }, wishedId);
+  }
+
+  /** Makes a change: an edit that names its entries, or a merge patch. */
+  async change(data: unknown, base: number | undefined, wishedId: string): Promise<OperatorReply> {
+    const based = base === undefined ? {} : { base };
+    if (!isEdit(data)) return this.submit('spec.change', { ...based, patch: data }, wishedId);
+    const read = readEdit(data);
+    if (read.isErr) return failure('bad-request', 'the change has faults', { faults: read.error });
+    return this.submit('spec.edit', { ...based, seen: await this.#newest(), edit: data }, wishedId);
+  }
+
+  /** The version in force now, all that was agreed before the question included. */
+  async #newest(): Promise<number> {
+    await this.#informed();
+    return this.#gear.hub.stage.spec?.version ?? 0;
+  }
+
   /** Submits an operation and waits a while for the agreed answer. */
   submit(kind: string, data: unknown, wishedId: string): Promise<OperatorReply> {
     if (wishedId !== '' && !OPERATION_ID.test(wishedId)) return Promise.resolve(failure('bad-request', 'the operation id is not a word of up to 64 letters'));
+    if (this.#gear.hub.group.full) {
+      return Promise.resolve(failure('over-share', `${REMEMBERED_MOST} operations were answered in the last ten minutes; nothing was sent`));
+    }
     const id = wishedId === '' ? word(this.#gear.chance) : wishedId;
     return new Promise((resolve) => {
       const timer = setTimeout(() => resolve(failure('operation-unknown', 'not known to be agreed yet; ask by id', { id })), ANSWER_WAIT_MS);
--- a/packages/mast/src/program.ts
+++ b/packages/mast/src/program.ts
@@ -3,7 +3,7 @@
 import { readSettings } from './settings.js';
 
 /** Exit codes of the daemons. */
-export const EXIT = { well: 0, failed: 1, badSetting: 2, badDisk: 3 } as const;
+export const EXIT = { well: 0, failed: 1, badSetting: 2, badDisk: 3, refused: 4 } as const;
 
 const HELP = `
   Usage
@@ -76,7 +76,7 @@
   }
   const started = await Node.start(settings.value, role, (why) => {
     console.error(`${program}: ${why.kind}: ${why.detail}`);
-    process.exit(EXIT.badDisk);
+    process.exit(why.kind === 'unbridged' ? EXIT.refused : EXIT.badDisk);
   });
   if (started.isErr) {
     const { kind, detail } = started.error;
--- a/packages/nacelle/src/kinds.ts
+++ b/packages/nacelle/src/kinds.ts
@@ -23,6 +23,7 @@
   | 'disk'
   | 'damaged'
   | 'foreign'
+  | 'unbridged'
   | 'wire';
 
 /** What a caller is told: status, whether the work may have run, and when to come back. */
@@ -57,6 +58,7 @@
   disk: { status: 500, ran: 'no', retryAfterS: 0 },
   damaged: { status: 500, ran: 'no', retryAfterS: 0 },
   foreign: { status: 500, ran: 'no', retryAfterS: 0 },
+  unbridged: { status: 409, ran: 'no', retryAfterS: 0 },
   wire: { status: 400, ran: 'no', retryAfterS: 0 },
 };
 
--- a/packages/park/src/grounds.ts
+++ b/packages/park/src/grounds.ts
@@ -1,6 +1,6 @@
 import type { HoldingTarget, Spec } from '@rainrun/marquee';
 import { fault, type Chance, type Fault } from '@rainrun/nacelle';
-import { sizeMb, type Order, type OrderReply } from '@rainrun/yaw';
+import type { Order, OrderReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import type { Oracle } from './oracle.js';
 import type { VirtualTime } from './world.js';
@@ -69,6 +69,7 @@
   #epoch = 0;
   #works = new Set<Work>();
   #boots = 0;
+  #sizesMb = new Map<string, number>();
 
   constructor(grounds: Grounds, name: string, zone: string, kind: 'model' | 'lookup', slots: number) {
     this.#grounds = grounds;
@@ -97,6 +98,8 @@
     const { time, oracle, dice, isCut } = this.#grounds;
     if (!this.up || this.dark || isCut(by, this.name)) return time.after(500, () => done(Result.err(fault('unreached', 'no reply'))));
     const acts = order.action !== 'inventory';
+    const spec = this.#grounds.spec();
+    if (spec !== undefined) this.#heldMb(spec);
     if (acts) oracle.orderBegins(this.name, by, order.epoch, time.nowMs());
     if (order.epoch < this.#epoch) oracle.breach('orders are fenced', `${this.name} got epoch ${order.epoch} after ${this.#epoch}`, time.nowMs());
     this.#epoch = Math.max(this.#epoch, order.epoch);
@@ -215,6 +218,16 @@
     ]);
   }
 
+  /** What the worker holds, also what the spec does not list any more, by the size it had when it was loaded. */
+  #heldMb(spec: Spec): number {
+    for (const { name, sizeMb } of [...spec.models, ...spec.adapters]) this.#sizesMb.set(name, sizeMb);
+    let sumMb = 0;
+    for (const { model, adapters } of this.holdings) {
+      for (const name of [model, ...adapters]) sumMb += this.#sizesMb.get(name) ?? Infinity;
+    }
+    return sumMb;
+  }
+
   #carryOut(order: Order): void {
     const { model, adapter } = order;
     const others = this.holdings.filter((holding) => holding.model !== model);
@@ -226,7 +239,7 @@
     if (adapter === '') this.#loadedMs.set(model, this.#grounds.time.nowMs());
     const spec = this.#grounds.spec();
     if (spec === undefined || this.kind === 'lookup') return;
-    const heldMb = sizeMb(spec, this.holdings);
+    const heldMb = this.#heldMb(spec);
     if (heldMb > spec.workers.roomMb) this.#grounds.oracle.breach('room is kept', `${this.name} was told to hold ${heldMb} MB`, this.#grounds.time.nowMs());
   }
 }
--- a/packages/park/src/oracle.test.ts
+++ b/packages/park/src/oracle.test.ts
@@ -2,10 +2,10 @@
 import { create } from '@bufbuild/protobuf';
 import { ViewSchema } from '@rainrun/courier';
 import type { Held } from '@rainrun/farm';
-import { EMPTY_STAGE, type Stage } from '@rainrun/marquee';
+import { applyToStage, EMPTY_STAGE, type Stage } from '@rainrun/marquee';
 import { expect } from 'earl';
 import { Oracle } from './oracle.js';
-import { SITE, runTrial } from './trial.js';
+import { SITE, runTrial, trialSpec } from './trial.js';
 import { renderTimeline } from './timeline.js';
 
 function held(number: number, emptied: string[] = [], view = 1): Held<Stage> {
@@ -18,6 +18,8 @@
     electors: [],
     play: { ...EMPTY_STAGE, emptied },
     answers: [],
+    level: 2,
+    clockMs: 0,
   };
 }
 
@@ -67,6 +69,22 @@
     expect(rules(oracle)).toEqual(['in force within 2 s', 'one answer']);
   });
 
+  it('an agreed change stays, a refused one never shows', () => {
+    const oracle = new Oracle();
+    function withMark(number: number, sizeMb: number): Held<Stage> {
+      const version = held(number);
+      const text = JSON.stringify({ ...trialSpec(0), adapters: [{ name: 'race-1', model: 'model-0', sizeMb }] });
+      return { ...version, play: applyToStage(EMPTY_STAGE, { id: 'p', kind: 'spec.put', payload: JSON.stringify({ text }) }, 2).state };
+    }
+    for (const _ of [7, 8]) oracle.edits('race-1');
+    oracle.edited('race-1', 7, 'agreed', 2);
+    oracle.edited('race-1', 8, 'conflict', 2);
+    oracle.version('a', withMark(2, 7), true, 0);
+    expect(rules(oracle)).toEqual([]);
+    oracle.version('a', withMark(3, 8), true, 0);
+    expect(rules(oracle)).toEqual(['a refused change never shows', 'an agreed change stays']);
+  });
+
   it('never run twice, refused never runs in either order', () => {
     const oracle = new Oracle();
     for (const id of ['twice', 'before', 'after']) oracle.asked(id, false);
--- a/packages/park/src/oracle.ts
+++ b/packages/park/src/oracle.ts
@@ -1,7 +1,7 @@
 import { hashText } from '@rainrun/nacelle';
 import type { Piece } from './visitor.js';
 import { toVersion, type Held, type Play } from '@rainrun/farm';
-import { encodeStage, type Stage } from '@rainrun/marquee';
+import { EMPTY_STAGE, encodeStage, type Stage } from '@rainrun/marquee';
 import { EntrySchema, StateSchema } from '@rainrun/courier';
 import { create, toBinary } from '@bufbuild/protobuf';
 
@@ -51,14 +51,13 @@
 }
 
 const NO_PLAY: Play<Stage> = {
-  empty: () => {
-    return { spec: undefined, history: [], emptied: [], placedBy: 0, placement: {} };
-  },
+  empty: () => EMPTY_STAGE,
   encode: encodeStage,
   decode: () => {
     throw new Error('the oracle decodes nothing');
   },
   apply: (state) => ({ state, outcome: { kind: 'agreed', detail: '' } }),
+  plain: (state) => state,
 };
 
 function digestOf(held: Held<Stage>): string {
@@ -98,6 +97,9 @@
   #firsts: number[] = [];
   #extras: number[] = [];
   #pulls: number[] = [];
+  #marks = new Map<string, { mark: number | undefined; number: number }>();
+  #editing = new Map<string, number>();
+  #refusedMarks = new Set<number>();
   #orders = new Map<string, { by: string; epoch: number }>();
 
   breach(rule: string, detail: string, atMs: number): void {
@@ -117,6 +119,7 @@
     const before = this.#newest.get(life) ?? 0;
     if (number <= before) this.breach('versions never go back', `${life} went from ${before} to ${number}`, atMs);
     this.#newest.set(life, number);
+    this.#judgeMarks(held, atMs);
     for (const [zone, emptied] of this.#emptiedMs) {
       if (number > emptied.number && !held.play.emptied.includes(zone)) this.#emptiedMs.delete(zone);
     }
@@ -124,6 +127,31 @@
     this.#judgeEarly(life, held);
   }
 
+  /** An operator asks for an edit of an entry: until it is answered, nobody can say what stands there. */
+  edits(name: string): void {
+    this.#editing.set(name, (this.#editing.get(name) ?? 0) + 1);
+  }
+
+  /** An operator was told how its edit ended: what was agreed must stay, what was refused never show. */
+  edited(name: string, mark: number | undefined, outcome: string, number: number): void {
+    this.#editing.set(name, (this.#editing.get(name) ?? 0) - 1);
+    if (outcome !== 'agreed') {
+      if (mark !== undefined) this.#refusedMarks.add(mark);
+    } else if (number >= (this.#marks.get(name)?.number ?? 0)) this.#marks.set(name, { mark, number });
+  }
+
+  #judgeMarks(held: Held<Stage>, atMs: number): void {
+    const adapters = held.play.spec?.spec.adapters ?? [];
+    for (const { name, sizeMb } of adapters) {
+      if (name.startsWith('race-') && this.#refusedMarks.has(sizeMb)) this.breach('a refused change never shows', `${name} with mark ${sizeMb}`, atMs);
+    }
+    for (const [name, { mark, number }] of this.#marks) {
+      if (held.number < number || (this.#editing.get(name) ?? 0) > 0) continue;
+      const found = adapters.find((known) => known.name === name)?.sizeMb;
+      if (found !== mark) this.breach('an agreed change stays', `${name} has mark ${found} at ${held.number}, was agreed as ${mark} in ${number}`, atMs);
+    }
+  }
+
   /** A visitor's request enters an edge. */
   asked(id: string, repeatable: boolean): void {
     this.#visits.set(id, { repeatable, sends: 0, runs: 0, told: undefined, run: '', pieces: 0, of: 0, whole: false });
--- a/packages/park/src/script.ts
+++ b/packages/park/src/script.ts
@@ -1,3 +1,4 @@
+import { SPEAKS, type Speaks } from '@rainrun/courier';
 import type { SimMood, SimWorker } from './grounds.js';
 import type { Site, Machine } from './site.js';
 import type { Cut } from './world.js';
@@ -41,6 +42,9 @@
   return wrong;
 }
 
+/** Programs of other levels of the protocol, by the word after `boot`. */
+const LEVELS: Readonly<Record<string, Speaks>> = { older: { least: 1, most: 1 }, newer: { least: 2, most: 3 }, far: { least: 3, most: 4 } };
+
 class Script {
   #site: Site;
   #cuts = new Map<string, Cut>();
@@ -53,8 +57,13 @@
     const [verb = '', word = ''] = text.split(' ');
     switch (verb) {
       case 'boot':
+        machine.speaks = LEVELS[word] ?? SPEAKS;
         this.#site.boot(machine);
         return undefined;
+      case 'add':
+        return this.#submitted(
+          this.#site.submit(machine, 'spec.edit', { seen: machine.running?.hub.stage.spec?.version ?? 0, edit: { add: { zones: [word] } } }),
+        );
       case 'kill':
         this.#site.kill(machine);
         return undefined;
@@ -169,6 +178,8 @@
     members: group.view?.members.length ?? 0,
     spec: stage.spec?.version ?? 0,
     emptied: stage.emptied.join('+'),
+    level: group.held?.level ?? 0,
+    zones: stage.spec?.spec.zones.length ?? 0,
     electors: (group.held?.electors ?? []).filter((elector) => group.view?.members.some((member) => member.disk === elector.disk)).length,
   };
   const wanted = word === '' ? 'true' : word;
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -1,9 +1,11 @@
 import { create } from '@bufbuild/protobuf';
 import {
+  SPEAKS,
   WorkerListSchema,
   type Answer,
   type Entry,
   type Frame,
+  type Speaks,
   type WorkerList,
 } from '@rainrun/courier';
 import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
@@ -49,6 +51,8 @@
   address: string;
   running: Running | undefined;
   boots: number;
+  /** Levels of the protocol that its program speaks from the next boot on. */
+  speaks: Speaks;
 }
 
 /** Size of a simulated site. */
@@ -98,7 +102,7 @@
       const name = core ? `core-${place}` : `edge-${place - size.cores}`;
       const disk = core ? new SimDisk(this.time, this.#dice) : undefined;
       const zone = size.zones[place % size.zones.length] ?? '';
-      this.machines.push({ name, zone, disk, address: `${name}:0`, running: undefined, boots: 0 });
+      this.machines.push({ name, zone, disk, address: `${name}:0`, running: undefined, boots: 0, speaks: SPEAKS });
     }
     this.#seeds = this.machines.slice(0, 3).map((machine) => machine.address);
     this.#founders = this.machines.slice(0, size.cores).map((machine) => machine.name);
@@ -183,11 +187,12 @@
   }
 
   /** Sends an operation from a node; the oracle hears the answer. */
-  submit(machine: Machine, kind: string, payload: unknown): string {
+  submit(machine: Machine, kind: string, payload: unknown, told: (answer: Answer) => void = () => undefined): string {
     const id = word(this.#dice);
     const sent = machine.running?.hub.submit(id, kind, JSON.stringify(payload), (answer: Answer) => {
       this.oracle.answered(id, answer.kind, answer.number, this.time.nowMs());
       this.note(machine.name, `${kind} ${answer.kind}@${answer.number}`);
+      told(answer);
       this.atAnswer?.();
       const zone = (payload as { zone?: string }).zone;
       if (kind === 'zone.empty' && answer.kind === 'agreed' && zone !== undefined) this.oracle.zoneEmptied(zone, answer.number, this.time.nowMs());
@@ -234,6 +239,8 @@
       },
       order: (to, order, done) => this.#order(machine, hub, to, order, done),
       changed: (held, entry) => this.#changed(machine, hub, held, entry),
+      speaks: machine.speaks,
+      refused: (why) => this.note(name, `refused: ${why}`),
       reborn: () => this.note(name, 'dropped, rejoins'),
       heard: (sender, payload) => this.#heard(hub, sender, payload),
     });
--- a/packages/park/src/timelines.test.ts
+++ b/packages/park/src/timelines.test.ts
@@ -262,4 +262,39 @@
       `),
     ).toEqual([]);
   });
+
+  it('roll out to the next level of the protocol node by node, and back', () => {
+    expect(
+      play(`
+        ms    | core-0            | core-1            | core-2              | edge-0            | edge-1
+        0     | boot older        | boot older        | boot older          | boot older        | boot older
+        3000  | put 0             | =level 1          |                     | =level 1          |
+        4000  | leave, kill, boot |                   |                     |                   |
+        7000  | =level 1          | leave, kill, boot |                     |                   |
+        10000 |                   | =members 5        | leave, kill, boot   |                   |
+        13000 |                   |                   |                     | leave, kill, boot |
+        16000 | =level 1, add x   |                   | =members 5          | =admits           | leave, kill, boot
+        19000 | =level 2          | =level 2, =zones 3 | =level 2           | =level 2          | =level 2, =spec 1
+        19000 |                   |                   |                     |                   | add y
+        19500 | =zones 4          | =zones 4          | =zones 4            | =zones 4          | =zones 4
+        19500 |                   |                   | leave, kill, boot older |               |
+        22500 | =level 1, =zones 4 | =level 1         | =level 1, =zones 4  | =level 1          | =level 1
+        22500 | leave, kill, boot older | empty north |                     |                   |
+        25500 | =emptied north    | leave, kill, boot older | =members 5    | =admits           | =admits
+        28500 | =zones 4          | =emptied north    | =emptied north      | =admits           | =zones 4
+      `),
+    ).toEqual([]);
+  });
+
+  it('take in a program of the next level, and none that cannot be bridged', () => {
+    expect(
+      play(`
+        ms    | core-0  | core-1  | core-2  | edge-0     | edge-1
+        0     | boot    | boot    | boot    | boot newer | boot far
+        4000  | =level 2, =members 4 | =admits | =admits | =admits, =level 2 | =refuses, =members 0
+        4000  | kill, boot older     |         |         |                   | kill, boot
+        8000  | =refuses, =members 0 | =members 4 | =level 2 | =admits, =level 2 | =admits, =level 2
+      `),
+    ).toEqual([]);
+  });
 });
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -34,7 +34,7 @@
  * @example
  * trialSpec(0).models.length; // 8
  */
-export function trialSpec(turn: number): { models: { name: string; sizeMb: number }[] } & Record<string, unknown> {
+export function trialSpec(turn: number): { models: { name: string; sizeMb: number }[]; groups: unknown[] } & Record<string, unknown> {
   return {
     deployment: 'park',
     zones: ['north', 'east', 'west'],
@@ -67,6 +67,8 @@
   #faults: string[] = [];
   #mended: (() => void)[] = [];
   #turn = 0;
+  #marks = 0;
+  #raced = '';
 
   constructor(site: Site) {
     this.#site = site;
@@ -142,14 +144,42 @@
     if (time.nowMs() > FAULTS_END_MS) return;
     this.#turn += 1;
     const machine = this.#any();
-    const version = machine.running?.hub.stage.spec?.version ?? 0;
-    const kind = this.#upTo(4);
-    if (kind < 2) this.#site.submit(machine, 'spec.put', { base: version, text: JSON.stringify(trialSpec(this.#turn)) });
-    else if (kind < 2.6) this.#site.submit(machine, 'zone.empty', { zone: this.#pick(this.#site.zones) });
+    const spec = machine.running?.hub.stage.spec;
+    const kind = this.#upTo(5);
+    if (kind < 1.6) {
+      const text = JSON.stringify({ ...(JSON.parse(spec?.text ?? '{}') as object), groups: trialSpec(this.#turn).groups });
+      this.#site.submit(machine, 'spec.put', { base: spec?.version ?? 0, text });
+    } else if (kind < 3) this.#race();
+    else if (kind < 3.6) this.#site.submit(machine, 'zone.empty', { zone: this.#pick(this.#site.zones) });
     else this.#site.submit(machine, 'zone.restore', { zone: this.#pick(this.#site.zones) });
     time.after(this.#upTo(800), () => this.#operate());
   }
 
+  /** Two operators at two nodes: each adds an entry of its own, both the same one, both replace an older one, one removes another. */
+  #race(): void {
+    const turn = this.#turn;
+    const [one, other] = [this.#any(), this.#any()];
+    for (const [place, machine] of [one, other].entries()) {
+      this.#edit(machine, 'add', `race-${turn}-${place}`);
+      this.#edit(machine, 'add', `race-${turn}`);
+      this.#edit(machine, 'replace', this.#raced);
+    }
+    this.#edit(one, 'remove', `race-${turn - 5}`);
+    this.#raced = `race-${turn}`;
+  }
+
+  #edit(machine: Machine, verb: 'add' | 'replace' | 'remove', name: string): void {
+    const { oracle } = this.#site;
+    this.#marks += 1;
+    const mark = verb === 'remove' ? undefined : this.#marks;
+    const entry = { name, model: 'model-0', sizeMb: mark };
+    const edit = { [verb]: { adapters: [verb === 'remove' ? name : entry] } };
+    const seen = machine.running?.hub.stage.spec?.version ?? 0;
+    oracle.edits(name);
+    const id = this.#site.submit(machine, 'spec.edit', { seen, edit }, (answer) => oracle.edited(name, mark, answer.kind, answer.number));
+    if (id === '') oracle.edited(name, mark, 'unreached', 0);
+  }
+
   #break(): void {
     const { time } = this.#site;
     if (time.nowMs() > FAULTS_END_MS - 3000) return;
--- a/programs/rainrun/src/main.ts
+++ b/programs/rainrun/src/main.ts
@@ -16,7 +16,7 @@
     spec get                  the spec in force, with its version
     spec check FILE           check a spec without sending it on
     spec apply FILE           put a whole spec in force      [--base VERSION] [--id ID]
-    spec change FILE          merge a change into the spec   [--base VERSION] [--id ID]
+    spec change FILE          add, replace, remove entries   [--base VERSION] [--id ID]
     spec history              the versions so far
     zones                     the zones, and which are emptied
     zones empty ZONE          send no more work to a zone    [--id ID]
