Power and disks lost at each step of a write and its answer

Cause: the simulator's disk wrote in one step, and whole disks were lost at random moments only, so nothing proved what is on disk when an operator is told. Disks now write in three steps (aside, renamed, folder synced); what is renamed and not synced may be gone after a loss of power. power.test.ts strikes at each step, at the answer and when the operator is told: every node loses power, one core perhaps its disk, a bare majority carries the version. Random trials strike one core so.

--- /dev/null
+++ b/packages/park/src/power.test.ts
@@ -0,0 +1,67 @@
+import { it } from 'node:test';
+import { expect } from 'earl';
+import { Site, type Machine } from './site.js';
+import { trialSpec } from './trial.js';
+
+const SMALL = { cores: 3, edges: 2, workers: 0, zones: ['north', 'east', 'west'] };
+const STEPS = ['written', 'renamed', 'synced', 'answered', 'told'] as const;
+
+/**
+ * Every node loses power, and one core, the coordinator or another, perhaps its
+ * disk, at a step of the very version that an operator waits for or as the
+ * operator is told. The third core's disk stalls meanwhile, so that a bare
+ * majority carries the version.
+ */
+function lose(seed: number, step: (typeof STEPS)[number], leading: boolean, wiped: boolean): string[] {
+  const site = new Site(seed, SMALL, 0);
+  const { time, net, oracle, machines } = site;
+  for (const machine of machines) site.boot(machine);
+  time.runUntil(3000);
+  const [first, last] = [machines[0], machines[4]] as [Machine, Machine];
+  site.submit(first, 'spec.put', { base: 0, text: JSON.stringify(trialSpec(0)) });
+  time.runUntil(4000);
+  const cores = machines.filter((machine) => machine.disk !== undefined);
+  const leader = cores.find((machine) => machine.running?.hub.group.leading === true) ?? first;
+  const [other, third] = cores.filter((machine) => machine !== leader) as [Machine, Machine];
+  const victim = leading ? leader : other;
+  if (third.disk !== undefined) third.disk.stallUntilMs = time.nowMs() + 2000;
+  if (other.disk !== undefined) other.disk.stallUntilMs = time.nowMs() + 600;
+  let lost = 0;
+  let told = '';
+  function strike(): void {
+    if (lost > 0) return;
+    lost = time.nowMs();
+    for (const machine of machines) site.kill(machine);
+    if (wiped) victim.disk?.wipe();
+    if (wiped) victim.address = `${victim.name}:new`;
+    time.after(300, () => machines.forEach((machine) => site.boot(machine)));
+  }
+  for (const machine of [leader, other]) {
+    const { disk } = machine;
+    if (disk === undefined) continue;
+    disk.tap = (reached, kind) => {
+      if (reached === 'renamed') disk.stallUntilMs = time.nowMs() + 250;
+      if (machine === victim && reached === step && kind === 'version') strike();
+    };
+  }
+  if (step === 'answered') net.tap = (from, frame) => (from === other.name && frame.body.case === 'accepted' ? time.after(0, strike) : undefined);
+  if (step === 'told') site.atAnswer = strike;
+  site.submit(last, 'zone.empty', { zone: 'north' }, (answer) => {
+    told = answer.kind;
+  });
+  time.runUntil(14_000);
+  const wrong = oracle.breaches.map(({ rule, detail }) => `${rule}: ${detail}`);
+  if (lost === 0) wrong.push('nothing was lost');
+  if (site.whole() !== undefined) wrong.push(`not back: ${site.whole() ?? ''}`);
+  const stands = last.running?.hub.stage.emptied.includes('north') === true;
+  if (told === 'agreed' && !stands) wrong.push('agreed, and gone');
+  if (told !== '' && told !== 'agreed' && stands) wrong.push(`${told}, and in force`);
+  return wrong.map((text) => `${step}, ${leading ? 'coordinator' : 'other core'}, ${wiped ? 'disk' : 'power'}: ${text}`);
+}
+
+it('what was agreed outlives the loss of power, or of a disk, at each step of its write and answer', () => {
+  const wrong = [1, 2].flatMap((seed) =>
+    STEPS.flatMap((step) => [true, false].flatMap((leading) => [true, false].flatMap((wiped) => lose(seed, step, leading, wiped)))),
+  );
+  expect(wrong).toEqual([]);
+});
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -206,6 +206,8 @@
       () => this.#powerAtAnswer(),
       () => this.#killInStep(),
       () => this.#killInStep(),
+      () => this.#loseInStep(),
+      () => this.#loseInStep(),
     ];
     this.#pick(acts)();
     time.after(500 + this.#upTo(6000), () => this.#break());
@@ -384,6 +386,36 @@
     });
   }
 
+  /** One core loses power, or its whole disk, at one step of a write or as its answer leaves; a lost one is replaced. */
+  #loseInStep(): void {
+    const { net, time } = this.#site;
+    const machine = this.#pick(this.#cores());
+    const disk = machine.disk;
+    const step = this.#pick(['written', 'renamed', 'synced', 'answered'] as const);
+    const whole = this.#site.whole() === undefined && this.#site.electorsSeated() === 3;
+    const wiped = whole && this.#upTo(2) < 1;
+    if (disk === undefined) return;
+    this.#fault(`${machine.name} loses ${wiped ? 'its disk' : 'power'} when its next version is ${step}`);
+    const lose = (): void => {
+      disk.tap = undefined;
+      net.tap = undefined;
+      if (!wiped) return this.#killFor(machine, this.#upTo(2000));
+      this.#replace(machine);
+    };
+    disk.tap = (reached, kind) => {
+      if (reached === step && kind === 'version') lose();
+    };
+    if (step === 'answered') {
+      net.tap = (from, frame) => {
+        if (from === machine.name && frame.body.case === 'accepted') time.after(0, lose);
+      };
+    }
+    this.#later(3000, () => {
+      disk.tap = undefined;
+      net.tap = undefined;
+    });
+  }
+
   #leaveWorker(): void {
     const { name } = this.#pick(this.#site.workers);
     this.#fault(`${name} is leaving`);
@@ -405,6 +437,10 @@
     if (this.#site.whole() !== undefined || this.#site.electorsSeated() < 3) return;
     const machine = this.#pick(this.#cores());
     this.#fault(`replace ${machine.name} by an empty one`);
+    this.#replace(machine);
+  }
+
+  #replace(machine: Machine): void {
     this.#site.kill(machine);
     machine.disk?.wipe();
     this.#site.time.after(200, () => {
--- a/packages/park/src/world.ts
+++ b/packages/park/src/world.ts
@@ -143,9 +143,13 @@
   }
 }
 
+/** The steps of one write: written aside and synced, renamed, the folder synced. */
+export type DiskStep = 'written' | 'renamed' | 'synced';
+
 /**
  * A disk that outlives its process: writes take time, may stall, and those
- * not yet synced at a loss of power are gone.
+ * not yet synced at a loss of power are gone. A file that was renamed while
+ * its folder was not synced is there after a loss of power, or is not.
  * @example
  * const disk = new SimDisk(time, dice);
  * disk.store('promise', bytes, (result) => reply(result));
@@ -154,11 +158,15 @@
   #time: VirtualTime;
   #chance: Chance;
   #records: Records = {};
+  /** What a loss of power may leave of a kind that was renamed and whose folder was not synced. */
+  #unsynced = new Map<RecordKind, Uint8Array | undefined>();
   #generation = 0;
   #freeMs = 0;
   stallUntilMs = 0;
   /** Set when no more can be written, as on a full disk. */
   full = false;
+  /** Called at each step of each write. */
+  tap: ((step: DiskStep, kind: RecordKind) => void) | undefined;
 
   constructor(time: VirtualTime, chance: Chance) {
     this.#time = time;
@@ -172,6 +180,12 @@
   /** The process is gone: what was not synced may or may not be there, what was is. */
   losePower(): void {
     this.#generation += 1;
+    for (const [kind, before] of this.#unsynced) {
+      if (this.#chance.next() < 0.5) continue;
+      if (before === undefined) this.#records = Object.fromEntries(Object.entries(this.#records).filter(([known]) => known !== kind));
+      else this.#records[kind] = before;
+    }
+    this.#unsynced.clear();
   }
 
   wipe(): void {
@@ -184,12 +198,24 @@
     const nowMs = this.#time.nowMs();
     if (this.full) return done(Result.err(fault('disk', 'no space left')));
     this.#freeMs = Math.max(this.#freeMs, nowMs, this.stallUntilMs) + 1 + this.#chance.next() * 6;
-    this.#time.after(this.#freeMs - nowMs, () => {
-      if (generation !== this.#generation) return;
-      this.#records[kind] = bytes;
-      this.#time.after(0.1, () => {
-        if (generation === this.#generation) done(Result.ok());
+    this.#step(generation, this.#freeMs - nowMs, () => {
+      this.tap?.('written', kind);
+      this.#step(generation, 0.05, () => {
+        if (!this.#unsynced.has(kind)) this.#unsynced.set(kind, this.#records[kind]);
+        this.#records[kind] = bytes;
+        this.tap?.('renamed', kind);
+        this.#step(generation, Math.max(0, this.stallUntilMs - this.#time.nowMs()) + this.#chance.next(), () => {
+          this.#unsynced.delete(kind);
+          this.tap?.('synced', kind);
+          this.#step(generation, 0.02, () => done(Result.ok()));
+        });
       });
     });
   }
+
+  #step(generation: number, waitMs: number, act: () => void): void {
+    this.#time.after(waitMs, () => {
+      if (generation === this.#generation) act();
+    });
+  }
 }
