Delivered counts are gathered by one member instead of told by each to each

Cause: every beat to every member carried what the sender had delivered, a number a member: the cube of the group. Ruled out: the coordinator as the gatherer (edges cut from the core would keep every cast).

--- a/packages/farm/src/causal.ts
+++ b/packages/farm/src/causal.ts
@@ -91,6 +91,19 @@
     else this.#drain();
   }
 
+  /** What all members have delivered as far as this one knows, by rank. */
+  get stable(): readonly number[] {
+    return this.#delivered.map((own, rank) =>
+      Math.min(own, ...this.#stableAt.flatMap((vector, member) => (member === this.#rank ? [] : [vector[rank] ?? 0]))),
+    );
+  }
+
+  /** Learns from the gatherer what all members have delivered, and lets go of it. */
+  learnStable(stable: readonly number[]): void {
+    if (stable.length !== this.#delivered.length) return;
+    for (const [key, held] of this.#kept) if (held.cast.sequence <= (stable[held.rank] ?? 0)) this.#kept.delete(key);
+  }
+
   /** Learns what a member has delivered, and lets go of what all have. */
   learnDelivered(life: string, delivered: readonly number[]): void {
     const rank = rankOf(this.#view, life);
--- a/packages/farm/src/farm.test.ts
+++ b/packages/farm/src/farm.test.ts
@@ -66,6 +66,18 @@
     expect(b.causal.keptCount).toEqual(0);
   });
 
+  it('lets go of what the gatherer says that all have', () => {
+    const [a, b] = [member('a'), member('b')];
+    b.causal.receive(a.causal.send(EMPTY));
+    a.causal.learnDelivered('b', [1, 0, 0]);
+    const early = a.causal.stable;
+    a.causal.learnDelivered('c', [1, 0, 0]);
+    b.causal.learnStable(early);
+    const kept = b.causal.keptCount;
+    b.causal.learnStable(a.causal.stable);
+    expect([early, kept, b.causal.keptCount]).toEqual([[0, 0, 0], 1, 0]);
+  });
+
   it('ends a view with the same casts everywhere, though their sender is gone', () => {
     const [a, b, c] = [member('a'), member('b'), member('c')];
     const one = a.causal.send(EMPTY);
--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -1,4 +1,4 @@
-import { create } from '@bufbuild/protobuf';
+import { clone, create } from '@bufbuild/protobuf';
 import {
   BeatAckSchema,
   BeatSchema,
@@ -553,10 +553,27 @@
     this.#beatSentMs.delete(this.#beatSequence - 64);
     const others = this.#others();
     const value = this.#beatOf(held, others, nowMs);
-    for (const member of others) this.#post(member, { case: 'beat', value });
+    const gatherer = held.level === 1 ? undefined : this.#gatherer(held.view, nowMs);
+    const counts = clone(BeatSchema, value);
+    counts.delivered = [...(this.#causal?.delivered ?? [])];
+    if (gatherer === this.#seat.life) value.stable = [...(this.#causal?.stable ?? [])];
+    for (const member of others) {
+      const counted = held.level === 1 || member.life === gatherer;
+      this.#post(member, { case: 'beat', value: counted ? counts : value });
+    }
     if (this.#coordinator !== undefined) this.#follow(this.#seat.life, this.#coordinator.epoch, value.unable);
   }
 
+  /**
+   * The member that gathers what all have delivered and tells the others what
+   * may be let go: the lowest-ranked that is live. Each telling each would cost
+   * the cube of the group.
+   */
+  #gatherer(view: View, nowMs: number): string {
+    const first = view.members.find((member) => member.life === this.#seat.life || this.#isLive(member.life, nowMs));
+    return first?.life ?? this.#seat.life;
+  }
+
   #beatOf(held: Held<S>, others: readonly Seat[], nowMs: number): Beat {
     return create(BeatSchema, {
       sequence: this.#beatSequence,
@@ -564,7 +581,6 @@
       number: held.number,
       epoch: this.#coordinator?.epoch ?? 0,
       suspects: others.filter((member) => !this.#isLive(member.life, nowMs)).map((member) => member.life),
-      delivered: [...(this.#causal?.delivered ?? [])],
       unable: nowMs < this.#unableUntilMs || this.#leaving,
       agreed: this.#coordinator?.agreed ?? this.agreed,
     });
@@ -600,7 +616,10 @@
     this.#reports.set(from, beat.suspects);
     if (beat.unable) this.#unable.add(from);
     else this.#unable.delete(from);
-    if (beat.view === this.#held?.view.number) this.#causal?.learnDelivered(from, beat.delivered);
+    if (beat.view === this.#held?.view.number) {
+      this.#causal?.learnDelivered(from, beat.delivered);
+      this.#causal?.learnStable(beat.stable);
+    }
     this.#coordinator?.holds(from, beat.number);
   }
 
--- a/packages/park/src/scale.ts
+++ b/packages/park/src/scale.ts
@@ -3,7 +3,8 @@
 
 const cli = meow(
   `
-  What the group costs by its size, in the simulator, quiet but for beats.
+  What the group costs by its size, in the simulator, quiet but for beats and the
+  observations that each edge casts twice a second.
 
   Usage
     $ node packages/park/dist/scale.js --sizes 12,24,48
@@ -26,6 +27,7 @@
 console.log('nodes  whole after ms  frames/s  kB/s  frames/s a node  view change after kill ms  agreement ms');
 for (const size of cli.flags.sizes.split(',').map(Number)) {
   const site = new Site(1, { cores: 3, edges: size - 3, workers: 0, zones: ['a', 'b', 'c'] }, 0);
+  site.notes = false;
   for (const machine of site.machines) site.boot(machine);
   const wholeMs = untilWhole(site, size, 20_000);
   site.time.runUntil(site.time.nowMs() + 2000);
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -71,6 +71,8 @@
   readonly net: Net;
   readonly timeline: { atMs: number; node: string; text: string }[] = [];
   readonly workers: SimWorker[] = [];
+  /** Whether nodes cast notes for the oracle; they grow with the group and would hide what the group itself costs. */
+  notes = true;
   /** Whether visitors come to the edges. */
   visitors = false;
   /** Called when an operator has been answered. */
@@ -240,6 +242,7 @@
       order: (to, order, done) => this.#order(machine, hub, to, order, done),
       changed: (held, entry) => this.#changed(machine, hub, held, entry),
       speaks: machine.speaks,
+      question: (kind, text) => ({ status: 200, body: { kind, text, by: name } }),
       refused: (why) => this.note(name, `refused: ${why}`),
       reborn: () => this.note(name, 'dropped, rejoins'),
       heard: (sender, payload) => this.#heard(hub, sender, payload),
@@ -282,7 +285,7 @@
     this.#probe(machine, running);
     running.beats += 1;
     if (running.beats % LIST_BEATS === 0) this.#readList(running);
-    if (this.#dice.next() < 0.1) this.#castNote(running);
+    if (this.notes && this.#dice.next() < 0.1) this.#castNote(running);
     if (running.edge === undefined) return;
     running.edge.gate.beat();
     if (running.beats % LIST_BEATS === 0) running.edge.observe();
