Any node answers any command; planned stops nobody was told of; no wall clock in the core

Cause: explain, forget, groups, workers and counters answered from what the asked node happened to know. Questions are now carried to the node that knows (coordinator, or the edge named in the request's id), and status and counters have a row for each node. A stopping node closed kept connections while callers might be writing. It now answers them with a refusal and Connection: close until they are closed, 5 s at most. Lint refuses Date, performance and timers in the core. Ruled out: half-closing idle connections (a request that crosses the end is then read and cannot be answered).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -25,6 +25,13 @@
     files: ['packages/{nacelle,courier,anemometer,ledger,farm,marquee,yaw,gate,hub,playbill}/src/**/*.ts'],
     ignores: ['**/*.test.ts'],
     rules: {
+      'no-restricted-globals': [
+        'error',
+        { name: 'Date', message: 'Wall clocks jump: the core is given a monotonic Clock.' },
+        { name: 'performance', message: 'The core is given its Clock.' },
+        { name: 'setTimeout', message: 'The core is driven by beats.' },
+        { name: 'setInterval', message: 'The core is driven by beats.' },
+      ],
       'no-restricted-syntax': ['error', { selector: 'ThrowStatement', message: 'No exceptions in the core: return a Result.' }],
     },
   },
--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -3,6 +3,8 @@
   NewsBoard,
   ObservationSchema,
   OperationSchema,
+  QuestionSchema,
+  ReplySchema,
   WorkerListSchema,
   WorkerStateSchema,
   type Answer,
@@ -10,12 +12,14 @@
   type Frame,
   type NewsItem,
   type Observation,
+  type Question,
+  type Reply,
   type Seat,
   type WorkerList,
 } from '@rainrun/courier';
 import { Group, type GroupGear, type Held, type Outcome, type Play } from '@rainrun/farm';
 import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, plainStage, type Stage } from '@rainrun/marquee';
-import { fault, type Fault } from '@rainrun/nacelle';
+import { fault, word, type Fault } from '@rainrun/nacelle';
 import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type ModelDemand, type Order, type OrderReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
@@ -37,6 +41,9 @@
 const PLACE_BEAT_MS = 1000;
 /** How long a new holder of the duty waits to hear what every worker holds. */
 const HEARING_MS = 4000;
+/** So long a question waits for its answer, and so often it is sent again. */
+const ASK_MS = 1500;
+const ASK_AGAIN_MS = 300;
 const NEWS_LIST = 'list';
 const NEWS_WORKER = 'worker/';
 
@@ -52,6 +59,22 @@
   reborn(life: string): void;
   /** Called when the group says that this node cannot join it. */
   refused(why: string): void;
+  /** Answers a question that an operator asked at another node. */
+  question(kind: string, text: string): Told;
+}
+
+/** A node's answer to a question from another: an HTTP status and a JSON value. */
+export interface Told {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+interface Asked {
+  readonly to: string;
+  readonly question: Question;
+  readonly endMs: number;
+  sentMs: number;
+  readonly done: (told: Told | undefined) => void;
 }
 
 /**
@@ -76,6 +99,7 @@
   #placing: string | undefined;
   #dutySince: { epoch: number; atMs: number } | undefined;
   #tellings = 0;
+  #asked = new Map<string, Asked>();
   #counter = 0;
 
   constructor(gear: HubGear) {
@@ -149,6 +173,42 @@
     return Result.err(fault('unreached', 'no coordinator can be reached; nothing was sent'));
   }
 
+  /**
+   * Asks another member. `done` is called once: with its answer, or with
+   * nothing when none came in time.
+   */
+  ask(to: string, kind: string, text: string, done: (told: Told | undefined) => void): void {
+    const question = create(QuestionSchema, { id: word(this.#gear.chance), kind, text });
+    this.#asked.set(question.id, { to, question, endMs: this.#now() + ASK_MS, sentMs: -Infinity, done });
+    this.#askAgain();
+  }
+
+  #askAgain(): void {
+    const nowMs = this.#now();
+    for (const [id, asked] of this.#asked) {
+      if (nowMs > asked.endMs) {
+        this.#asked.delete(id);
+        asked.done(undefined);
+      } else if (nowMs - asked.sentMs >= ASK_AGAIN_MS) {
+        asked.sentMs = nowMs;
+        this.#group.postTo(asked.to, { case: 'question', value: asked.question });
+      }
+    }
+  }
+
+  #answer(from: string, question: Question): void {
+    const { status, body } = this.#gear.question(question.kind, question.text);
+    const value = create(ReplySchema, { id: question.id, status, body: JSON.stringify(body) });
+    this.#group.postTo(from, { case: 'reply', value });
+  }
+
+  #told(reply: Reply): void {
+    const asked = this.#asked.get(reply.id);
+    this.#asked.delete(reply.id);
+    const body = tryOrElse(() => undefined, () => JSON.parse(reply.body) as unknown);
+    asked?.done(body.isOk ? { status: reply.status, body: body.value } : undefined);
+  }
+
   receive(frame: Frame): void {
     this.#group.receive(frame);
   }
@@ -162,6 +222,7 @@
       const lives = (this.#group.view?.members ?? []).map((member) => member.life).filter((life) => life !== self);
       for (const { to, body } of this.#news.beat(lives)) this.#group.postTo(to, body);
     }
+    this.#askAgain();
     this.#place(nowMs);
   }
 
@@ -258,7 +319,9 @@
   }
 
   #onFrame(from: string, body: Frame['body']): void {
-    if (body.case === 'news') this.#news.takeNews(body.value);
+    if (body.case === 'question') this.#answer(from, body.value);
+    else if (body.case === 'reply') this.#told(body.value);
+    else if (body.case === 'news') this.#news.takeNews(body.value);
     else if (body.case === 'digest') {
       const mend = this.#news.takeDigest(body.value);
       if (mend !== undefined) this.#group.postTo(from, { case: 'mend', value: mend });
--- a/packages/mast/src/mast.test.ts
+++ b/packages/mast/src/mast.test.ts
@@ -1,8 +1,11 @@
+import { Agent, get } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { createConnection } from 'node:net';
 import { describe, it } from 'node:test';
 import { create } from '@bufbuild/protobuf';
 import { ByeSchema, FrameSchema, pack, WIRE, type Frame } from '@rainrun/courier';
 import { expect } from 'earl';
+import { Door } from './door.js';
 import { readSettings } from './settings.js';
 import { Wire } from './wire.js';
 
@@ -66,3 +69,25 @@
     expect([frames[0]?.from, wire.counts.malformed, wire.counts.foreign]).toEqual(['a', 2, 1]);
   });
 });
+
+it('a door that drains answers kept connections with a definite end, and is empty when they are closed', async () => {
+  const door = new Door({ headersTimeout: 5000, requestTimeout: 5000, keepAliveTimeout: 5000 });
+  const server = door.create((_, res) => res.end('well'));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  function ask(): Promise<string> {
+    return new Promise((resolve, reject) => {
+      get({ host: '127.0.0.1', port, agent }, (reply) => {
+        reply.resume();
+        reply.on('end', () => resolve(`${reply.statusCode ?? 0} ${reply.headers.connection ?? ''}`));
+      }).on('error', reject);
+    });
+  }
+  const before = await ask();
+  door.drain();
+  const after = await ask();
+  await door.empty(2000);
+  server.close();
+  expect([before, after]).toEqual(['200 keep-alive', '200 close']);
+});
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -1,6 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { createRequire } from 'node:module';
-import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import { SPEAKS, type Entry } from '@rainrun/courier';
 import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
 import { UndiciSender, type EndRecord } from '@rainrun/gate';
@@ -11,6 +11,7 @@
 import { ServiceBroker, type Context, type ServiceSchema } from 'moleculer';
 import { pino, type Logger } from 'pino';
 import { Result, type Unit } from 'true-myth';
+import { Door } from './door.js';
 import { Operators, type OperatorReply } from './operators.js';
 import { Recorder } from './recorder.js';
 import { readList, sendOrder } from './platform.js';
@@ -27,6 +28,8 @@
 const SPEC_BODY = '3mb';
 const HEADERS_MS = 10_000;
 const EXPLAINED = 2000;
+/** A stopping node answers callers that keep their connections for so long. */
+const LINGER_MS = 5000;
 
 const CLOCK: Clock = { nowMs: () => performance.now() };
 const CHANCE: Chance = { next: () => Math.random() };
@@ -50,6 +53,7 @@
   #hub: Hub;
   #edge: Edge | undefined;
   #sender = new UndiciSender();
+  #door = new Door({ headersTimeout: HEADERS_MS, requestTimeout: 3 * HEADERS_MS, keepAliveTimeout: 65_000 });
   #operators: Operators;
   #broker = new ServiceBroker({ logger: false, transporter: null, skipProcessEventRegistration: true });
   #timers: NodeJS.Timeout[] = [];
@@ -90,15 +94,15 @@
   async stop(): Promise<void> {
     this.#log.info('stopping');
     this.#edge?.gate.drain();
+    this.#door.drain();
     const endMs = CLOCK.nowMs() + this.#settings.drainMs;
     while ((this.#edge?.gate.inFlight ?? 0) > 0 && CLOCK.nowMs() < endMs) await pause(50);
     this.#hub.group.leave();
     await pause(200);
+    await this.#door.empty(Math.min(LINGER_MS, this.#settings.drainMs));
     for (const timer of this.#timers) clearInterval(timer);
     this.#log.info({ counters: this.#counters() }, 'stopped');
-    const server = this.#server();
-    server?.closeIdleConnections();
-    setTimeout(() => server?.closeAllConnections(), 500).unref();
+    setTimeout(() => this.#server()?.closeAllConnections(), 500).unref();
     await this.#broker.stop();
     await this.#recorder?.close();
     await this.#sender.close();
@@ -125,6 +129,7 @@
       changed: (held, entry) => this.#changed(held, entry),
       heard: () => undefined,
       speaks: SPEAKS,
+      question: (kind, text) => this.#operators.answer(kind, text),
       refused: (why) => this.#broken(fault('unbridged', why)),
       reborn: (life) => this.#log.warn({ life }, 'dropped from the view, joining as new'),
     });
@@ -244,13 +249,14 @@
         zones: action(() => operators.fresh(() => operators.zones())),
         empty: action((params) => operators.submit('zone.empty', { zone: text(params['zone']) }, text(params['id']))),
         restore: action((params) => operators.submit('zone.restore', { zone: text(params['zone']) }, text(params['id']))),
-        workers: action(() => operators.workers()),
-        groups: action(() => operators.groups()),
-        counters: action(() => operators.counters()),
+        workers: action(() => operators.fromCoordinator('workers', '')),
+        groups: action(() => operators.fromCoordinator('groups', '')),
+        counters: action((params) => operators.rows('counters', text(params['node']))),
+        status: action((params) => operators.rows('status', text(params['node']))),
         ready: action(() => operators.ready()),
         explain: action((params) => operators.explain(text(params['id']))),
-        explainModel: action((params) => operators.explainModel(text(params['model']))),
-        forget: action((params) => operators.forget(text(params['name']))),
+        explainModel: action((params) => operators.fromCoordinator('explainModel', text(params['model']))),
+        forget: action((params) => operators.fromCoordinator('forget', text(params['name']))),
         metrics(ctx: Context<unknown, { $responseType?: string }>) {
           ctx.meta.$responseType = 'text/plain; version=0.0.4';
           return operators.metrics();
@@ -262,6 +268,8 @@
 
   #api(): ServiceSchema {
     const gate = this.#edge?.gate;
+    const door = this.#door;
+    const { name } = this.#settings;
     const { host, port } = { host: this.#settings.http.split(':')[0] ?? '', port: Number(this.#settings.http.split(':')[1]) };
     function onError(_req: IncomingMessage, res: ServerResponse, thrown: Error & { type?: string; code?: number | string }): void {
       if (thrown.type === 'entity.too.large') sendFault(res, fault('too-large', 'the body is too large'), '');
@@ -271,7 +279,7 @@
     }
     function visitor(req: VisitorRequest, res: ServerResponse): void {
       if (gate === undefined) sendFault(res, fault('not-found', 'this node serves operators only'), '');
-      else visit(gate, CHANCE, req, res);
+      else visit(gate, name, CHANCE, req, res);
     }
     return {
       name: 'api',
@@ -303,6 +311,7 @@
               'GET workers': 'operator.workers',
               'GET groups': 'operator.groups',
               'GET counters': 'operator.counters',
+              'GET status': 'operator.status',
               'GET ready': 'operator.ready',
               'GET metrics': 'operator.metrics',
               'GET explain/requests/:id': 'operator.explain',
@@ -318,10 +327,8 @@
         ],
       },
       methods: {
-        /** Our own limits, checked every second: a visitor may not hold a connection by never ending its headers. */
         createServer(this: { server: Server; isHTTPS: boolean; httpHandler: RequestListener }): void {
-          const limits = { headersTimeout: HEADERS_MS, requestTimeout: 3 * HEADERS_MS, keepAliveTimeout: 65_000 };
-          this.server = createServer({ ...limits, connectionsCheckingInterval: 1000 }, this.httpHandler);
+          this.server = door.create(this.httpHandler);
           this.isHTTPS = false;
         },
       },
--- a/packages/mast/src/operators.ts
+++ b/packages/mast/src/operators.ts
@@ -1,5 +1,5 @@
 import { setTimeout as pause } from 'node:timers/promises';
-import type { Answer } from '@rainrun/courier';
+import type { Answer, Seat } from '@rainrun/courier';
 import type { EndRecord } from '@rainrun/gate';
 import type { Hub } from '@rainrun/hub';
 import { REMEMBERED_MOST } from '@rainrun/farm';
@@ -125,7 +125,7 @@
     return { status: 200, body: { zones } };
   }
 
-  workers(): OperatorReply {
+  #workers(): OperatorReply {
     const { hub } = this.#gear;
     const workers = hub.workers().map((worker) => ({
       name: worker.name,
@@ -140,7 +140,7 @@
     return { status: 200, body: { workers } };
   }
 
-  groups(): OperatorReply {
+  #groups(): OperatorReply {
     const { hub } = this.#gear;
     const measured = hub.groups;
     const groups = (hub.stage.spec?.spec.groups ?? []).flatMap((group) =>
@@ -164,10 +164,6 @@
     return { status: 200, body: { groups } };
   }
 
-  counters(): OperatorReply {
-    return { status: 200, body: { counters: this.#gear.counters() } };
-  }
-
   metrics(): string {
     const lines: string[] = [];
     for (const [name, value] of Object.entries(this.#gear.counters())) {
@@ -181,22 +177,98 @@
     return { status: admitting ? 200 : 503, body: { admitting } };
   }
 
-  explain(id: string): OperatorReply {
+  #explain(id: string): OperatorReply {
     const record = this.#gear.explain(id);
-    return record === undefined ? failure('not-found', `this node does not remember request ${id}`) : { status: 200, body: record };
+    const { name } = this.#gear.hub.group.seat;
+    return record === undefined ? failure('not-found', `${name} does not remember request ${id}`) : { status: 200, body: { edge: name, ...record } };
   }
 
-  explainModel(model: string): OperatorReply {
+  #explainModel(model: string): OperatorReply {
     const { hub } = this.#gear;
+    if (hub.stage.spec?.spec.models.some((known) => known.name === model) !== true) return failure('not-found', `no model "${model}" in the spec`);
     const copies = Object.entries(hub.stage.placement)
       .filter(([, holdings]) => holdings.some((holding) => holding.model === model))
       .map(([worker]) => worker);
-    return { status: 200, body: { model, copies, reason: hub.reason(model) ?? 'decided by another node', placedBy: hub.stage.placedBy } };
+    return { status: 200, body: { model, copies, reason: hub.reason(model) ?? 'decided before the present coordinator led', placedBy: hub.stage.placedBy } };
   }
 
-  forget(name: string): OperatorReply {
+  #forget(name: string): OperatorReply {
     if (this.#gear.hub.group.forget(name)) return { status: 200, body: { outcome: 'noted', name } };
-    return failure('conflict', 'only the coordinator can forget a name; ask it (see view)');
+    return failure('conflict', `${this.#gear.hub.group.seat.name} coordinates no more; ask again`);
+  }
+
+  #status(): OperatorReply {
+    const { group } = this.#gear.hub;
+    const { inFlight = 0, backlog = 0 } = this.#gear.counters();
+    const { name, zone } = group.seat;
+    const shared = { admitting: group.granted(), leading: group.leading, epoch: group.epoch, number: group.held?.number ?? 0 };
+    return { status: 200, body: { node: name, zone, ...shared, view: group.view?.number ?? 0, level: group.held?.level ?? 0, inFlight, backlog } };
+  }
+
+  #counters(): OperatorReply {
+    return { status: 200, body: { node: this.#gear.hub.group.seat.name, ...this.#gear.counters() } };
+  }
+
+  /** Answers a question for the node at which an operator asked it. */
+  answer(kind: string, text: string): OperatorReply {
+    switch (kind) {
+      case 'workers':
+        return this.#workers();
+      case 'groups':
+        return this.#groups();
+      case 'explain':
+        return this.#explain(text);
+      case 'explainModel':
+        return this.#explainModel(text);
+      case 'forget':
+        return this.#forget(text);
+      case 'status':
+        return this.#status();
+      case 'counters':
+        return this.#counters();
+      default:
+        return failure('bad-request', `no question "${kind}"`);
+    }
+  }
+
+  #ask(life: string, kind: string, text: string): Promise<OperatorReply | undefined> {
+    const { hub } = this.#gear;
+    if (life === hub.group.seat.life) return Promise.resolve(this.answer(kind, text));
+    return new Promise((resolve) => hub.ask(life, kind, text, resolve));
+  }
+
+  /** What the coordinator knows; it hears every measure and decides every placement. */
+  async fromCoordinator(kind: string, text: string): Promise<OperatorReply> {
+    await this.#informed();
+    const { group } = this.#gear.hub;
+    const life = group.coordinatorLife;
+    const name = group.view?.members.find((member) => member.life === life)?.name ?? '';
+    if (life === undefined) return failure('unreached', 'no coordinator can be reached from here, and only it knows');
+    return (await this.#ask(life, kind, text)) ?? failure('unreached', `${name} coordinates, and did not answer`);
+  }
+
+  /** What the edge knows that a request came to: its name stands before the dot in the id. */
+  async explain(id: string): Promise<OperatorReply> {
+    const name = id.slice(0, Math.max(0, id.lastIndexOf('.')));
+    const member = this.#member(name);
+    if (name === '') return failure('bad-request', `"${id}" is no id of a request: EDGE.WORD`);
+    if (member === undefined) return failure('unreached', `${name} is not in the view, and only it knows`);
+    return (await this.#ask(member.life, 'explain', id)) ?? failure('unreached', `${name} did not answer, and only it knows`);
+  }
+
+  /** One row for a node, or for each node of the fleet; one that does not answer has a row that says so. */
+  async rows(kind: 'status' | 'counters', name: string): Promise<OperatorReply> {
+    const members = this.#gear.hub.group.view?.members ?? [this.#gear.hub.group.seat];
+    const asked = name === '' ? members : members.filter((member) => member.name === name);
+    if (asked.length === 0) return failure('not-found', `${name} is not in the view`);
+    const rows = await Promise.all(
+      asked.map(async (member) => (await this.#ask(member.life, kind, ''))?.body ?? { node: member.name, error: 'did not answer' }),
+    );
+    return { status: 200, body: { [kind]: rows } };
+  }
+
+  #member(name: string): Seat | undefined {
+    return this.#gear.hub.group.view?.members.find((member) => member.name === name);
   }
 
   /**
--- a/packages/mast/src/visitors.ts
+++ b/packages/mast/src/visitors.ts
@@ -29,7 +29,6 @@
   }
   const headers: Record<string, string> = { 'content-type': 'application/json', 'rainrun-id': id };
   if (row.retryAfterS > 0) headers['retry-after'] = String(row.retryAfterS);
-  if (why.kind === 'draining') headers['connection'] = 'close';
   res.writeHead(row.status, headers);
   res.end(JSON.stringify({ error: { kind: why.kind, message: why.detail, ran: row.ran, id } }));
 }
@@ -105,10 +104,10 @@
 /**
  * Takes a visitor's request from HTTP to the gate.
  * @example
- * visit(gate, chance, req, res);
+ * visit(gate, 'edge-1', chance, req, res);
  */
-export function visit(gate: Gate, chance: Chance, req: VisitorRequest, res: ServerResponse): void {
-  const id = word(chance);
+export function visit(gate: Gate, edge: string, chance: Chance, req: VisitorRequest, res: ServerResponse): void {
+  const id = `${edge}.${word(chance)}`;
   const ask = readAsk(req, id);
   if (ask.isErr) return sendFault(res, ask.error, id);
   const leave = gate.enter(ask.value, new HttpPort(res, id));
--- a/programs/rainrun/src/main.ts
+++ b/programs/rainrun/src/main.ts
@@ -23,11 +23,12 @@
     zones restore ZONE        send work there again          [--id ID]
     workers                   workers, what they should hold and what they hold
     groups                    each group's target and measured value
-    counters                  the counters of this node
+    status [NODE]             how each node stands, or one
+    counters [NODE]           the counters of each node, or of one
     operation ID              how an operation ended
-    explain request ID        where a request went, and why (ask the edge it came to)
+    explain request ID        where a request went, and why 
     explain model NAME        where a model stands, and why
-    forget NAME               a node that will not come back (ask the coordinator)
+    forget NAME               a node that will not come back 
 
   Options
     --node      the node to ask; RAINRUN_NODE stands for it
@@ -109,8 +110,10 @@
     case 'view':
     case 'workers':
     case 'groups':
-    case 'counters':
       return { method: 'GET', path: command };
+    case 'status':
+    case 'counters':
+      return { method: 'GET', path: second === undefined ? command : `${command}?node=${encodeURIComponent(second)}` };
     case 'spec':
       return specCall(second, third);
     case 'zones':
--- a/tools/crowd/src/crowd.ts
+++ b/tools/crowd/src/crowd.ts
@@ -171,6 +171,7 @@
   #call: Call;
   #prompt: string;
   #place: number;
+  #sent = false;
   #status = 0;
   #headers: Record<string, string | string[] | undefined> = {};
   #parts: Buffer[] = [];
@@ -188,9 +189,8 @@
     });
   }
 
-  /** Tells undici that these are its newer callbacks. */
   onRequestStart(): void {
-    this.#status = 0;
+    this.#sent = true;
   }
 
   onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
@@ -220,6 +220,7 @@
     const text = Buffer.concat(this.#parts).toString('utf8');
     const id = String(this.#headers['rainrun-id'] ?? '');
     const shared = { id, firstMs: this.#firstMs };
+    if (!this.#sent) return { ...shared, outcome: 'not-connected', ran: 'no', breach: undefined };
     if (this.#status === 0) return { ...shared, outcome: 'no-answer', ran: 'maybe', breach: undefined };
     if (this.#status !== 200) return { ...shared, ...this.#judgeRefusal(text) };
     if (!this.#ended) return { ...shared, outcome: 'cut', ran: 'maybe', breach: undefined };
--- /dev/null
+++ b/tools/fleet/src/everywhere.ts
@@ -0,0 +1,63 @@
+import { isDeepStrictEqual } from 'node:util';
+import type { Fleet, FleetNode } from './fleet.js';
+
+/** What only the node that is asked can say about itself, and what counts on while one asks. */
+const OWN = new Set(['self', 'admitting', 'inFlight', 'backlog', 'served', 'refused', 'prompt', 'measuredMs', 'id', 'number', 'agreed', 'stale']);
+
+function shared(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(shared);
+  if (typeof value !== 'object' || value === null) return value;
+  return Object.fromEntries(
+    Object.entries(value)
+      .filter(([key]) => !OWN.has(key))
+      .map(([key, inner]) => [key, shared(inner)]),
+  );
+}
+
+/** Names of the nodes in a table with a row for each. */
+function rowNames(body: unknown, key: string): string[] {
+  const rows = (body as Record<string, { node: string; error?: string }[]>)[key] ?? [];
+  return rows.filter((row) => row.error === undefined).map((row) => row.node);
+}
+
+/**
+ * Asks every read command of every node and says where answers differ, and
+ * sends each writing command once to every node.
+ * @example
+ * const faults = await tryEverywhere(fleet, 'edge-1.0123456789ab');
+ */
+export async function tryEverywhere(fleet: Fleet, request: string): Promise<string[]> {
+  const model = 'model-1';
+  const reads = ['view', 'spec', 'spec/history', 'zones', 'workers', 'groups', `explain/requests/${request}`, `explain/models/${model}`, 'operations/everywhere-0', 'status?node=core-1'];
+  const faults: string[] = [];
+  const { nodes } = fleet;
+  function ask(node: FleetNode, method: 'GET' | 'POST' | 'PATCH' | 'PUT', path: string, body?: unknown): Promise<{ status: number; body: unknown }> {
+    return fleet.ask(node.http, method, `/rainrun/v1/${path}`, body);
+  }
+  for (const [place, node] of nodes.entries()) {
+    const edit = { add: { models: [{ name: `everywhere-${place}`, sizeMb: 1 }] } };
+    const writes = [
+      await ask(node, 'PATCH', 'spec', { patch: edit, id: `everywhere-${place}` }),
+      await ask(node, 'POST', 'zones/north/empty', {}),
+      await ask(node, 'POST', 'zones/north/restore', {}),
+      await ask(node, 'POST', 'forget/nobody'),
+    ];
+    const bad = writes.filter(({ status }) => status !== 200);
+    if (bad.length > 0) faults.push(`${node.name}: ${JSON.stringify(bad)}`);
+  }
+  for (const path of reads) {
+    const answers = await Promise.all(nodes.map((node) => ask(node, 'GET', path)));
+    const [first] = answers;
+    for (const [place, answer] of answers.entries()) {
+      const same = answer.status === 200 && isDeepStrictEqual(shared(answer.body), shared(first?.body));
+      if (!same) faults.push(`${path} at ${nodes[place]?.name ?? ''}: ${JSON.stringify(answer).slice(0, 300)} and not ${JSON.stringify(first).slice(0, 300)}`);
+    }
+  }
+  for (const key of ['status', 'counters']) {
+    for (const node of nodes) {
+      const { body } = await ask(node, 'GET', key);
+      if (!isDeepStrictEqual(rowNames(body, key).sort(), nodes.map(({ name }) => name).sort())) faults.push(`${key} at ${node.name}: ${JSON.stringify(body).slice(0, 300)}`);
+    }
+  }
+  return faults;
+}
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -7,6 +7,7 @@
 import { compare, Crowd, type CrowdReport } from '@rainrun/crowd';
 import type { Report } from '@rainrun/grandstand';
 import { readDay } from '@rainrun/playbill';
+import { tryEverywhere } from './everywhere.js';
 import { Fleet } from './fleet.js';
 import { tryManners } from './manners.js';
 import { Trial } from './trial.js';
@@ -82,7 +83,7 @@
   return ready ? undefined : 'the spec is not in force everywhere after 2 s';
 }
 
-async function serve(fleet: Fleet, shape: Shape, dayText: string, speed: number): Promise<number> {
+async function serve(fleet: Fleet, shape: Shape, dayText: string, speed: number, after: (report: CrowdReport) => Promise<string[]> = () => Promise.resolve([])): Promise<number> {
   const beganMs = performance.now();
   const closed = await open(fleet, shape);
   if (closed !== undefined) {
@@ -103,7 +104,9 @@
   const served = report.outcomes['served'] ?? 0;
   const ratio = served / Math.max(1, report.seen.length);
   console.log(`served ${served} of ${report.seen.length} (${(100 * ratio).toFixed(2)} %)`);
-  return breaches.length === 0 && ratio > 0.95 ? 0 : 1;
+  const faults = await after(report);
+  for (const fault of faults) console.error(`fleet: ${fault}`);
+  return breaches.length === 0 && ratio > 0.95 && faults.length === 0 ? 0 : 1;
 }
 
 const FLOOD_S = 25;
@@ -135,13 +138,15 @@
   return breaches.length + workers.breaches.length === 0 ? 0 : 1;
 }
 
-/** Good traffic, then bad input. */
-async function smoke(fleet: Fleet, shape: Shape): Promise<number> {
-  const code = await serve(fleet, shape, makeDay(shape, 10, 1), 1);
-  const faults = await tryManners(fleet);
-  for (const fault of faults) console.error(`fleet: ${fault}`);
-  console.log(`bad input: ${faults.length === 0 ? 'answered as it should be' : `${faults.length} faults`}`);
-  return code === 0 && faults.length === 0 ? 0 : 1;
+/** Good traffic, then every command at every node, then bad input. */
+function smoke(fleet: Fleet, shape: Shape): Promise<number> {
+  return serve(fleet, shape, makeDay(shape, 10, 1), 1, async (report) => {
+    const everywhere = await tryEverywhere(fleet, report.seen.find((seen) => seen.outcome === 'served')?.id ?? '');
+    console.log(`every command at every node: ${everywhere.length === 0 ? 'the same answers' : `${everywhere.length} faults`}`);
+    const manners = await tryManners(fleet);
+    console.log(`bad input: ${manners.length === 0 ? 'answered as it should be' : `${manners.length} faults`}`);
+    return [...everywhere, ...manners];
+  });
 }
 
 /** Serves traffic for as long as the trial takes, and judges the whole. */
--- a/tools/fleet/src/trial.ts
+++ b/tools/fleet/src/trial.ts
@@ -72,7 +72,8 @@
       { name: 'a worker talks nonsense, ends early, says too much', run: () => this.#moods() },
       { name: `empty zone ${zone} for 7 s, restore it`, run: () => this.#emptyZone(zone) },
       { name: 'kill every core, start them again', run: () => this.#killCores() },
-      { name: 'stop and start every node in turn', run: () => this.#rollOut() },
+      { name: 'stop and start every node in turn', run: () => this.#rollOut(true) },
+      { name: 'the same, and the visitors are not told', run: () => this.#rollOut(false) },
     ];
   }
 
@@ -111,8 +112,8 @@
     return put.status === 200 ? '' : `nothing is agreed: ${JSON.stringify(put.body)}`;
   }
 
-  async #restart(node: FleetNode, signal: NodeJS.Signals): Promise<number | null> {
-    this.#crowd.setDown(node.http, true);
+  async #restart(node: FleetNode, signal: NodeJS.Signals, told = true): Promise<number | null> {
+    if (told) this.#crowd.setDown(node.http, true);
     this.#fleet.signal(node.name, signal);
     const code = await this.#fleet.ended(node.name);
     this.#fleet.startNode(node);
@@ -182,11 +183,11 @@
     return this.#back();
   }
 
-  /** A planned roll-out: the platform takes an edge out of its rotation, then stops it. */
-  async #rollOut(): Promise<string | undefined> {
+  /** A planned roll-out: the platform takes an edge out of its rotation, or does not, and stops it. */
+  async #rollOut(told: boolean): Promise<string | undefined> {
     for (const node of this.#fleet.nodes) {
       const fromMs = performance.now() - SETTLE_MS;
-      const code = await this.#restart(node, 'SIGTERM');
+      const code = await this.#restart(node, 'SIGTERM', told);
       this.#planned.push({ edge: node.http, fromMs, toMs: performance.now() });
       if (code !== 0) return `${node.name} ended with ${code ?? 'a signal'}`;
       const back = await this.#back();
