Zones lost, crowds, rare models, replaced workers, other seeds and one more fault, at three sizes

Random trials now lose a zone with its core and workers (sometimes while another is emptied), bring crowds to one edge or all, ask for every model at once, replace workers one by one, take one away at short notice and put a new one under its name, give other seeds to whoever boots and move a core, slow and fill disks; after the recovery one more failure comes and the fleet must recover again. Sites of both deployments' sizes can be chosen. Retry-After follows the drain of the group's backlog, spread over as long again.

--- /dev/null
+++ b/packages/gate/src/catalogue.ts
@@ -0,0 +1,48 @@
+import type { Spec, SpecGroup } from '@rainrun/marquee';
+
+type Route = Spec['routes'][number];
+
+/**
+ * A spec as the door reads it: by name and by path, whatever its size.
+ * @example
+ * const catalogue = new Catalogue(spec);
+ * catalogue.route('/v1/lookup/turbines/7')?.pool; // 'specifications'
+ */
+export class Catalogue {
+  #routes: ReadonlyMap<string, Route>;
+  #groups: ReadonlyMap<string, SpecGroup>;
+  #models: ReadonlySet<string>;
+  #adapters: ReadonlyMap<string, string>;
+
+  constructor(spec: Spec) {
+    this.#routes = new Map(spec.routes.map((route) => [route.path, route]));
+    this.#groups = new Map(spec.groups.map((group) => [group.name, group]));
+    this.#models = new Set(spec.models.map((model) => model.name));
+    this.#adapters = new Map(spec.adapters.map((adapter) => [adapter.name, adapter.model]));
+  }
+
+  /** The route of a path: its own, or for lookups that of the nearest path above it. */
+  route(path: string): Route | undefined {
+    const bare = path.split('?')[0] ?? path;
+    const own = this.#routes.get(bare);
+    if (own !== undefined) return own;
+    for (let end = bare.lastIndexOf('/'); end > 0; end = bare.lastIndexOf('/', end - 1)) {
+      const above = this.#routes.get(bare.slice(0, end));
+      if (above?.serve === 'lookup') return above;
+    }
+    return undefined;
+  }
+
+  group(name: string): SpecGroup | undefined {
+    return this.#groups.get(name);
+  }
+
+  /** Whether a group may use a model, and the model has the adapter, if one is named. */
+  serves(group: SpecGroup, model: string): boolean {
+    return this.#models.has(model) && (group.models.includes('*') || group.models.includes(model));
+  }
+
+  hasAdapter(model: string, adapter: string): boolean {
+    return this.#adapters.get(adapter) === model;
+  }
+}
--- a/packages/gate/src/gate.test.ts
+++ b/packages/gate/src/gate.test.ts
@@ -3,9 +3,11 @@
 import { expect } from 'earl';
 import { Backlog } from './backlog.js';
 import { RetryBudget } from './budget.js';
+import { Catalogue } from './catalogue.js';
 import { Gate } from './gate.js';
 import type { Ask, RosterView } from './gear.js';
 import type { SendHandler, Sender, Sending, SendRequest } from './sender.js';
+import { Pace } from './pace.js';
 import { StreamWatch } from './stream.js';
 import type { VisitorPort } from './visit.js';
 
@@ -87,6 +89,7 @@
     name: 'edge',
     zone: 'z1',
     clock: { nowMs: () => this.nowMs },
+    chance: { next: () => 0.5 },
     sender: this,
     spec: () => this.spec,
     workers: () => this.workers,
@@ -464,6 +467,21 @@
     expect([promises, budget.spend()]).toEqual([[true, false, true], false]);
   });
 
+  it('a catalogue finds a path, or for lookups the nearest above it', () => {
+    const spec = { ...specOf(), routes: [{ path: '/look', serve: 'lookup' as const, pool: 'a' }, { path: '/look/far', serve: 'lookup' as const, pool: 'b' }, { path: '/chat', serve: 'chat' as const, pool: 'c' }] };
+    const catalogue = new Catalogue(spec);
+    const paths = ['/look', '/look/1/2?x=/chat', '/look/far/1', '/looks', '/chat', '/chat/1', '/'];
+    expect(paths.map((path) => catalogue.route(path)?.pool)).toEqual(['a', 'a', 'b', undefined, 'c', undefined, undefined]);
+  });
+
+  it('tells who is refused to come back as the backlog drains, and not all at once', () => {
+    const pace = new Pace();
+    const idle = pace.returnS(0, 0, 0);
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 250) pace.sent(nowMs);
+    const told = [0, 0.5, 0.99].map((chance) => pace.returnS(40, chance, 60_000));
+    expect([idle, told, pace.returnS(4000, 0, 60_000)]).toEqual([1, [11, 16, 21], 60]);
+  });
+
   it('a stream watch knows a whole stream', () => {
     const watch = new StreamWatch();
     watch.take(Buffer.from('data: 1\n\ndata: [DONE]\n\n'));
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -4,9 +4,11 @@
 import { Assigner } from './assign.js';
 import { Backlog } from './backlog.js';
 import { RetryBudget } from './budget.js';
+import { Catalogue } from './catalogue.js';
 import { Doubt } from './doubt.js';
 import type { Ask, EndRecord, GateGear, RosterView } from './gear.js';
 import { demandKey, Measures, type Measured } from './measures.js';
+import { Pace } from './pace.js';
 import { Send, type SendEnd } from './send.js';
 import type { Visit, VisitorPort } from './visit.js';
 
@@ -45,10 +47,12 @@
   #filters: readonly Filter[];
   #groupInFlight: number[] = [];
   #groupSeenMs: number[] = [];
+  #paces: Pace[] = [];
   #measures = new Measures();
   #doubt: Doubt;
   #flights = new Set<Send>();
   #draining = false;
+  #catalogued: { readonly spec: Spec; readonly catalogue: Catalogue } | undefined;
   #counts = new Map<string, number>();
 
   constructor(gear: GateGear) {
@@ -82,10 +86,10 @@
 
   /** Lets a visitor in; the returned function says that the visitor has left. */
   enter(ask: Ask, port: VisitorPort): () => void {
-    const spec = this.#gear.spec();
+    const catalogue = this.#catalogue();
     const nowMs = this.#gear.clock.nowMs();
-    const route = spec?.routes.find((known) => routeMatches(known, ask.path));
-    const group = spec?.groups.find((known) => known.name === ask.group);
+    const route = catalogue?.route(ask.path);
+    const group = catalogue?.group(ask.group);
     const kind = group?.kinds.find((known) => known.name === ask.kind) ?? (ask.kind === '' ? group?.kinds[0] : undefined);
     const visit: Visit = {
       id: ask.id,
@@ -179,22 +183,27 @@
     return visit.deadlineMs <= visit.arrivedMs ? fault('deadline-past', 'the deadline has passed') : undefined;
   }
 
-  #knows(visit: Visit): Fault | undefined {
+  /** The spec in force, made ready once for each version. */
+  #catalogue(): Catalogue | undefined {
     const spec = this.#gear.spec();
+    if (spec !== this.#catalogued?.spec) this.#catalogued = spec === undefined ? undefined : { spec, catalogue: new Catalogue(spec) };
+    return this.#catalogued?.catalogue;
+  }
+
+  #knows(visit: Visit): Fault | undefined {
+    const catalogue = this.#catalogue();
     if (visit.pool === '') return fault('not-found', `no route for ${visit.path}`);
     const name = this.#groups.name(visit.group);
-    const group = spec?.groups.find((known) => known.name === name);
-    if (group === undefined) return fault('unknown-group', 'the group is not in the spec');
+    const group = catalogue?.group(name);
+    if (catalogue === undefined || group === undefined) return fault('unknown-group', 'the group is not in the spec');
     if (this.#kinds.name(visit.kind) === '') return fault('bad-request', `group ${name} has no such kind of work`);
     if (visit.repeatable) return undefined;
     const model = this.#models.name(visit.model);
-    const known = spec?.models.some((one) => one.name === model) ?? false;
-    if (!known || !(group.models.includes('*') || group.models.includes(model))) {
+    if (!catalogue.serves(group, model)) {
       return fault('unknown-model', `group ${name} has no model "${model}"`);
     }
     const adapter = this.#adapters.name(visit.adapter);
-    const fits = adapter === '' || (spec?.adapters.some((one) => one.name === adapter && one.model === model) ?? false);
-    return fits ? undefined : fault('unknown-model', `model ${model} has no adapter "${adapter}"`);
+    return adapter === '' || catalogue.hasAdapter(model, adapter) ? undefined : fault('unknown-model', `model ${model} has no adapter "${adapter}"`);
   }
 
   /** A group may not have more waiting than its share; what can be sent at once does not wait. */
@@ -288,6 +297,7 @@
     this.#assigner.begun(worker.name, visit.prefix);
     this.#backlog.charge(visit.group, this.#gear.weight(this.#groups.name(visit.group)));
     this.#groupInFlight[visit.group] = (this.#groupInFlight[visit.group] ?? 0) + 1;
+    this.#pace(visit.group).sent(nowMs);
     this.#count('sends');
     const send = new Send(visit, worker, {
       nowMs: () => clock.nowMs(),
@@ -394,12 +404,24 @@
   // Counting.
 
   #refuse(visit: Visit, why: Fault): void {
-    visit.port.refuse(why);
+    visit.port.refuse(this.#withReturn(visit, why));
     this.#measures.refused(this.#groups.name(visit.group), this.#kinds.name(visit.kind));
     visit.trail.push(`${why.kind}: ${why.detail}`);
     this.#ended(visit, why.kind);
   }
 
+  /** Who is refused for want of room is told when to come back: as the group's backlog drains. */
+  #withReturn(visit: Visit, why: Fault): Fault {
+    if (why.kind !== 'over-share' && why.kind !== 'no-worker') return why;
+    const waiting = this.#backlog.countOf(visit.group);
+    const returnS = this.#pace(visit.group).returnS(waiting, this.#gear.chance.next(), this.#gear.clock.nowMs());
+    return { ...why, returnS };
+  }
+
+  #pace(group: number): Pace {
+    return (this.#paces[group] ??= new Pace());
+  }
+
   #ended(visit: Visit, outcome: EndRecord['outcome']): void {
     this.#count(outcome);
     if (visit.retry === 'reserved') this.#budget.release();
@@ -441,9 +463,3 @@
     if (!visit.repeatable) this.#measures.arrived(this.#models.name(visit.model), this.#adapters.name(visit.adapter));
   }
 }
-
-function routeMatches(route: Spec['routes'][number], path: string): boolean {
-  const bare = path.split('?')[0] ?? path;
-  if (route.serve === 'chat') return route.path === bare;
-  return bare === route.path || bare.startsWith(`${route.path}/`);
-}
--- a/packages/gate/src/gear.ts
+++ b/packages/gate/src/gear.ts
@@ -1,5 +1,5 @@
 import type { Spec } from '@rainrun/marquee';
-import type { Clock, FaultKind } from '@rainrun/nacelle';
+import type { Chance, Clock, FaultKind } from '@rainrun/nacelle';
 import type { Sender } from './sender.js';
 
 /** A worker as the gate needs to see it. */
@@ -22,6 +22,7 @@
   readonly name: string;
   readonly zone: string;
   readonly clock: Clock;
+  readonly chance: Chance;
   readonly sender: Sender;
   spec(): Spec | undefined;
   workers(): readonly RosterView[];
--- a/packages/hub/src/edge.ts
+++ b/packages/hub/src/edge.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { ObservationSchema } from '@rainrun/courier';
 import { Gate, type Sender } from '@rainrun/gate';
-import type { Clock } from '@rainrun/nacelle';
+import type { Chance, Clock } from '@rainrun/nacelle';
 import { Loop } from '@rainrun/yaw';
 import type { Hub } from './hub.js';
 
@@ -14,7 +14,7 @@
  * The data plane of an edge, tied to its node: the gate sees the node's
  * stage, workers and grant; the node's members see what the gate measured.
  * @example
- * const edge = new Edge(hub, 'edge-1', 'north', clock, sender);
+ * const edge = new Edge(hub, 'edge-1', 'north', clock, chance, sender);
  * edge.gate.enter(ask, port);
  * edge.observe(); // every OBSERVE_MS
  */
@@ -23,12 +23,13 @@
   #loops = new Map<string, Loop>();
   readonly gate: Gate;
 
-  constructor(hub: Hub, name: string, zone: string, clock: Clock, sender: Sender) {
+  constructor(hub: Hub, name: string, zone: string, clock: Clock, chance: Chance, sender: Sender) {
     this.#hub = hub;
     this.gate = new Gate({
       name,
       zone,
       clock,
+      chance,
       sender,
       spec: () => hub.stage.spec?.spec,
       workers: () => hub.workers(),
--- a/packages/marquee/src/marquee.test.ts
+++ b/packages/marquee/src/marquee.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { mergePatch, readSpec, SPEC_MAX_BYTES } from './spec.js';
+import { mergePatch, readSpec, ROUTES_MOST, SPEC_MAX_BYTES, specFaultText } from './spec.js';
 import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, type Stage } from './stage.js';
 
 function good(): Record<string, unknown> {
@@ -40,6 +40,14 @@
     ]);
   });
 
+  it('is taken with as many routes as are allowed, and refused with one more', () => {
+    function withRoutes(count: number): string {
+      return JSON.stringify({ ...good(), routes: Array.from({ length: count }, (_, place) => ({ path: `/r/${place}`, serve: 'chat' })) });
+    }
+    const over = readSpec(withRoutes(ROUTES_MOST + 1));
+    expect([readSpec(withRoutes(ROUTES_MOST)).isOk, over.isErr && specFaultText(over.error)]).toEqual([true, 'routes: more than 10000 routes']);
+  });
+
   it('is refused when empty, not JSON or far too large', () => {
     const texts = ['', ' ', '{', `"${'x'.repeat(SPEC_MAX_BYTES)}"`];
     expect(texts.map((text) => readSpec(text).isErr)).toEqual([true, true, true, true]);
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -137,7 +137,7 @@
 
   #makeEdge(): Edge {
     const { name, zone } = this.#settings;
-    const edge = new Edge(this.#hub, name, zone, CLOCK, this.#sender);
+    const edge = new Edge(this.#hub, name, zone, CLOCK, CHANCE, this.#sender);
     edge.gate.on('ended', (record) => this.#remember(record));
     return edge;
   }
--- a/packages/nacelle/src/kinds.ts
+++ b/packages/nacelle/src/kinds.ts
@@ -66,6 +66,8 @@
 export interface Fault {
   readonly kind: FaultKind;
   readonly detail: string;
+  /** When to come back, where more is known than the table says. */
+  readonly returnS?: number;
 }
 
 /**
--- a/packages/park/src/garble.test.ts
+++ b/packages/park/src/garble.test.ts
@@ -2,11 +2,11 @@
 import { pack, unpack } from '@rainrun/courier';
 import { Dice } from '@rainrun/nacelle';
 import { expect } from 'earl';
-import { SITE, trialSpec } from './trial.js';
+import { SITES, trialSpec } from './trial.js';
 import { Site } from './site.js';
 
 it('garbled frames never bring a node down', () => {
-  const site = new Site(5, SITE, 0);
+  const site = new Site(5, SITES.small, 0);
   const dice = new Dice(99);
   const seen: Uint8Array[] = [];
   site.net.tap = (_, frame) => {
--- a/packages/park/src/oracle.test.ts
+++ b/packages/park/src/oracle.test.ts
@@ -5,7 +5,7 @@
 import { applyToStage, EMPTY_STAGE, type Stage } from '@rainrun/marquee';
 import { expect } from 'earl';
 import { Oracle } from './oracle.js';
-import { SITE, runTrial, trialSpec } from './trial.js';
+import { SITES, runTrial, trialSpec } from './trial.js';
 import { renderTimeline } from './timeline.js';
 
 function held(number: number, emptied: string[] = [], view = 1): Held<Stage> {
@@ -158,8 +158,8 @@
 
 describe('the simulator', () => {
   it('runs a seed the same way every time', () => {
-    const one = runTrial(3, SITE);
-    const other = runTrial(3, SITE);
+    const one = runTrial(3, SITES.small);
+    const other = runTrial(3, SITES.small);
     expect(one.timeline).toEqual(other.timeline);
     expect(one.frames).toEqual(other.frames);
   });
--- a/packages/park/src/seeds.ts
+++ b/packages/park/src/seeds.ts
@@ -1,5 +1,5 @@
 import meow from 'meow';
-import { runTrial } from './trial.js';
+import { runTrial, SITES } from './trial.js';
 
 const cli = meow(
   `
@@ -11,12 +11,14 @@
   Options
     --from    first seed (default 1)
     --count   how many seeds (default 20)
+    --site    small, vejsargs or malabon (default small)
     --show    print the timeline of every seed, not only of failing ones
 `,
   {
     importMeta: import.meta,
     flags: {
       from: { type: 'number', default: 1 },
+      site: { type: 'string', default: 'small', choices: Object.keys(SITES) },
       count: { type: 'number', default: 20 },
       show: { type: 'boolean', default: false },
     },
@@ -34,7 +36,7 @@
 let cuts = 0;
 const refusals: Record<string, number> = {};
 for (let seed = cli.flags.from; seed < cli.flags.from + cli.flags.count; seed += 1) {
-  const result = runTrial(seed);
+  const result = runTrial(seed, SITES[cli.flags.site as keyof typeof SITES]);
   slowestMs = Math.max(slowestMs, result.recoveredMs);
   agreed += result.agreed;
   versions += result.versions;
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -84,7 +84,8 @@
   #listGeneration = 1;
   #sequences = new Map<string, number>();
   #zones: readonly string[];
-  #seeds: string[];
+  /** Whom a node that boots is told of. */
+  seeds: readonly Machine[];
   #founders: string[];
 
   constructor(seed: number, size: SiteSize, lossRatio: number) {
@@ -106,7 +107,7 @@
       const zone = size.zones[place % size.zones.length] ?? '';
       this.machines.push({ name, zone, disk, address: `${name}:0`, running: undefined, boots: 0, speaks: SPEAKS });
     }
-    this.#seeds = this.machines.slice(0, 3).map((machine) => machine.address);
+    this.seeds = this.machines.slice(0, 3);
     this.#founders = this.machines.slice(0, size.cores).map((machine) => machine.name);
     for (let place = 0; place < size.workers; place += 1) {
       const zone = size.zones[place % size.zones.length] ?? '';
@@ -230,7 +231,7 @@
       address,
       zone,
       deployment: 'park',
-      seeds: this.#seeds,
+      seeds: this.seeds.map((seed) => seed.address),
       founders: machine.disk === undefined ? [] : this.#founders,
       clock: { nowMs: () => this.time.nowMs() + skewMs },
       chance: this.#dice,
@@ -326,7 +327,7 @@
       this.workers,
       (act) => this.#atNode(machine, running, act),
     );
-    return new Edge(running.hub, machine.name, machine.zone, clock, sender);
+    return new Edge(running.hub, machine.name, machine.zone, clock, this.#dice, sender);
   }
 
   /** A visitor comes to an edge: a lookup, or a question that is streamed or not. */
--- a/packages/park/src/trial.ts
+++ b/packages/park/src/trial.ts
@@ -26,8 +26,17 @@
 const START_MS = 8000;
 const FAULTS_END_MS = 38_000;
 const RECOVER_MS = 12_000;
+/** One more failure comes right after the recovery, and has so long to do harm. */
+const AGAIN_MS = 5000;
 
-export const SITE: SiteSize = { cores: 3, edges: 5, workers: 4, zones: ['north', 'east', 'west'] };
+const ZONES = ['north', 'east', 'west'];
+
+/** Sizes of the sites that trials are run on: a small one, and those of the two deployments. */
+export const SITES = {
+  small: { cores: 3, edges: 5, workers: 4, zones: ZONES },
+  vejsargs: { cores: 3, edges: 9, workers: 8, zones: ZONES },
+  malabon: { cores: 3, edges: 8, workers: 13, zones: ZONES },
+} as const satisfies Record<string, SiteSize>;
 
 /**
  * The small spec that trials begin with.
@@ -56,7 +65,7 @@
  * const result = runTrial(17);
  * result.breaches.length; // 0
  */
-export function runTrial(seed: number, size: SiteSize = SITE): TrialResult {
+export function runTrial(seed: number, size: SiteSize = SITES.small): TrialResult {
   const site = new Site(seed, size, 0.01);
   const trial = new Trial(site);
   return trial.run(seed);
@@ -90,7 +99,13 @@
     for (const mend of this.#mended) mend();
     for (const machine of machines) this.#site.boot(machine);
     this.#site.note('', 'all mended');
-    const recoveredMs = this.#recover();
+    const firstMs = this.#recover();
+    this.#pick(this.#acts())();
+    time.runUntil(time.nowMs() + AGAIN_MS);
+    for (const mend of this.#mended) mend();
+    for (const machine of machines) this.#site.boot(machine);
+    this.#site.note('', 'all mended again');
+    const recoveredMs = Math.max(firstMs, this.#recover());
     return {
       seed,
       breaches: oracle.breaches,
@@ -183,7 +198,12 @@
   #break(): void {
     const { time } = this.#site;
     if (time.nowMs() > FAULTS_END_MS - 3000) return;
-    const acts = [
+    this.#pick(this.#acts())();
+    time.after(500 + this.#upTo(6000), () => this.#break());
+  }
+
+  #acts(): (() => void)[] {
+    return [
       () => this.#killOne(),
       () => this.#killCore(),
       () => this.#freezeOne(),
@@ -208,9 +228,16 @@
       () => this.#killInStep(),
       () => this.#loseInStep(),
       () => this.#loseInStep(),
+      () => this.#loseZone(),
+      () => this.#loseZone(),
+      () => this.#crowd(),
+      () => this.#rareModels(),
+      () => this.#replaceWorkers(),
+      () => this.#takeAway(),
+      () => this.#swapSeeds(),
+      () => this.#slowDisk(),
+      () => this.#fullDisk(),
     ];
-    this.#pick(acts)();
-    time.after(500 + this.#upTo(6000), () => this.#break());
   }
 
   #later(waitMs: number, mend: () => void): void {
@@ -422,6 +449,99 @@
     this.#site.leaving(new Set([name]));
   }
 
+  /** A zone is lost whole: nodes, its core and its workers; sometimes while another is being emptied. */
+  #loseZone(): void {
+    const zone = this.#pick(this.#site.zones);
+    const { machines, workers } = this.#site;
+    this.#fault(`zone ${zone} is lost`);
+    const waitMs = this.#upTo(6000);
+    if (this.#upTo(2) < 1) this.#site.submit(this.#any(), 'zone.empty', { zone: this.#pick(this.#site.zones) });
+    for (const machine of machines) if (machine.zone === zone) this.#killFor(machine, waitMs);
+    for (const worker of workers) {
+      if (worker.zone !== zone) continue;
+      worker.crash();
+      this.#later(waitMs, () => {
+        worker.up = true;
+      });
+    }
+  }
+
+  /** Many visitors at one moment, at one edge or at all. */
+  #crowd(): void {
+    const edges = this.#site.machines.flatMap((machine) => machine.running?.edge ?? []);
+    const at = this.#upTo(2) < 1 ? edges : edges.slice(0, 1);
+    this.#fault(`a crowd at ${at.length} edges`);
+    for (const edge of at) for (let place = 0; place < 60; place += 1) this.#site.visit(edge, place % 2 === 0, place % 2 === 0 ? '' : 'model-1');
+  }
+
+  /** Every model, the rare ones too, is asked for at every edge in one moment. */
+  #rareModels(): void {
+    this.#fault('every model is asked for at once');
+    for (const { running } of this.#site.machines) {
+      for (let place = 0; place < 8 && running?.edge !== undefined; place += 1) this.#site.visit(running.edge, false, `model-${place}`);
+    }
+  }
+
+  /** Workers are replaced one by one: marked, taken away, and an empty one comes under the old name. */
+  #replaceWorkers(): void {
+    this.#fault('workers are replaced one by one');
+    this.#site.workers.forEach((worker, place) => {
+      this.#site.time.after(place * 1500, () => this.#site.leaving(new Set([worker.name])));
+      this.#site.time.after(place * 1500 + 1000, () => worker.crash());
+      this.#later(place * 1500 + 1400, () => {
+        worker.up = true;
+      });
+    });
+    this.#later(this.#site.workers.length * 1500, () => this.#site.leaving(new Set()));
+  }
+
+  /** A worker is marked and gone within two seconds; a new one takes its name and address. */
+  #takeAway(): void {
+    const worker = this.#pick(this.#site.workers);
+    this.#fault(`${worker.name} is taken away at short notice`);
+    this.#site.leaving(new Set([worker.name]));
+    this.#site.time.after(100 + this.#upTo(1900), () => worker.crash());
+    this.#later(2000 + this.#upTo(3000), () => {
+      worker.up = true;
+      this.#site.leaving(new Set());
+    });
+  }
+
+  /** Whoever boots from now on is given other seeds, and a core moves to another address. */
+  #swapSeeds(): void {
+    const seeds = [this.#any(), this.#any(), this.#any()];
+    this.#fault(`seeds are ${seeds.map((machine) => machine.name).join(', ')}`);
+    const machine = this.#pick(this.#cores());
+    this.#site.kill(machine);
+    machine.address = `${machine.name}:${machine.boots}`;
+    this.#site.seeds = seeds;
+    this.#later(this.#upTo(1000), () => this.#site.boot(machine));
+    const other = this.#any();
+    if (other !== machine) this.#killFor(other, this.#upTo(1000));
+  }
+
+  #slowDisk(): void {
+    const { disk, name } = this.#pick(this.#cores());
+    if (disk === undefined) return;
+    this.#fault(`disk of ${name} is slow`);
+    disk.slowMs = 50 + this.#upTo(400);
+    this.#later(this.#upTo(6000), () => {
+      disk.slowMs = 0;
+    });
+  }
+
+  /** A full disk stops its core; it is freed and started again. */
+  #fullDisk(): void {
+    const machine = this.#pick(this.#cores());
+    if (machine.disk === undefined) return;
+    this.#fault(`disk of ${machine.name} is full`);
+    machine.disk.full = true;
+    this.#later(1000 + this.#upTo(4000), () => {
+      if (machine.disk !== undefined) machine.disk.full = false;
+      this.#site.boot(machine);
+    });
+  }
+
   #stallDisk(): void {
     const machine = this.#pick(this.#cores());
     if (machine.disk === undefined) return;
--- a/packages/park/src/world.ts
+++ b/packages/park/src/world.ts
@@ -163,6 +163,8 @@
   #generation = 0;
   #freeMs = 0;
   stallUntilMs = 0;
+  /** How much longer each write takes. */
+  slowMs = 0;
   /** Set when no more can be written, as on a full disk. */
   full = false;
   /** Called at each step of each write. */
@@ -197,7 +199,7 @@
     const generation = this.#generation;
     const nowMs = this.#time.nowMs();
     if (this.full) return done(Result.err(fault('disk', 'no space left')));
-    this.#freeMs = Math.max(this.#freeMs, nowMs, this.stallUntilMs) + 1 + this.#chance.next() * 6;
+    this.#freeMs = Math.max(this.#freeMs, nowMs, this.stallUntilMs) + 1 + this.#chance.next() * 6 + this.slowMs;
     this.#step(generation, this.#freeMs - nowMs, () => {
       this.tap?.('written', kind);
       this.#step(generation, 0.05, () => {
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -22,6 +22,7 @@
     $ fleet run --shape malabon        start, serve the example day after 12 s, report, stop
     $ fleet trial --shape small        failures, one after the other, while visitors call
     $ fleet flood --shape vejsargs     the day alone, then beside a flood from its last group
+    $ fleet routes --shape vejsargs    specs that grow to thousands of routes
     $ fleet smoke                      a short run of a small fleet, for tests
     $ fleet examples                   write the example specs and days anew
 
@@ -149,6 +150,45 @@
   });
 }
 
+const ROUTE_COUNTS = [100, 1000, 5000, 10_000];
+
+/** Specs that grow to many routes: how long until one is agreed, in force everywhere, and how long its last route takes. */
+async function routes(fleet: Fleet, shape: Shape): Promise<number> {
+  const closed = await open(fleet, shape);
+  if (closed !== undefined) {
+    console.error(`fleet: ${closed}`);
+    return 1;
+  }
+  const spec = exampleSpec(shape) as { routes: object[] };
+  let slowestMs = 0;
+  console.log('routes  bytes    agreed after ms  in force everywhere after ms  lookup p50 ms');
+  for (const [place, count] of ROUTE_COUNTS.entries()) {
+    const more = Array.from({ length: count }, (_, at) => ({ path: `/v1/many/${at}`, serve: 'lookup', pool: shape.pool }));
+    const text = JSON.stringify({ ...spec, routes: [...spec.routes, ...more].slice(-count) });
+    const node = fleet.nodes[place % fleet.nodes.length];
+    const beganMs = performance.now();
+    const put = await fleet.ask(node?.http ?? '', 'PUT', '/rainrun/v1/spec', { text });
+    const agreedMs = performance.now() - beganMs;
+    if (put.status !== 200) console.error(`fleet: ${count} routes: ${JSON.stringify(put.body).slice(0, 200)}`);
+    const version = (put.body as { detail?: string }).detail;
+    const inForce = await until(5000, async () => {
+      const replies = await Promise.all(fleet.nodes.map((one) => fleet.ask(one.http, 'GET', '/rainrun/v1/spec/history')));
+      return replies.every(({ body }) => `version ${(body as { history: { version: number }[] }).history.at(-1)?.version ?? 0}` === version);
+    });
+    const forceMs = inForce ? performance.now() - beganMs : Infinity;
+    slowestMs = Math.max(slowestMs, forceMs);
+    const times: number[] = [];
+    for (let at = 0; at < 50; at += 1) {
+      const askedMs = performance.now();
+      await fetch(`http://${fleet.edges[0]?.http ?? ''}/v1/many/${count - 1}/x`, { headers: { 'rainrun-group': shape.lookupGroup } }).then((reply) => reply.text());
+      times.push(performance.now() - askedMs);
+    }
+    times.sort((one, other) => one - other);
+    console.log(`${count}  ${Buffer.byteLength(text)}  ${agreedMs.toFixed(0)}  ${forceMs.toFixed(0)}  ${(times[25] ?? 0).toFixed(1)}`);
+  }
+  return slowestMs <= 2000 ? 0 : 1;
+}
+
 /** Serves traffic for as long as the trial takes, and judges the whole. */
 async function tryOut(fleet: Fleet, shape: Shape): Promise<number> {
   const closed = await open(fleet, shape);
@@ -233,12 +273,14 @@
       return withFleet(shape, (fleet) => tryOut(fleet, shape));
     case 'flood':
       return withFleet(shape, (fleet) => flood(fleet, shape));
+    case 'routes':
+      return withFleet(shape, (fleet) => routes(fleet, shape));
     case 'smoke':
       return withFleet(SHAPES['small'] ?? shape, (fleet) => smoke(fleet, SHAPES['small'] ?? shape));
     case 'examples':
       return writeExamples();
     default:
-      console.error('fleet: start, run, trial, flood, smoke or examples; see fleet --help');
+      console.error('fleet: start, run, trial, flood, routes, smoke or examples; see fleet --help');
       return 2;
   }
 }
