Network cuts between real processes, cores replaced in turn, roll-outs between two builds

A relay now stands between the nodes of a fleet: nodes connect from the address they bind (new setting reach: where others find them), so the relay knows both ends of a link and holds up, delays or passes each direction. Ruled out: a lone core that its coordinator cannot reach must admit (first expectation of the trial; it is dropped from the view by design and has no visitors).

--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -110,14 +110,14 @@
   }
 
   #makeHub(acceptor: Acceptor | undefined): Hub {
-    const { name, zone, deployment, seeds, founders, bind } = this.#settings;
+    const { name, zone, deployment, seeds, founders, bind, reach } = this.#settings;
     return new Hub({
       name,
       zone,
       deployment,
       seeds,
       founders: this.#role === 'core' ? founders : [],
-      address: bind,
+      address: reach ?? bind,
       clock: CLOCK,
       chance: CHANCE,
       times: GROUP_TIMES,
--- a/packages/mast/src/operators.ts
+++ b/packages/mast/src/operators.ts
@@ -76,6 +76,7 @@
     return {
       status: 200,
       body: {
+        disk: group.seat.disk,
         self: { name: group.seat.name, life: group.seat.life, zone: group.seat.zone },
         admitting: group.granted(),
         coordinator: held?.view.members.find((member) => member.life === group.coordinatorLife)?.name ?? null,
--- a/packages/mast/src/program.ts
+++ b/packages/mast/src/program.ts
@@ -15,6 +15,7 @@
     --deployment    name of the deployment
     --zone          zone of this node
     --bind          IP:PORT for the other nodes
+    --reach         IP:PORT at which the other nodes reach this one, if not --bind
     --http          IP:PORT for visitors and operators
     --seeds         up to three IP:PORT of other nodes, with commas between
     --platform      http address or file with the platform's list of workers
@@ -38,6 +39,7 @@
   'deployment',
   'zone',
   'bind',
+  'reach',
   'http',
   'seeds',
   'platform',
--- a/packages/mast/src/settings.ts
+++ b/packages/mast/src/settings.ts
@@ -19,8 +19,10 @@
   name: Name,
   deployment: Name,
   zone: Name,
-  /** Where the other nodes reach this one. */
+  /** Where this node listens for the other nodes, and from where it connects to them. */
   bind: Address,
+  /** Where the other nodes reach this one, if that is another address. */
+  reach: v.optional(Address),
   /** Where visitors and operators reach this node. */
   http: Address,
   seeds: v.pipe(v.array(Address), v.minLength(1), v.maxLength(3, 'at most three seed addresses')),
--- a/packages/mast/src/wire.ts
+++ b/packages/mast/src/wire.ts
@@ -32,6 +32,7 @@
  */
 export class Wire {
   #deployment: string;
+  #host = '';
   #take: (frame: Frame) => void;
   #server: Server | undefined;
   #lines = new Map<string, Line>();
@@ -53,6 +54,7 @@
 
   listen(address: string): Promise<Result<Unit, Fault>> {
     const { host, port } = splitAddress(address);
+    this.#host = host;
     const server = createServer((socket) => this.#guest(socket));
     this.#server = server;
     return new Promise((resolve) => {
@@ -87,7 +89,7 @@
     if (known !== undefined) return known;
     const nowMs = performance.now();
     if (this.#closed || nowMs - (this.#failedMs.get(address) ?? -Infinity) < AGAIN_MS) return undefined;
-    const socket = createConnection({ ...splitAddress(address), noDelay: true });
+    const socket = createConnection({ ...splitAddress(address), localAddress: this.#host, noDelay: true });
     const line: Line = { socket, open: false };
     this.#lines.set(address, line);
     socket.on('connect', () => {
--- a/tools/fleet/src/everywhere.ts
+++ b/tools/fleet/src/everywhere.ts
@@ -2,7 +2,7 @@
 import type { Fleet, FleetNode } from './fleet.js';
 
 /** What only the node that is asked can say about itself, and what counts on while one asks. */
-const OWN = new Set(['self', 'admitting', 'inFlight', 'backlog', 'served', 'refused', 'prompt', 'measuredMs', 'id', 'number', 'agreed', 'stale']);
+const OWN = new Set(['self', 'disk', 'admitting', 'inFlight', 'backlog', 'served', 'refused', 'prompt', 'measuredMs', 'id', 'number', 'agreed', 'stale']);
 
 function shared(value: unknown): unknown {
   if (Array.isArray(value)) return value.map(shared);
--- a/tools/fleet/src/fleet.ts
+++ b/tools/fleet/src/fleet.ts
@@ -1,8 +1,9 @@
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, mkdirSync, openSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdirSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
+import type { Relay } from './relay.js';
 import { exampleSpec, type Shape } from './shapes.js';
 
 /** One process of a fleet. */
@@ -10,19 +11,20 @@
   readonly name: string;
   readonly core: boolean;
   readonly zone: string;
-  readonly bind: string;
+  bind: string;
+  /** Where the others reach it: a place in the relay, or its own. */
+  reach: string;
   readonly http: string;
   readonly settings: string;
 }
 
 const HOST = '127.0.0.1';
+/** Last number of the first node's own loopback address, behind a relay. */
+const FIRST_OWN = 11;
 const PIECE_MS = 25;
 const PULL_MB_PER_S = 40_000;
 
-function programPath(name: string): string {
-  const folder = name === 'grandstand' ? 'tools' : 'programs';
-  return fileURLToPath(new URL(`../../../${folder}/${name}/dist/main.js`, import.meta.url));
-}
+const HERE = fileURLToPath(new URL('../../../', import.meta.url));
 
 /**
  * A whole fleet on one machine, each node a process of its own, with stand-in
@@ -34,12 +36,19 @@
 export class Fleet {
   readonly nodes: FleetNode[] = [];
   readonly platform: string;
+  /** The checkout, built, from which nodes are started from now on. */
+  build = HERE;
   #shape: Shape;
+  #relay: Relay | undefined;
   #folder: string;
   #setup: string;
+  #next: () => string;
+  #seeds: readonly FleetNode[] = [];
   #children = new Map<string, ChildProcess>();
 
-  constructor(shape: Shape, folder: string, firstPort: number) {
+  /** With a relay, nodes have loopback addresses of their own and reach each other through it. */
+  constructor(shape: Shape, folder: string, firstPort: number, relay?: Relay) {
+    this.#relay = relay;
     this.#shape = shape;
     this.#folder = folder;
     mkdirSync(folder, { recursive: true });
@@ -57,16 +66,14 @@
       const at = core ? place : place - shape.cores;
       return { name: core ? `core-${at + 1}` : `edge-${at + 1}`, core, zone: zone(at), bind: next(), http: next() };
     });
-    const seeds = outlines.slice(0, 3).map((node) => node.bind);
-    const founders = outlines.filter((node) => node.core).map((node) => node.name);
-    for (const outline of outlines) {
-      const settings = join(folder, `${outline.name}.json`);
-      this.nodes.push({ ...outline, settings });
-      const { name, bind, http } = outline;
-      const shared = { name, deployment: shape.deployment, zone: outline.zone, bind, http, seeds, platform: `http://${this.platform}/workers` };
-      const own = outline.core ? { founders, folder: join(folder, 'data', name) } : {};
-      writeFileSync(settings, `${JSON.stringify({ ...shared, ...own }, undefined, 2)}\n`);
+    this.#next = next;
+    for (const [place, outline] of outlines.entries()) {
+      const reach = outline.bind;
+      const bind = relay === undefined ? reach : `127.0.0.${FIRST_OWN + place}:${reach.split(':')[1] ?? ''}`;
+      this.nodes.push({ ...outline, bind, reach, settings: join(folder, `${outline.name}.json`) });
     }
+    this.#seeds = this.nodes.slice(0, 3);
+    for (const node of this.nodes) this.#writeSettings(node);
     this.#setup = join(folder, 'grandstand.json');
     this.#writeSetup(next, zone);
   }
@@ -76,15 +83,41 @@
   }
 
   async start(): Promise<void> {
+    await this.#relay?.open(this.nodes);
     this.#spawn('grandstand', 'grandstand', ['--setup', this.#setup]);
     for (const node of this.nodes) this.startNode(node);
-    await Promise.resolve();
   }
 
   startNode(node: FleetNode): void {
     this.#spawn(node.name, node.core ? 'boxoffice' : 'turnstile', ['--settings', node.settings]);
   }
 
+  /** The machine of a node that is down is replaced by an empty one at another address. */
+  async replaceMachine(node: FleetNode): Promise<void> {
+    rmSync(join(this.#folder, 'data', node.name), { recursive: true, force: true });
+    const port = this.#next().split(':')[1] ?? '';
+    node.bind = `${node.bind.split(':')[0] ?? HOST}:${port}`;
+    node.reach = `${HOST}:${port}`;
+    this.#writeSettings(node);
+    await this.#relay?.add(node);
+  }
+
+  /** Whoever starts from now on is told of these. */
+  setSeeds(seeds: readonly FleetNode[]): void {
+    this.#seeds = seeds;
+    for (const node of this.nodes) this.#writeSettings(node);
+  }
+
+  #writeSettings(node: FleetNode): void {
+    const { name, zone, bind, reach, http, core, settings } = node;
+    const founders = this.nodes.filter((known) => known.core).map((known) => known.name);
+    const seeds = this.#seeds.map((seed) => seed.reach);
+    const shared = { name, deployment: this.#shape.deployment, zone, bind, http, seeds, platform: `http://${this.platform}/workers` };
+    const relayed = reach === bind ? {} : { reach };
+    const own = core ? { founders, folder: join(this.#folder, 'data', name) } : {};
+    writeFileSync(settings, `${JSON.stringify({ ...shared, ...relayed, ...own }, undefined, 2)}\n`);
+  }
+
   signal(name: string, signal: NodeJS.Signals): void {
     this.#children.get(name)?.kill(signal);
   }
@@ -130,7 +163,8 @@
 
   #spawn(name: string, program: string, args: readonly string[]): void {
     const log = openSync(join(this.#folder, `${name}.log`), 'a');
-    const child = spawn(process.execPath, [programPath(program), ...args], { stdio: ['ignore', log, log] });
+    const path = program === 'grandstand' ? join(HERE, 'tools', program) : join(this.build, 'programs', program);
+    const child = spawn(process.execPath, [join(path, 'dist', 'main.js'), ...args], { stdio: ['ignore', log, log] });
     closeSync(log);
     this.#children.set(name, child);
   }
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -2,7 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { readFileSync, writeFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { join, resolve } from 'node:path';
 import meow from 'meow';
 import { compare, Crowd, type CrowdReport } from '@rainrun/crowd';
 import type { Report } from '@rainrun/grandstand';
@@ -10,7 +10,8 @@
 import { tryEverywhere } from './everywhere.js';
 import { Fleet } from './fleet.js';
 import { tryManners } from './manners.js';
-import { Trial } from './trial.js';
+import { Trial, type TrialReport } from './trial.js';
+import { Relay } from './relay.js';
 import { exampleSpec, makeDay, makeFlood, SHAPES, type Shape } from './shapes.js';
 
 const cli = meow(
@@ -21,7 +22,9 @@
     $ fleet start --shape vejsargs     start it and leave it running until Ctrl-C
     $ fleet run --shape malabon        start, serve the example day after 12 s, report, stop
     $ fleet trial --shape small        failures, one after the other, while visitors call
+    $ fleet cuts --shape small         cuts between the nodes, cores replaced, a zone lost
     $ fleet flood --shape vejsargs     the day alone, then beside a flood from its last group
+    $ fleet rollout --other FOLDER     from the build in another checkout to this one and back, under load
     $ fleet routes --shape vejsargs    specs that grow to thousands of routes
     $ fleet smoke                      a short run of a small fleet, for tests
     $ fleet examples                   write the example specs and days anew
@@ -31,6 +34,7 @@
     --folder    where settings, data and logs go   (default: a new one)
     --port      the ports after this one are used  (default 21000)
     --day       another recorded day to serve
+    --other     another checkout, built, to roll out from
     --speed     how fast to serve it (default 1)
 `,
   {
@@ -40,6 +44,7 @@
       folder: { type: 'string' },
       port: { type: 'number', default: 21_000 },
       day: { type: 'string' },
+      other: { type: 'string' },
       speed: { type: 'number', default: 1 },
     },
   },
@@ -190,7 +195,7 @@
 }
 
 /** Serves traffic for as long as the trial takes, and judges the whole. */
-async function tryOut(fleet: Fleet, shape: Shape): Promise<number> {
+async function tryOut(fleet: Fleet, shape: Shape, act: (trial: Trial) => Promise<TrialReport>, relay?: Relay): Promise<number> {
   const closed = await open(fleet, shape);
   if (closed !== undefined) {
     console.error(`fleet: ${closed}`);
@@ -198,12 +203,12 @@
   }
   await pause(10_000);
   const crowd = new Crowd(fleet.edges.map((edge) => edge.http));
-  const trial = new Trial(fleet, crowd);
-  const day = readDay(makeDay(shape, 300, 1));
+  const trial = new Trial(fleet, crowd, relay);
+  const day = readDay(makeDay(shape, 600, 1));
   if (day.isErr) return 1;
   const playing = crowd.play(day.value.calls, 1);
   await pause(2000);
-  const found = await trial.run();
+  const found = await act(trial);
   crowd.stop();
   const report = await playing;
   const workers = (await fleet.ask(fleet.platform, 'GET', '/report')).body as Report;
@@ -213,9 +218,30 @@
   return breaches.length === 0 ? 0 : 1;
 }
 
-async function withFleet(shape: Shape, act: (fleet: Fleet) => Promise<number>): Promise<number> {
+/** Starts from another build, goes over to this one node by node under load, and back. */
+function rollOut(shape: Shape, other: string | undefined): Promise<number> {
+  if (other === undefined) {
+    console.error('fleet: rollout needs --other, a checkout that is built');
+    return Promise.resolve(2);
+  }
+  return withFleet(shape, (fleet) => {
+    const here = fleet.build;
+    fleet.build = resolve(other);
+    return tryOut(fleet, shape, (trial) => trial.runRollOut(here));
+  });
+}
+
+/** A fleet whose nodes reach each other through a relay that cuts. */
+async function cuts(shape: Shape): Promise<number> {
+  const relay = new Relay();
+  const code = await withFleet(shape, (fleet) => tryOut(fleet, shape, (trial) => trial.runCuts(), relay), relay);
+  relay.close();
+  return code;
+}
+
+async function withFleet(shape: Shape, act: (fleet: Fleet) => Promise<number>, relay?: Relay): Promise<number> {
   const folder = cli.flags.folder ?? mkdtempSync(join(tmpdir(), 'rainrun-'));
-  const fleet = new Fleet(shape, folder, cli.flags.port);
+  const fleet = new Fleet(shape, folder, cli.flags.port, relay);
   let code = 1;
   try {
     code = await act(fleet);
@@ -270,7 +296,11 @@
     case 'run':
       return withFleet(shape, (fleet) => serve(fleet, shape, dayOf(shape), cli.flags.speed));
     case 'trial':
-      return withFleet(shape, (fleet) => tryOut(fleet, shape));
+      return withFleet(shape, (fleet) => tryOut(fleet, shape, (trial) => trial.run()));
+    case 'cuts':
+      return cuts(shape);
+    case 'rollout':
+      return rollOut(shape, cli.flags.other);
     case 'flood':
       return withFleet(shape, (fleet) => flood(fleet, shape));
     case 'routes':
@@ -280,7 +310,7 @@
     case 'examples':
       return writeExamples();
     default:
-      console.error('fleet: start, run, trial, flood, routes, smoke or examples; see fleet --help');
+      console.error('fleet: start, run, trial, cuts, flood, routes, rollout, smoke or examples; see fleet --help');
       return 2;
   }
 }
--- /dev/null
+++ b/tools/fleet/src/relay.ts
@@ -0,0 +1,121 @@
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+
+/** Whether nothing gets through now from one node to another. */
+export type LinkCut = (from: string, to: string) => boolean;
+
+/** A place in the relay: where a node really listens, and where the others reach it. */
+export interface RelayEnd {
+  readonly name: string;
+  readonly bind: string;
+  readonly reach: string;
+}
+
+interface Flow {
+  readonly from: string;
+  readonly to: string;
+  readonly source: Socket;
+  readonly target: Socket;
+  readonly chunks: { readonly dueMs: number; readonly bytes: Buffer }[];
+  ended: boolean;
+}
+
+const PUMP_MS = 5;
+const HELD_MAX = 4096;
+
+function split(address: string): { host: string; port: number } {
+  const [host = '', port] = address.split(':');
+  return { host, port: Number(port) };
+}
+
+/**
+ * Stands between the nodes of a fleet: every connection from one node to
+ * another passes it. It knows a sender by the loopback address it comes from.
+ * A cut holds bytes up, as a network does whose sender tries again; what is
+ * held goes on when the cut heals.
+ * @example
+ * const relay = new Relay();
+ * await relay.open([{ name: 'core-1', bind: '127.0.0.11:7001', reach: '127.0.0.1:8001' }]);
+ * relay.cut((from) => from === 'core-1');
+ */
+export class Relay {
+  #names = new Map<string, string>();
+  #servers: Server[] = [];
+  #flows = new Set<Flow>();
+  #cut: LinkCut = () => false;
+  #lagMs: () => number = () => 0;
+  #pump: NodeJS.Timeout | undefined;
+
+  async open(ends: readonly RelayEnd[]): Promise<void> {
+    this.#pump = setInterval(() => this.#move(), PUMP_MS);
+    for (const end of ends) await this.add(end);
+  }
+
+  /** One more node, as when a machine is replaced at another address. */
+  add(end: RelayEnd): Promise<void> {
+    this.#names.set(split(end.bind).host, end.name);
+    const server = createServer((source) => this.#join(source, end));
+    this.#servers.push(server);
+    const { host, port } = split(end.reach);
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, host, () => resolve());
+    });
+  }
+
+  cut(cut: LinkCut): void {
+    this.#cut = cut;
+  }
+
+  /** Every chunk is late by what this says; a lost one is one that comes much later. */
+  delay(lagMs: () => number): void {
+    this.#lagMs = lagMs;
+  }
+
+  heal(): void {
+    this.#cut = () => false;
+    this.#lagMs = () => 0;
+  }
+
+  close(): void {
+    clearInterval(this.#pump);
+    for (const server of this.#servers) server.close();
+    for (const { source, target } of this.#flows) {
+      source.destroy();
+      target.destroy();
+    }
+  }
+
+  #join(source: Socket, end: RelayEnd): void {
+    const from = this.#names.get(source.remoteAddress ?? '') ?? '';
+    const target = createConnection({ ...split(end.bind), noDelay: true });
+    const flow: Flow = { from, to: end.name, source, target, chunks: [], ended: false };
+    this.#flows.add(flow);
+    source.on('data', (bytes: Buffer) => {
+      const last = flow.chunks.at(-1)?.dueMs ?? 0;
+      flow.chunks.push({ dueMs: Math.max(last, performance.now() + this.#lagMs()), bytes });
+      if (flow.chunks.length > HELD_MAX) source.pause();
+    });
+    source.on('error', () => undefined);
+    target.on('error', () => undefined);
+    source.on('close', () => {
+      flow.ended = true;
+    });
+    target.on('close', () => {
+      source.destroy();
+      this.#flows.delete(flow);
+    });
+  }
+
+  #move(): void {
+    const nowMs = performance.now();
+    for (const flow of this.#flows) {
+      if (this.#cut(flow.from, flow.to)) continue;
+      for (let next = flow.chunks[0]; next !== undefined && next.dueMs <= nowMs; next = flow.chunks[0]) {
+        flow.target.write(next.bytes);
+        flow.chunks.shift();
+      }
+      if (flow.source.isPaused() && flow.chunks.length === 0) flow.source.resume();
+      if (flow.ended && flow.chunks.length === 0) flow.target.end();
+    }
+  }
+}
--- a/tools/fleet/src/trial.ts
+++ b/tools/fleet/src/trial.ts
@@ -1,6 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import type { Crowd, CrowdReport, Seen } from '@rainrun/crowd';
 import type { Fleet, FleetNode } from './fleet.js';
+import type { LinkCut, Relay } from './relay.js';
 
 /** One act of a trial: when, what, and how it is done. */
 interface Act {
@@ -16,6 +17,7 @@
 
 const RETURN_MS = 12_000;
 const SETTLE_MS = 1500;
+const CUT_MS = 5000;
 
 /**
  * Failures brought about on a real fleet while visitors call, one after the
@@ -25,18 +27,148 @@
  */
 export class Trial {
   #fleet: Fleet;
+  #relay: Relay | undefined;
   #crowd: Crowd;
   #lines: string[] = [];
   #faults: string[] = [];
   #planned: { edge: string; fromMs: number; toMs: number }[] = [];
 
-  constructor(fleet: Fleet, crowd: Crowd) {
+  /** With a relay between its nodes the fleet's network is cut too. */
+  constructor(fleet: Fleet, crowd: Crowd, relay?: Relay) {
+    this.#relay = relay;
     this.#fleet = fleet;
     this.#crowd = crowd;
   }
 
-  async run(): Promise<TrialReport> {
-    for (const act of this.#acts()) {
+  /** Rolls the fleet, node by node, to this build and back to the one it was started from. */
+  async runRollOut(build: string): Promise<TrialReport> {
+    const from = this.#fleet.build;
+    for (const [name, to] of [['to the other build', build], ['and back', from]] as const) {
+      const beganMs = performance.now();
+      this.#fleet.build = to;
+      const fault = await this.#rollOut(true);
+      const view = await this.#fleet.ask(this.#fleet.nodes[0]?.http ?? '', 'GET', '/rainrun/v1/view');
+      const { level = 1 } = view.body as { level?: number };
+      this.#lines.push(`${name.padEnd(46)} ${(performance.now() - beganMs).toFixed(0).padStart(6)} ms  ${fault ?? 'well'}, at level ${level}`);
+      if (fault !== undefined) this.#faults.push(`${name}: ${fault}`);
+    }
+    return { faults: this.#faults, lines: this.#lines };
+  }
+
+  run(): Promise<TrialReport> {
+    return this.#play(this.#acts());
+  }
+
+  /** Cuts of the network between the nodes, and machines that come back as others. */
+  runCuts(): Promise<TrialReport> {
+    const { nodes, edges } = this.#fleet;
+    const cores = new Set(nodes.filter((node) => node.core).map((node) => node.name));
+    const [core = '', other = ''] = [...cores];
+    const edge = edges[0]?.name ?? '';
+    function apart(one: string, two: string): LinkCut {
+      return (from, to) => (from === one && to === two) || (from === two && to === one);
+    }
+    return this.#play([
+      { name: 'cut an edge off', run: () => this.#cutFor((from, to) => (from === edge) !== (to === edge), [edge]) },
+      { name: 'cut a core off', run: () => this.#cutFor((from, to) => (from === core) !== (to === core), [core]) },
+      { name: 'an edge can hear but not speak', run: () => this.#cutFor((from) => from === edge, [edge]) },
+      { name: 'a core can speak but not hear', run: () => this.#cutFor((_, to) => to === other, [other]) },
+      { name: 'cut the core in two', run: () => this.#cutFor((from, to) => cores.has(from) && cores.has(to) && (from === core) !== (to === core), [], [core]) },
+      { name: 'cut two cores apart', run: () => this.#cutFor(apart(core, other), [], [core, other]) },
+      { name: 'cut the core off from the edges', run: () => this.#cutFor((from, to) => cores.has(from) !== cores.has(to), [...cores]) },
+      { name: 'slow and lossy links for 8 s', run: () => this.#slow() },
+      { name: 'each core replaced by an empty one, in turn', run: () => this.#replaceCores() },
+      { name: 'other seeds for whoever restarts', run: () => this.#otherSeeds() },
+      { name: 'a zone lost with its nodes and workers', run: () => this.#loseZone() },
+    ]);
+  }
+
+  /**
+   * Holds a cut, sees who admits meanwhile, and waits for the fleet to be whole
+   * again. Those that may be `dropped`, as the coordinator cannot reach them, may admit or not.
+   */
+  async #cutFor(cut: LinkCut, silent: readonly string[], dropped: readonly string[] = []): Promise<string | undefined> {
+    this.#relay?.cut(cut);
+    await pause(CUT_MS);
+    const wrong: string[] = [];
+    for (const node of this.#fleet.nodes) {
+      const { status } = await this.#fleet.ask(node.http, 'GET', '/rainrun/v1/ready');
+      const admits = status === 200;
+      if (dropped.includes(node.name)) continue;
+      if (admits === silent.includes(node.name)) wrong.push(`${node.name} ${admits ? 'admits' : 'does not admit'}`);
+    }
+    this.#relay?.heal();
+    const back = await this.#back();
+    return back ?? (wrong.length > 0 ? wrong.join(', ') : undefined);
+  }
+
+  /** Late by some milliseconds, and one chunk in fifty by a fifth of a second more, as if lost and sent again. */
+  async #slow(): Promise<string | undefined> {
+    let turn = 0;
+    this.#relay?.delay(() => {
+      turn += 1;
+      return (turn % 40) + (turn % 50 === 0 ? 200 : 0);
+    });
+    await pause(8000);
+    const meanwhile = await this.#missing();
+    this.#relay?.heal();
+    return meanwhile === '' ? this.#back() : `while slow: ${meanwhile}`;
+  }
+
+  async #replaceCores(): Promise<string | undefined> {
+    for (const node of this.#fleet.nodes.filter((known) => known.core)) {
+      this.#fleet.signal(node.name, 'SIGKILL');
+      await this.#fleet.ended(node.name);
+      await this.#fleet.replaceMachine(node);
+      this.#fleet.startNode(node);
+      const back = (await this.#back()) ?? (await this.#electing(node));
+      if (back !== undefined) return `${node.name}: ${back}`;
+    }
+    return undefined;
+  }
+
+  /** Waits until a node's own disk is among the electors. */
+  async #electing(node: FleetNode): Promise<string | undefined> {
+    const endMs = performance.now() + RETURN_MS;
+    while (performance.now() < endMs) {
+      const { body } = await this.#fleet.ask(node.http, 'GET', '/rainrun/v1/view');
+      const { electors = [], disk } = body as { electors?: { name: string; disk: string }[]; disk?: string };
+      if (electors.some((elector) => elector.name === node.name && elector.disk === disk)) return undefined;
+      await pause(100);
+    }
+    return 'is no elector again';
+  }
+
+  async #otherSeeds(): Promise<string | undefined> {
+    const { edges, nodes } = this.#fleet;
+    this.#fleet.setSeeds(edges.slice(0, 3));
+    const restarting = [edges.at(-1), nodes[0]].filter((node) => node !== undefined);
+    await Promise.all(restarting.map((node) => this.#restart(node, 'SIGKILL')));
+    const back = await this.#back();
+    for (const node of restarting) this.#crowd.setDown(node.http, false);
+    return back;
+  }
+
+  async #loseZone(): Promise<string | undefined> {
+    const { nodes, platform } = this.#fleet;
+    const zone = nodes[1]?.zone ?? '';
+    const lost = nodes.filter((node) => node.zone === zone);
+    const { body } = await this.#fleet.ask(platform, 'GET', '/workers');
+    const workers = (body as { workers: { name: string; zone: string }[] }).workers.filter((worker) => worker.zone === zone);
+    for (const node of lost) this.#crowd.setDown(node.http, true);
+    for (const node of lost) this.#fleet.signal(node.name, 'SIGKILL');
+    await Promise.all(workers.map((worker) => this.#worker(worker.name, 'crash', 0)));
+    await Promise.all(lost.map((node) => this.#fleet.ended(node.name)));
+    await pause(6000);
+    for (const node of lost) this.#fleet.startNode(node);
+    await Promise.all(workers.map((worker) => this.#worker(worker.name, 'return', 0)));
+    const back = await this.#back();
+    for (const node of lost) this.#crowd.setDown(node.http, false);
+    return back;
+  }
+
+  async #play(acts: readonly Act[]): Promise<TrialReport> {
+    for (const act of acts) {
       const beganMs = performance.now();
       const fault = await act.run();
       const tookMs = performance.now() - beganMs;
