--- a/packages/gate/src/assign.ts
+++ b/packages/gate/src/assign.ts
@@ -3,6 +3,8 @@
 
 const PREFIXES_KEPT = 4096;
 const WARM_STEP_MS = 500;
+/** Part of a worker's slots that a group beyond its share does not take. */
+const KEPT_RATIO = 0.25;
 const SHUN_BASE_MS = 500;
 const SHUN_MOST_MS = 8000;
 
@@ -21,6 +23,8 @@
   readonly model: string;
   readonly adapter: string;
   readonly prefix: number;
+  /** Its group has its part of the slots already: it may not take a worker's last ones. */
+  readonly beyond: boolean;
 }
 
 /** Where a request goes, or why nowhere now. */
@@ -69,6 +73,10 @@
         why = 'no slot is free';
         continue;
       }
+      if (need.beyond && desk.inFlight + worker.othersInFlight >= worker.slots - Math.ceil(worker.slots * KEPT_RATIO)) {
+        why = 'the last slots are kept for groups below their share';
+        continue;
+      }
       const load = (desk.inFlight + worker.othersInFlight) / worker.slots;
       const kept = this.#prefixes.get(need.prefix) === worker.name ? 0.5 : 0;
       const near = worker.zone === this.#zone ? 0.25 : 0;
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from 'eventemitter3';
 import type { Spec } from '@rainrun/marquee';
 import { fault, Register, Slab, type Fault } from '@rainrun/nacelle';
-import { Assigner } from './assign.js';
+import { Assigner, type Need } from './assign.js';
 import { Backlog } from './backlog.js';
 import { RetryBudget } from './budget.js';
 import { Catalogue } from './catalogue.js';
@@ -256,9 +256,10 @@
         const visit = this.#slab.get(key);
         if (visit === undefined) continue;
         if (!visit.repeatable && this.#overShare(group)) continue;
-        const need = `${visit.pool}/${this.#demandKey(visit)}`;
+        const wanted = this.#need(visit);
+        const need = `${visit.pool}/${this.#demandKey(visit)}/${wanted.beyond}`;
         if (nowhere.has(need)) continue;
-        const assignment = this.#assigner.assign(this.#need(visit), workers, edges, nowMs);
+        const assignment = this.#assigner.assign(wanted, workers, edges, nowMs);
         if (visit.trail.at(-1) !== assignment.why) visit.trail.push(assignment.why);
         if (assignment.worker === undefined) {
           nowhere.add(need);
@@ -276,16 +277,20 @@
   /** While others wait, a group is held to its part of the slots. */
   #overShare(group: number): boolean {
     const others = this.#backlog.count - this.#backlog.countOf(group);
-    if (others === 0) return false;
+    return others > 0 && this.#hasPart(group);
+  }
+
+  #hasPart(group: number): boolean {
     return (this.#groupInFlight[group] ?? 0) >= Math.max(1, Math.ceil(this.#slotsHere() * this.#shareOf(group)));
   }
 
-  #need(visit: Visit): { pool: string; model: string; adapter: string; prefix: number } {
+  #need(visit: Visit): Need {
     return {
       pool: visit.pool,
       model: visit.repeatable ? '' : this.#models.name(visit.model),
       adapter: visit.repeatable ? '' : this.#adapters.name(visit.adapter),
       prefix: visit.prefix,
+      beyond: !visit.repeatable && this.#hasPart(visit.group) && this.#shareOf(visit.group) < 1,
     };
   }
 
--- a/packages/hub/src/edge.ts
+++ b/packages/hub/src/edge.ts
@@ -2,10 +2,11 @@
 import { ObservationSchema } from '@rainrun/courier';
 import { Gate, type Sender } from '@rainrun/gate';
 import type { Chance, Clock } from '@rainrun/nacelle';
-import { Loop } from '@rainrun/yaw';
+import { Loop, type LoopSettings } from '@rainrun/yaw';
 import type { Hub } from './hub.js';
 
-const LOOP_SETTINGS = { gain: 0.5, integralPerS: 0.1, least: 0.25, most: 4, stepPerS: 0.2, deadBand: 0.1 };
+/** How the weights of the groups are steered. */
+export const LOOP_SETTINGS: LoopSettings = { gain: 0.5, integralPerS: 0.1, least: 0.25, most: 4, stepPerS: 0.2, deadBand: 0.1 };
 
 /** How often an edge casts what it saw. */
 export const OBSERVE_MS = 500;
@@ -20,10 +21,12 @@
  */
 export class Edge {
   #hub: Hub;
+  #loopSettings: LoopSettings;
   #loops = new Map<string, Loop>();
   readonly gate: Gate;
 
-  constructor(hub: Hub, name: string, zone: string, clock: Clock, chance: Chance, sender: Sender) {
+  constructor(hub: Hub, name: string, zone: string, clock: Clock, chance: Chance, sender: Sender, loops: LoopSettings = LOOP_SETTINGS) {
+    this.#loopSettings = loops;
     this.#hub = hub;
     this.gate = new Gate({
       name,
@@ -84,7 +87,7 @@
       const measured = pictures.filter((picture) => picture.group === name && picture.served > 0);
       if (measured.length === 0) continue;
       const ratios = measured.map((picture) => picture.waitMs / (kinds.find((kind) => kind.name === picture.kind)?.targetMs ?? Infinity));
-      const loop = this.#loops.get(name) ?? new Loop(LOOP_SETTINGS);
+      const loop = this.#loops.get(name) ?? new Loop(this.#loopSettings);
       this.#loops.set(name, loop);
       loop.move(Math.max(...ratios), OBSERVE_MS / 1000);
     }
--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -20,7 +20,7 @@
 import { Group, type GroupGear, type Held, type Outcome, type Play } from '@rainrun/farm';
 import { applyToStage, decodeStage, EMPTY_STAGE, encodeStage, plainStage, type Stage } from '@rainrun/marquee';
 import { fault, word, type Fault } from '@rainrun/nacelle';
-import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type ModelDemand, type Order, type OrderReply } from '@rainrun/yaw';
+import { Orderer, Placer, PLACE_SETTINGS, type KnownWorker, type ModelDemand, type Order, type OrderReply, type PlaceSettings } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
 import { DemandBook, type GroupPicture } from './demand.js';
@@ -59,6 +59,8 @@
   reborn(life: string): void;
   /** Called when the group says that this node cannot join it. */
   refused(why: string): void;
+  /** Set points of placement, where they are not the usual ones. */
+  readonly placing?: PlaceSettings;
   /** Answers a question that an operator asked at another node. */
   question(kind: string, text: string): Told;
 }
@@ -91,7 +93,7 @@
   #news: NewsBoard;
   #roster = new Roster();
   #demand = new DemandBook();
-  #placer = new Placer(PLACE_SETTINGS);
+  #placer: Placer;
   #orderer: Orderer;
   #waiting = new Map<string, (answer: Answer) => void>();
   #newsBeatMs = -Infinity;
@@ -104,6 +106,7 @@
 
   constructor(gear: HubGear) {
     this.#gear = gear;
+    this.#placer = new Placer(gear.placing ?? PLACE_SETTINGS);
     this.#news = new NewsBoard(gear.chance, (item) => this.#hear(item));
     this.#orderer = new Orderer({
       dutyEpoch: () => this.#group.dutyEpoch(),
--- a/packages/park/src/grounds.ts
+++ b/packages/park/src/grounds.ts
@@ -6,6 +6,7 @@
 import type { VirtualTime } from './world.js';
 
 const WARM_MS = 500;
+const PREFIXES_KEPT = 32;
 const WARM_MOST = 2;
 /** Part of the answers that take long. */
 const LONG_RATIO = 0.15;
@@ -20,12 +21,24 @@
   isCut(from: string, to: string): boolean;
   /** What a request asks for. */
   wish(id: string): Wish;
+  /** A load or unload is begun. */
+  ordered(action: string): void;
 }
 
 /** What a simulated visitor asked for. */
 export interface Wish {
   readonly model: string;
   readonly streamed: boolean;
+  /** What it costs, where a day says so; else the worker throws dice. */
+  readonly work?: SimWork;
+}
+
+/** The work of one request: reading its prompt, less where the prefix is kept, then its pieces. */
+export interface SimWork {
+  readonly prefix: string;
+  readonly prefillMs: number;
+  readonly pieces: number;
+  readonly gapMs: number;
 }
 
 /** Where a worker writes its reply. */
@@ -62,6 +75,9 @@
   up = true;
   dark = false;
   mood: SimMood = 'well';
+  /** How often a prompt's prefix was kept here, and what that saved. */
+  readonly prefill = { hits: 0, misses: 0, savedMs: 0 };
+  #prefixes = new Set<string>();
   #runs = 0;
   #grounds: Grounds;
   #loadedMs = new Map<string, number>();
@@ -104,6 +120,7 @@
     if (order.epoch < this.#epoch) oracle.breach('orders are fenced', `${this.name} got epoch ${order.epoch} after ${this.#epoch}`, time.nowMs());
     this.#epoch = Math.max(this.#epoch, order.epoch);
     const busy = time.nowMs() < this.#busyUntilMs;
+    if (acts && !busy) this.#grounds.ordered(order.action);
     if (acts && busy) oracle.breach('no order to a busy worker', this.name, time.nowMs());
     const workMs = order.action === 'load' && !busy ? 300 + dice.next() * 500 : 1;
     if (workMs > 1) {
@@ -123,7 +140,7 @@
   /** Serves a request; the reply may never come. */
   serve(id: string, reply: Reply): WorkerLine {
     const { time, oracle, dice } = this.#grounds;
-    const { model, streamed } = this.#grounds.wish(id);
+    const { model, streamed, work: cost } = this.#grounds.wish(id);
     const work: Work = { model, over: false, reply };
     const line: WorkerLine = {
       left: () => {
@@ -149,15 +166,29 @@
     }
     this.#runs += 1;
     const run = `${this.name}-${this.#runs}`;
-    const of = this.kind === 'lookup' ? 1 : 2 + Math.floor(dice.next() * 6);
+    const of = cost?.pieces ?? (this.kind === 'lookup' ? 1 : 2 + Math.floor(dice.next() * 6));
     const pieces = Array.from({ length: of }, (_, place) => JSON.stringify({ id, run, place, of }));
     const longMs = dice.next() < LONG_RATIO ? 3000 : 300;
-    const gapMs = this.kind === 'lookup' ? 5 : (100 + dice.next() * longMs) / of;
-    if (streamed) this.#stream(work, pieces, gapMs);
-    else this.#plain(work, pieces, gapMs);
+    const gapMs = cost?.gapMs ?? (this.kind === 'lookup' ? 5 : (100 + dice.next() * longMs) / of);
+    time.after(cost === undefined ? 0 : this.#prefillMs(cost), () => {
+      if (work.over) return;
+      if (streamed) this.#stream(work, pieces, gapMs);
+      else this.#plain(work, pieces, gapMs);
+    });
     return line;
   }
 
+  /** Reading a prompt whose prefix is kept costs a tenth. */
+  #prefillMs({ prefix, prefillMs }: SimWork): number {
+    const kept = this.#prefixes.delete(prefix);
+    this.#prefixes.add(prefix);
+    const [oldest] = this.#prefixes;
+    if (this.#prefixes.size > PREFIXES_KEPT && oldest !== undefined) this.#prefixes.delete(oldest);
+    this.prefill[kept ? 'hits' : 'misses'] += 1;
+    if (kept) this.prefill.savedMs += prefillMs * 0.9;
+    return kept ? prefillMs * 0.1 : prefillMs;
+  }
+
   /** One act after the other; a dark worker goes on where it stopped, once it is back. */
   #run(work: Work, gapMs: number, acts: readonly (() => void)[]): void {
     const [act, ...later] = acts;
--- a/packages/park/src/index.ts
+++ b/packages/park/src/index.ts
@@ -5,3 +5,4 @@
 export * from './timeline.js';
 export * from './trial.js';
 export * from './world.js';
+export * from './matinee.js';
--- /dev/null
+++ b/packages/park/src/matinee.ts
@@ -0,0 +1,76 @@
+import { exampleSpec, type Call, type Shape } from '@rainrun/playbill';
+import { hashText } from '@rainrun/nacelle';
+import { Site, type SiteLoops } from './site.js';
+
+/** How one call of a day ended in the simulator. */
+export interface MatineeSeen {
+  readonly call: Call;
+  outcome: string;
+  firstPieceMs: number;
+  worker: string;
+}
+
+/** A day as the simulator served it. */
+export interface Matinee {
+  readonly seen: readonly MatineeSeen[];
+  /** Loads and unloads, by the time of the day. */
+  readonly orders: readonly { readonly atMs: number; readonly action: string }[];
+  readonly prefill: { readonly hits: number; readonly misses: number; readonly savedMs: number };
+  readonly breaches: readonly string[];
+}
+
+/** When traffic begins. */
+const OPEN_MS = 12_000;
+const AFTER_MS = 30_000;
+const GAP_MS = 25;
+const PREFILL_MS_PER_CHAR = 0.3;
+
+/**
+ * Plays a day in the simulator, at the size of a deployment and on the
+ * production code: the same calls as a fleet of processes would be sent.
+ * @example
+ * const matinee = playMatinee(SHAPES['vejsargs'], day.calls, { seed: 1 });
+ */
+export function playMatinee(shape: Shape, calls: readonly Call[], options: { seed: number; spec?: object; loops?: SiteLoops }): Matinee {
+  const { cores, edges, workers, zones, pool } = shape;
+  const spec = (options.spec ?? exampleSpec(shape)) as { workers: { slots: number } };
+  const site = new Site(options.seed, { cores, edges, workers, zones, pool, slots: spec.workers.slots }, 0, options.loops);
+  const { time, oracle } = site;
+  site.notes = false;
+  for (const machine of site.machines) site.boot(machine);
+  time.runUntil(3000);
+  const [first] = site.machines;
+  if (first !== undefined) site.submit(first, 'spec.put', { base: 0, text: JSON.stringify(spec) });
+  const gates = site.machines.filter((machine) => machine.disk === undefined);
+  const seen: MatineeSeen[] = [];
+  for (const [place, call] of calls.entries()) {
+    time.after(OPEN_MS - 3000 + call.atMs, () => {
+      const edge = gates[place % gates.length]?.running?.edge;
+      const record: MatineeSeen = { call, outcome: 'no-answer', firstPieceMs: Infinity, worker: '' };
+      seen.push(record);
+      if (edge === undefined) return;
+      const { path, group, kind, model, adapter, stream, prefix, chars } = call;
+      const work = { prefix: `${model}/${adapter}/${prefix}`, prefillMs: chars * PREFILL_MS_PER_CHAR, pieces: 4 + ((place * 7) % 12), gapMs: GAP_MS };
+      const asked = { path, group, kind, model, adapter, prefix: hashText(`${model}/${adapter}/${prefix}`), streamed: stream };
+      const askedMs = time.nowMs();
+      site.call(edge, model === '' ? asked : { ...asked, work }, (outcome, firstMs, worker) => {
+        record.outcome = outcome;
+        record.worker = worker;
+        record.firstPieceMs = (firstMs ?? time.nowMs()) - askedMs;
+      });
+    });
+  }
+  time.runUntil(OPEN_MS + (calls.at(-1)?.atMs ?? 0) + AFTER_MS);
+  const prefill = { hits: 0, misses: 0, savedMs: 0 };
+  for (const worker of site.workers) {
+    prefill.hits += worker.prefill.hits;
+    prefill.misses += worker.prefill.misses;
+    prefill.savedMs += worker.prefill.savedMs;
+  }
+  return {
+    seen,
+    orders: site.orders.map(({ atMs, action }) => ({ atMs: atMs - OPEN_MS, action })),
+    prefill,
+    breaches: oracle.breaches.map(({ rule, detail }) => `${rule}: ${detail}`),
+  };
+}
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -12,12 +12,12 @@
 import { Edge, Hub } from '@rainrun/hub';
 import type { Spec, Stage } from '@rainrun/marquee';
 import { Dice, word, type Fault } from '@rainrun/nacelle';
-import type { Order, OrderReply } from '@rainrun/yaw';
+import type { LoopSettings, Order, OrderReply, PlaceSettings } from '@rainrun/yaw';
 import type { Result } from 'true-myth';
-import { SimWorker, type Grounds, type Wish } from './grounds.js';
+import { SimWorker, type Grounds, type SimWork, type Wish } from './grounds.js';
 import { SimSender } from './lines.js';
 import { Oracle } from './oracle.js';
-import { SimVisitor } from './visitor.js';
+import { SimVisitor, type Ended } from './visitor.js';
 import { Net, SimDisk, VirtualTime } from './world.js';
 
 const BEAT_MS = 50;
@@ -61,6 +61,28 @@
   readonly edges: number;
   readonly workers: number;
   readonly zones: readonly string[];
+  /** Requests that a model worker carries at once. */
+  readonly slots?: number;
+  /** The pool of the lookup workers. */
+  readonly pool?: string;
+}
+
+/** Loops that are set otherwise than usual, for comparisons. */
+export interface SiteLoops {
+  readonly weights?: LoopSettings;
+  readonly placement?: PlaceSettings;
+}
+
+/** A visitor's question, as a day has it. */
+export interface SimCall {
+  readonly path: string;
+  readonly group: string;
+  readonly kind: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly prefix: number;
+  readonly streamed: boolean;
+  readonly work?: SimWork;
 }
 
 /** A whole deployment in one thread and in virtual time, on the production code. */
@@ -77,6 +99,10 @@
   visitors = false;
   /** Called when an operator has been answered. */
   atAnswer: (() => void) | undefined;
+  /** Loads and unloads that workers have begun. */
+  readonly orders: { readonly atMs: number; readonly action: string }[] = [];
+  #loops: SiteLoops;
+  #pool: string;
   #wishes = new Map<string, Wish>();
   #grounds: Grounds;
   #dice: Dice;
@@ -88,7 +114,9 @@
   seeds: readonly Machine[];
   #founders: string[];
 
-  constructor(seed: number, size: SiteSize, lossRatio: number) {
+  constructor(seed: number, size: SiteSize, lossRatio: number, loops: SiteLoops = {}) {
+    this.#loops = loops;
+    this.#pool = size.pool ?? 'desks';
     this.#dice = new Dice(seed);
     this.net = new Net(this.time, this.#dice, lossRatio);
     this.#grounds = {
@@ -97,6 +125,7 @@
       dice: this.#dice,
       spec: () => this.#newestSpec(),
       isCut: (from, to) => this.net.isCut(from, to),
+      ordered: (action) => this.orders.push({ atMs: this.time.nowMs(), action }),
       wish: (id) => this.#wishes.get(id) ?? { model: '', streamed: false },
     };
     this.#zones = size.zones;
@@ -111,7 +140,7 @@
     this.#founders = this.machines.slice(0, size.cores).map((machine) => machine.name);
     for (let place = 0; place < size.workers; place += 1) {
       const zone = size.zones[place % size.zones.length] ?? '';
-      this.workers.push(new SimWorker(this.#grounds, `worker-${place}`, zone, 'model', SLOTS));
+      this.workers.push(new SimWorker(this.#grounds, `worker-${place}`, zone, 'model', size.slots ?? SLOTS));
     }
     for (let place = 0; place < 3; place += 1) {
       const zone = size.zones[place % size.zones.length] ?? '';
@@ -243,6 +272,7 @@
       order: (to, order, done) => this.#order(machine, hub, to, order, done),
       changed: (held, entry) => this.#changed(machine, hub, held, entry),
       speaks: machine.speaks,
+      ...(this.#loops.placement === undefined ? {} : { placing: this.#loops.placement }),
       question: (kind, text) => ({ status: 200, body: { kind, text, by: name } }),
       refused: (why) => this.note(name, `refused: ${why}`),
       reborn: () => this.note(name, 'dropped, rejoins'),
@@ -327,34 +357,29 @@
       this.workers,
       (act) => this.#atNode(machine, running, act),
     );
-    return new Edge(running.hub, machine.name, machine.zone, clock, this.#dice, sender);
+    return new Edge(running.hub, machine.name, machine.zone, clock, this.#dice, sender, this.#loops.weights);
   }
 
   /** A visitor comes to an edge: a lookup, or a question that is streamed or not. */
   visit(edge: Edge, lookup: boolean, model: string): void {
-    const id = word(this.#dice);
     const streamed = !lookup && this.#dice.next() < 0.6;
-    this.#wishes.set(id, { model, streamed });
-    this.oracle.asked(id, lookup);
-    const leave = edge.gate.enter(
-      {
-        id,
-        path: lookup ? '/lookup/1' : '/v1/chat/completions',
-        method: lookup ? 'GET' : 'POST',
-        group: 'technicians',
-        kind: 'question',
-        model,
-        adapter: '',
-        prefix: Math.floor(this.#dice.next() * 8),
-        streamed,
-        body: undefined,
-        deadlineMs: undefined,
-      },
-      new SimVisitor(this.oracle, id, () => this.time.nowMs()),
-    );
+    const path = lookup ? '/lookup/1' : '/v1/chat/completions';
+    const prefix = Math.floor(this.#dice.next() * 8);
+    const leave = this.call(edge, { path, group: 'technicians', kind: 'question', model, adapter: '', prefix, streamed });
     if (this.#dice.next() < LEAVES_RATIO) this.time.after(this.#dice.next() * 400, leave);
   }
 
+  /** A visitor makes a call; the returned function says that it has left. */
+  call(edge: Edge, call: SimCall, ended?: Ended): () => void {
+    const id = word(this.#dice);
+    const { path, group, kind, model, adapter, prefix, streamed, work } = call;
+    const lookup = model === '';
+    this.#wishes.set(id, { model, streamed, ...(work === undefined ? {} : { work }) });
+    this.oracle.asked(id, lookup);
+    const ask = { id, path, group, kind, model, adapter, prefix, streamed, body: undefined, deadlineMs: undefined };
+    return edge.gate.enter({ ...ask, method: lookup ? 'GET' : 'POST' }, new SimVisitor(this.oracle, id, () => this.time.nowMs(), ended));
+  }
+
   #probe(machine: Machine, running: Running): void {
     const { group } = running.hub;
     if (group.granted()) this.oracle.admits(`${machine.name}/${group.seat.life}`, group.held?.number ?? 0, this.time.nowMs());
@@ -381,7 +406,7 @@
         address: worker.name,
         zone: worker.zone,
         kind: worker.kind,
-        pool: worker.kind === 'lookup' ? 'desks' : 'models',
+        pool: worker.kind === 'lookup' ? this.#pool : 'models',
         leaving: leaving.has(worker.name),
       })),
     });
--- a/packages/park/src/visitor.ts
+++ b/packages/park/src/visitor.ts
@@ -10,6 +10,9 @@
   readonly of: number;
 }
 
+/** Told once how a call ended: outcome, when its first piece came, and the worker that ran it. */
+export type Ended = (outcome: string, firstMs: number | undefined, worker: string) => void;
+
 /**
  * A simulated visitor's end of one request. It tells the oracle what it saw,
  * piece by piece, and how it ended.
@@ -20,8 +23,12 @@
   #oracle: Oracle;
   #id: string;
   #nowMs: () => number;
+  #firstMs: number | undefined;
+  #worker = '';
+  #ended: Ended;
 
-  constructor(oracle: Oracle, id: string, nowMs: () => number) {
+  constructor(oracle: Oracle, id: string, nowMs: () => number, ended: Ended = () => undefined) {
+    this.#ended = ended;
     this.#oracle = oracle;
     this.#id = id;
     this.#nowMs = nowMs;
@@ -29,13 +36,15 @@
 
   answer(_status: number, _contentType: string, body: Uint8Array): void {
     const pieces = JSON.parse(Buffer.from(body).toString()) as Piece[];
-    for (const piece of pieces) this.#oracle.piece(this.#id, piece, this.#nowMs());
+    for (const piece of pieces) this.#take(piece);
     this.#oracle.whole(this.#id, this.#nowMs());
+    this.#ended('served', this.#nowMs(), this.#worker);
   }
 
   refuse(why: Fault): void {
     if (ANSWERS[why.kind].ran === 'no') this.#oracle.toldRefused(this.#id, why.kind, this.#nowMs());
     else this.#oracle.unknown += 1;
+    this.#ended(why.kind, this.#nowMs(), '');
   }
 
   open(): void {
@@ -43,18 +52,26 @@
   }
 
   piece(bytes: Uint8Array): boolean {
+    this.#firstMs ??= this.#nowMs();
     for (const event of Buffer.from(bytes).toString().split('\n\n')) {
       if (event === '' || event === 'data: [DONE]') continue;
-      this.#oracle.piece(this.#id, JSON.parse(event.slice(6)) as Piece, this.#nowMs());
+      this.#take(JSON.parse(event.slice(6)) as Piece);
     }
     return true;
   }
 
   close(): void {
     this.#oracle.whole(this.#id, this.#nowMs());
+    this.#ended('served', this.#firstMs, this.#worker);
+  }
+
+  #take(piece: Piece): void {
+    this.#worker = piece.run.slice(0, piece.run.lastIndexOf('-'));
+    this.#oracle.piece(this.#id, piece, this.#nowMs());
   }
 
   cut(): void {
     this.#oracle.cuts += 1;
+    this.#ended('cut', this.#firstMs, this.#worker);
   }
 }
--- /dev/null
+++ b/packages/playbill/src/day.ts
@@ -0,0 +1,99 @@
+import { fault, type Fault } from '@rainrun/nacelle';
+import { Result } from 'true-myth';
+import * as v from 'valibot';
+
+/** Format of recorded days; a reader refuses any newer one. */
+export const DAY_VERSION = 1;
+
+const HeadSchema = v.strictObject({ format: v.literal('rainrun-day'), version: v.number(), deployment: v.string() });
+
+const CallSchema = v.strictObject({
+  /** Milliseconds since the day began. */
+  atMs: v.pipe(v.number(), v.minValue(0)),
+  group: v.string(),
+  kind: v.string(),
+  path: v.string(),
+  model: v.optional(v.string(), ''),
+  adapter: v.optional(v.string(), ''),
+  stream: v.optional(v.boolean(), false),
+  /** Stands for the shared beginning of the prompt; equal beginnings have equal numbers. */
+  prefix: v.optional(v.number(), 0),
+  /** Length of the prompt; the prompt itself only if the recorder was asked for it. */
+  chars: v.optional(v.number(), 0),
+  prompt: v.optional(v.string()),
+  /** What came of it, where it was recorded. */
+  outcome: v.optional(v.string()),
+  firstPieceMs: v.optional(v.number()),
+  worker: v.optional(v.string()),
+});
+
+/** One call of a recorded day. */
+export type Call = v.InferOutput<typeof CallSchema>;
+
+/** A recorded day. */
+export interface Day {
+  readonly deployment: string;
+  readonly calls: readonly Call[];
+}
+
+/**
+ * The first line of a recorded day.
+ * @example
+ * headLine('vejsargs'); // {"format":"rainrun-day","version":1,"deployment":"vejsargs"}
+ */
+export function headLine(deployment: string): string {
+  return JSON.stringify({ format: 'rainrun-day', version: DAY_VERSION, deployment });
+}
+
+/**
+ * One call as a line.
+ * @example
+ * callLine({ atMs: 5, group: 'buyers', kind: 'seat', path: '/v1/chat/completions', ... });
+ */
+export function callLine(call: Call): string {
+  return JSON.stringify(call);
+}
+
+function parse(line: string): unknown {
+  try {
+    return JSON.parse(line);
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Reads a recorded day whole, or says at which line and why it cannot be read.
+ * @example
+ * readDay('not a day').isErr; // true
+ */
+export function readDay(text: string): Result<Day, Fault> {
+  if (!text.endsWith('\n')) return Result.err(fault('damaged', `line ${text.split('\n').length}: cut off, no end of line`));
+  const lines = text.slice(0, -1).split('\n');
+  const head = v.safeParse(HeadSchema, parse(lines[0] ?? ''));
+  if (!head.success) return Result.err(fault('foreign', 'line 1: not the head of a recorded day'));
+  if (head.output.version > DAY_VERSION) {
+    return Result.err(fault('foreign', `line 1: format ${head.output.version} is newer than ${DAY_VERSION}`));
+  }
+  const calls: Call[] = [];
+  for (let place = 1; place < lines.length; place += 1) {
+    const call = v.safeParse(CallSchema, parse(lines[place] ?? ''));
+    if (!call.success) {
+      const issue = call.issues[0];
+      return Result.err(fault('damaged', `line ${place + 1}: ${v.getDotPath(issue) ?? 'call'}: ${issue.message}`));
+    }
+    calls.push(call.output);
+  }
+  return Result.ok({ deployment: head.output.deployment, calls });
+}
+
+/**
+ * A prompt of the recorded length that begins as all with the same prefix do.
+ * @example
+ * promptOf({ ...call, prefix: 7, chars: 40 }, 3);
+ */
+export function promptOf(call: Call, place: number): string {
+  if (call.prompt !== undefined) return call.prompt;
+  const begin = `prefix ${call.prefix} `.repeat(20).slice(0, Math.max(0, call.chars - 16));
+  return `${begin}question ${place}`;
+}
--- a/packages/playbill/src/playbill.test.ts
+++ b/packages/playbill/src/playbill.test.ts
@@ -1,6 +1,6 @@
 import { it } from 'node:test';
 import { expect } from 'earl';
-import { callLine, headLine, promptOf, readDay, type Call } from './index.js';
+import { callLine, headLine, promptOf, readDay, type Call } from './day.js';
 
 const CALL: Call = { atMs: 5, group: 'g', kind: 'k', path: '/p', model: 'm', adapter: '', stream: true, prefix: 1, chars: 80 };
 
--- a/tools/fleet/src/shapes.ts
+++ b/packages/playbill/src/shapes.ts
@@ -1,5 +1,5 @@
 import { Dice } from '@rainrun/nacelle';
-import { callLine, headLine, type Call } from '@rainrun/playbill';
+import { callLine, headLine, type Call } from './day.js';
 
 interface KindShape {
   readonly group: string;
--- a/tools/fleet/src/fleet.ts
+++ b/tools/fleet/src/fleet.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
 import type { Relay } from './relay.js';
-import { exampleSpec, type Shape } from './shapes.js';
+import { exampleSpec, type Shape } from '@rainrun/playbill';
 
 /** One process of a fleet. */
 export interface FleetNode {
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -6,13 +6,12 @@
 import meow from 'meow';
 import { compare, Crowd, type CrowdReport } from '@rainrun/crowd';
 import type { Report } from '@rainrun/grandstand';
-import { readDay } from '@rainrun/playbill';
 import { tryEverywhere } from './everywhere.js';
 import { Fleet } from './fleet.js';
 import { tryManners } from './manners.js';
 import { Trial, type TrialReport } from './trial.js';
 import { Relay } from './relay.js';
-import { exampleSpec, makeDay, makeFlood, SHAPES, type Shape } from './shapes.js';
+import { exampleSpec, makeDay, makeFlood, readDay, SHAPES, type Shape } from '@rainrun/playbill';
 
 const cli = meow(
   `
--- a/tools/replay/src/main.ts
+++ b/tools/replay/src/main.ts
@@ -3,18 +3,25 @@
 import meow from 'meow';
 import { request } from 'undici';
 import { Crowd, type Seen } from '@rainrun/crowd';
-import { readDay } from '@rainrun/playbill';
+import { readSpec, specFaultText } from '@rainrun/marquee';
+import { playMatinee } from '@rainrun/park';
+import { readDay, SHAPES, type Call, type Shape } from '@rainrun/playbill';
 import { differences, type Replayed } from './compare.js';
 
 const cli = meow(
   `
-  Plays a recorded day against a running fleet and reports what differs.
+  Plays a recorded day against a running fleet, or in the simulator, and
+  reports what differs.
 
   Usage
     $ replay --day FILE --edges IP:PORT[,IP:PORT] [--speed 2] [--stand-ins]
+    $ replay --day FILE --simulate SHAPE [--spec FILE] [--seed 1]
 
   Options
     --speed       how fast to play it (default 1)
+    --simulate    vejsargs, malabon or small: the size of the simulated deployment
+    --spec        the spec to simulate, instead of the example of that deployment
+    --seed        chance in the simulator (default 1)
     --stand-ins   the workers are stand-ins: check every answer too
 
   Exit codes
@@ -25,7 +32,10 @@
     allowUnknownFlags: false,
     flags: {
       day: { type: 'string', isRequired: true },
-      edges: { type: 'string', isRequired: true },
+      edges: { type: 'string' },
+      simulate: { type: 'string', choices: Object.keys(SHAPES) },
+      spec: { type: 'string' },
+      seed: { type: 'number', default: 1 },
       speed: { type: 'number', default: 1 },
       standIns: { type: 'boolean', default: false },
     },
@@ -52,18 +62,53 @@
   }
 }
 
-const day = readDay(readText(cli.flags.day));
-if (day.isErr) {
-  console.error(`replay: ${cli.flags.day}: ${day.error.detail}`);
+function usage(message: string): never {
+  console.error(`replay: ${message}`);
   process.exit(2);
 }
-if (!(cli.flags.speed > 0)) {
-  console.error('replay: --speed must be above 0');
-  process.exit(2);
+
+/** The day against a running fleet. */
+async function againstFleet(calls: readonly Call[], edges: string): Promise<Outcome> {
+  const report = await new Crowd(edges.split(','), cli.flags.standIns).play(calls, cli.flags.speed);
+  const replayed: Replayed[] = [];
+  for (const seen of report.seen) replayed.push({ seen, worker: await workerOf(seen) });
+  return { replayed, breaches: report.breaches };
+}
+
+/** The day in the simulator, on the same code and in virtual time. */
+function simulated(calls: readonly Call[], shape: Shape): Outcome {
+  let options: { seed: number; spec?: object } = { seed: cli.flags.seed };
+  if (cli.flags.spec !== undefined) {
+    const spec = readSpec(readText(cli.flags.spec));
+    if (spec.isErr) usage(`${cli.flags.spec}: ${specFaultText(spec.error)}`);
+    options = { ...options, spec: spec.value };
+  }
+  const { seen, breaches } = playMatinee(shape, calls, options);
+  const replayed = seen.map(({ call, outcome, firstPieceMs, worker }): Replayed => ({
+    seen: { call, outcome, firstPieceMs, id: '', ran: 'maybe', wholeMs: 0, beganMs: call.atMs, edge: '' },
+    worker: worker === '' ? undefined : worker,
+  }));
+  return { replayed, breaches };
 }
-const report = await new Crowd(cli.flags.edges.split(','), cli.flags.standIns).play(day.value.calls, cli.flags.speed);
-const replayed: Replayed[] = [];
-for (const seen of report.seen) replayed.push({ seen, worker: await workerOf(seen) });
+
+interface Outcome {
+  readonly replayed: readonly Replayed[];
+  readonly breaches: readonly string[];
+}
+
+function counted(replayed: readonly Replayed[]): Record<string, number> {
+  const outcomes: Record<string, number> = {};
+  for (const { seen } of replayed) outcomes[seen.outcome] = (outcomes[seen.outcome] ?? 0) + 1;
+  return outcomes;
+}
+
+const { day: path, edges, simulate, speed } = cli.flags;
+const day = readDay(readText(path));
+if (day.isErr) usage(`${path}: ${day.error.detail}`);
+if (!(speed > 0)) usage('--speed must be above 0');
+const shape = SHAPES[simulate ?? ''];
+if ((edges === undefined) === (shape === undefined)) usage('either --edges or --simulate is needed');
+const { replayed, breaches } = shape === undefined ? await againstFleet(day.value.calls, edges ?? '') : simulated(day.value.calls, shape);
 const found = differences(replayed);
-console.log(JSON.stringify({ outcomesNow: report.outcomes, ...found, breaches: report.breaches }, undefined, 2));
-process.exitCode = Object.keys(found.outcomes).length + report.breaches.length === 0 ? 0 : 1;
+console.log(JSON.stringify({ outcomesNow: counted(replayed), ...found, breaches }, undefined, 2));
+process.exitCode = Object.keys(found.outcomes).length + breaches.length === 0 ? 0 : 1;
