Asked-for models get a second zone and take turns where room is scarce; a survey tool

And a model without a place could never displace one that had it: an only copy counted ten more than any want, so with 0.4 of the room 226 of 833 questions were refused or late for ever. Now free room goes to a second zone, what gives way is held against the pressure it carries, and nothing fills room while something asked for lacks it (seen to refill what was just cleared). Ruled out: second copies before first ones of models nobody asks for (a rare model would be cold more often).

--- a/packages/park/src/figures.ts
+++ b/packages/park/src/figures.ts
@@ -1,5 +1,5 @@
 import meow from 'meow';
-import { makeDay, makeFlood, readDay, SHAPES, type Call, type Shape } from '@rainrun/playbill';
+import { exampleSpec, makeDay, makeFlood, readDay, SHAPES, type Call, type Shape } from '@rainrun/playbill';
 import { LOOP_SETTINGS } from '@rainrun/hub';
 import { PLACE_SETTINGS } from '@rainrun/yaw';
 import { playMatinee, type Matinee, type MatineeSeen } from './matinee.js';
@@ -17,12 +17,14 @@
 
   Options
     --shape     vejsargs, malabon or small   (default vejsargs)
+    --room      part of the usual room that workers have in shift and cold (default 1)
     --flood     requests a second of the flood (default 100)
 `,
   {
     importMeta: import.meta,
     flags: {
       shape: { type: 'string', default: 'vejsargs', choices: Object.keys(SHAPES) },
+      room: { type: 'number', default: 1 },
       flood: { type: 'number', default: 100 },
     },
   },
@@ -74,6 +76,11 @@
   }
 }
 
+function specOf(shape: Shape): object {
+  const spec = exampleSpec(shape) as { workers: { roomMb: number; slots: number } };
+  return { ...spec, workers: { ...spec.workers, roomMb: Math.floor(spec.workers.roomMb * cli.flags.room) } };
+}
+
 /** Half a day as usual, then the rare models become the common ones. */
 function shift(shape: Shape): void {
   const half = callsOf(makeDay(shape, 2 * DAY_S, 1));
@@ -83,7 +90,7 @@
   }
   const calls = [...half, ...half.map(other)];
   for (const [name, loops] of [['placed', {}], ['placement held still', UNPLACED]] as const) {
-    const matinee = playMatinee(shape, calls, { seed: 1, loops });
+    const matinee = playMatinee(shape, calls, { seed: 1, loops, spec: specOf(shape) });
     report(name, matinee);
     const atMs = 2000 * DAY_S;
     const questions = matinee.seen.filter((one) => one.call.model !== '');
@@ -111,7 +118,7 @@
     const model = `${shape.modelWord}-${1 + (place % shape.models)}`;
     return { atMs: 200 * place, group, kind, path: '/v1/chat/completions', model, adapter: '', stream, prefix: 0, chars };
   });
-  const matinee = playMatinee(shape, calls, { seed: 1 });
+  const matinee = playMatinee(shape, calls, { seed: 1, spec: specOf(shape) });
   report('cold', matinee);
   const served = matinee.seen.filter((one) => one.outcome === 'served');
   const models = new Set(served.map((one) => one.call.model));
--- a/packages/yaw/src/placer.ts
+++ b/packages/yaw/src/placer.ts
@@ -36,6 +36,8 @@
 
 export const PLACE_SETTINGS: PlaceSettings = { perSlotPerS: 0.5, above: 1.2, below: 0.4, steps: 2, fills: 24, restMs: 5000 };
 
+const NONE = new Map<string, number>();
+
 interface Bench {
   readonly worker: PlaceWorker;
   readonly holdings: Map<string, Set<string>>;
@@ -53,7 +55,8 @@
 /**
  * Decides what each worker should hold. It moves a few copies a step, leaves a
  * moved copy in peace for a while, and asks for a wider gap to remove a copy
- * than to add one, so that it does not hunt.
+ * than to add one, so that it does not hunt. Room that nobody asks for goes to
+ * copies in a second zone, but not while something asked for still lacks room.
  * @example
  * const changes = new Placer(PLACE_SETTINGS).step(spec, workers, demands, nowMs);
  */
@@ -83,9 +86,15 @@
     const benches = workers.map((worker) => openBench(worker, sizes, adapterMb));
     const parts: Parts = { sizes, adapterMb, demands };
     let { steps, fills } = this.#settings;
+    let short = false;
     for (const want of this.#wants(spec, benches, demands)) {
-      if (fills > 0 && this.#fill(want, benches, parts, nowMs)) fills -= 1;
-      else if (steps > 0 && this.#clear(want, benches, parts, nowMs)) steps -= 1;
+      if (short && want.urgency <= 0) break;
+      if (fills > 0 && this.#fill(want, benches, parts, nowMs)) {
+        fills -= 1;
+        continue;
+      }
+      short ||= want.urgency > 0;
+      if (steps > 0 && this.#clear(want, benches, parts, nowMs)) steps -= 1;
     }
     const changes: Record<string, HoldingTarget[]> = {};
     for (const bench of benches) {
@@ -100,17 +109,20 @@
       const demand = demands.get(model);
       const copies = benches.filter((bench) => bench.worker.usable && bench.holdings.has(model));
       const pressure = this.#pressure(demand, copies);
-      if (copies.length === 0) wants.push({ model, urgency: demand === undefined ? 0 : 10 + pressure, why: 'no copy' });
-      else if (pressure > this.#settings.above) wants.push({ model, urgency: pressure, why: `pressure ${pressure.toFixed(2)}` });
+      if (copies.length === 0) wants.push({ model, urgency: demand === undefined ? 0 : 10 + pressure, gain: pressure, why: 'no copy' });
+      else if (pressure > this.#settings.above) wants.push({ model, urgency: pressure, gain: pressure, why: `pressure ${pressure.toFixed(2)}` });
+      if (demand !== undefined && isInOneZone(copies)) wants.push({ model, urgency: -0.5, gain: 0, why: 'one zone only', elsewhere: true });
       for (const [adapter, weight] of demand?.adapters ?? []) {
+        const held = copies.filter((bench) => bench.holdings.get(model)?.has(adapter));
+        if (weight >= 0.01 && isInOneZone(held)) wants.push({ model, adapter, urgency: -0.6, gain: 0, why: `adapter ${adapter} in one zone only`, elsewhere: true });
         if (weight < 0.01 || copies.length === 0 || copies.some((bench) => bench.holdings.get(model)?.has(adapter))) continue;
-        wants.push({ model, adapter, urgency: 5 + weight, why: `adapter ${adapter} asked for` });
+        wants.push({ model, adapter, urgency: 5 + weight, gain: this.#pressure({ arrivalsPerS: weight, backlog: 0, adapters: NONE }, []), why: `adapter ${adapter} asked for` });
       }
     }
     for (const { name: adapter, model } of spec.adapters) {
       const copies = benches.filter((bench) => bench.worker.usable && bench.holdings.has(model));
       if (copies.length > 0 && !copies.some((bench) => bench.holdings.get(model)?.has(adapter))) {
-        wants.push({ model, adapter, urgency: -1, why: 'room for an adapter' });
+        wants.push({ model, adapter, urgency: -1, gain: 0, why: 'room for an adapter' });
       }
     }
     return wants.sort((one, other) => other.urgency - one.urgency);
@@ -126,8 +138,11 @@
   #fill(want: Want, benches: readonly Bench[], parts: Parts, nowMs: number): boolean {
     const needMb = partMb(want, parts);
     const zones = new Set(benches.filter((bench) => bench.holdings.has(want.model)).map((bench) => bench.worker.zone));
+    const taken = new Set(
+      benches.filter((bench) => (want.adapter === undefined ? bench.holdings.has(want.model) : bench.holdings.get(want.model)?.has(want.adapter))).map((bench) => bench.worker.zone),
+    );
     const open = fitting(want, benches)
-      .filter((bench) => bench.freeMb >= needMb)
+      .filter((bench) => bench.freeMb >= needMb && !(want.elsewhere === true && taken.has(bench.worker.zone)))
       .sort((one, other) => Number(zones.has(one.worker.zone)) - Number(zones.has(other.worker.zone)) || other.freeMb - one.freeMb)[0];
     if (open === undefined) return false;
     const adapters = open.holdings.get(want.model) ?? new Set<string>();
@@ -153,7 +168,7 @@
       )
       .sort((one, other) => one.worth - other.worth);
     const victim = victims[0];
-    if (victim === undefined || victim.worth >= want.urgency * this.#settings.below) return false;
+    if (victim === undefined || victim.worth >= want.gain * this.#settings.below) return false;
     const { bench, model } = victim;
     bench.freeMb += heldMb(bench, model, parts.sizes, parts.adapterMb);
     bench.holdings.delete(model);
@@ -170,22 +185,32 @@
 
   #worth(model: string, bench: Bench, benches: readonly Bench[], demands: ReadonlyMap<string, ModelDemand>): number {
     const others = benches.filter((other) => other !== bench && other.worker.usable && other.holdings.has(model));
-    const pressure = this.#pressure(demands.get(model), others);
-    if (others.length === 0) return demands.has(model) ? 10 + pressure : 1;
-    return pressure;
+    return this.#pressure(demands.get(model), others);
   }
 }
 
 interface Want {
   readonly model: string;
   readonly adapter?: string;
+  /** Decides who is first. */
   readonly urgency: number;
+  /** The pressure that it takes away: what a copy that gives way is held against. */
+  readonly gain: number;
   readonly why: string;
+  /** Only in a zone that has none yet, so that it outlives the loss of a zone. */
+  readonly elsewhere?: boolean;
+}
+
+function isInOneZone(benches: readonly Bench[]): boolean {
+  return new Set(benches.map((bench) => bench.worker.zone)).size === 1;
 }
 
 /** Workers on which a want could be met: those with the model for an adapter, those without it for a copy. */
 function fitting(want: Want, benches: readonly Bench[]): Bench[] {
-  return benches.filter((bench) => bench.worker.usable && bench.holdings.has(want.model) === (want.adapter !== undefined));
+  return benches.filter((bench) => {
+    const adapters = bench.holdings.get(want.model);
+    return bench.worker.usable && (want.adapter === undefined ? adapters === undefined : adapters?.has(want.adapter) === false);
+  });
 }
 
 function partMb(want: Want, parts: Parts): number {
--- a/packages/yaw/src/yaw.test.ts
+++ b/packages/yaw/src/yaw.test.ts
@@ -101,6 +101,18 @@
     expect(workers[1]?.holdings.map((held) => held.model)).toEqual(['m1', 'm0']);
   });
 
+  it('puts what is asked for into a second zone while there is room; what nobody asks for gives way first', () => {
+    function zonesOf(workers: readonly PlaceWorker[], model: string): string[] {
+      return workers.filter((one) => one.holdings.some((held) => held.model === model)).map((one) => one.zone);
+    }
+    const asked = new Map([['m0', demand(0.1)]]);
+    const start = settle(specOf(3), [worker('w1', 'z1'), worker('w2', 'z2')], asked, 10).workers;
+    const more = new Map([...asked, ['m3', demand(0.5)]]);
+    const later = settle(specOf(4), start, more, 30, 100_000);
+    expect([zonesOf(start, 'm0').sort(), zonesOf(later.workers, 'm3').length, zonesOf(later.workers, 'm0').length]).toEqual([['z1', 'z2'], 1, 2]);
+    expect(settle(specOf(4), later.workers, more, 60, 900_000).moves).toEqual(0);
+  });
+
   it('puts nothing on a worker that may not be used', () => {
     const spec = specOf(2);
     const { workers } = settle(spec, [{ ...worker('w1', 'z1'), usable: false }, worker('w2', 'z2')], new Map(), 5);
--- /dev/null
+++ b/tools/survey/src/main.ts
@@ -0,0 +1,84 @@
+#!/usr/bin/env node
+import { readFileSync } from 'node:fs';
+import meow from 'meow';
+import { readSpec, specFaultText } from '@rainrun/marquee';
+import { readDay } from '@rainrun/playbill';
+import * as v from 'valibot';
+import { isSound, survey, type Survey } from './survey.js';
+
+const cli = meow(
+  `
+  Whether what a day asks for fits a site, and what is lost with each zone.
+
+  Usage
+    $ survey --spec FILE --workers FILE --day FILE [--cores ZONE,ZONE,ZONE] [--json]
+
+  Options
+    --spec      the spec
+    --workers   the platform's list of workers
+    --day       a recorded day, or one made by hand
+    --cores     the zones in which the cores stand
+
+  Exit codes
+    0 all fits, also without any one zone   1 something does not   2 wrong usage, or a file cannot be read
+`,
+  {
+    importMeta: import.meta,
+    allowUnknownFlags: false,
+    flags: {
+      spec: { type: 'string', isRequired: true },
+      workers: { type: 'string', isRequired: true },
+      day: { type: 'string', isRequired: true },
+      cores: { type: 'string', default: '' },
+      json: { type: 'boolean', default: false },
+    },
+  },
+);
+
+const ListSchema = v.object({ workers: v.array(v.object({ name: v.string(), zone: v.string(), kind: v.picklist(['model', 'lookup']) })) });
+
+function fail(message: string): never {
+  console.error(`survey: ${message}`);
+  process.exit(2);
+}
+
+function read(path: string): string {
+  try {
+    return readFileSync(path, 'utf8');
+  } catch (thrown) {
+    return fail(String(thrown));
+  }
+}
+
+function json(path: string): unknown {
+  try {
+    return JSON.parse(read(path)) as unknown;
+  } catch (thrown) {
+    return fail(`${path}: not JSON: ${String(thrown)}`);
+  }
+}
+
+function show({ catalogueMb, unknown, findings }: Survey): void {
+  console.log(`catalogue ${catalogueMb} MB`);
+  if (unknown.length > 0) console.log(`asked for and not in the catalogue: ${unknown.join(', ')}`);
+  for (const { without, slots, roomMb, unplaced, interrupted, pulls, pullS, agrees } of findings) {
+    const state = without === 'all' ? 'whole site' : `without ${without}`;
+    console.log(`${state}: ${slots} slots, room ${roomMb} MB, ${pulls} pulls in ${pullS} s${agrees === undefined ? '' : agrees ? '' : ', NO majority of cores'}`);
+    if (interrupted.length > 0) console.log(`  loaded elsewhere first: ${interrupted.join(', ')}`);
+    if (unplaced.length > 0) console.log(`  does not fit: ${unplaced.join(', ')}`);
+  }
+}
+
+const spec = readSpec(read(cli.flags.spec));
+if (spec.isErr) fail(`${cli.flags.spec}: ${specFaultText(spec.error)}`);
+const list = v.safeParse(ListSchema, json(cli.flags.workers));
+if (!list.success) fail(`${cli.flags.workers}: ${list.issues.map((issue) => `${v.getDotPath(issue) ?? 'list'}: ${issue.message}`).join('; ')}`);
+const day = readDay(read(cli.flags.day));
+if (day.isErr) fail(`${cli.flags.day}: ${day.error.detail}`);
+const cores = cli.flags.cores.split(',').filter((zone) => zone !== '');
+const strange = [...new Set([...cores, ...list.output.workers.map((worker) => worker.zone)])].filter((zone) => !spec.value.zones.includes(zone));
+if (strange.length > 0) fail(`zones ${strange.join(', ')}: not in the spec, expected ${spec.value.zones.join(', ')}`);
+const found = survey(spec.value, list.output.workers, day.value.calls, cores);
+if (cli.flags.json) console.log(JSON.stringify(found, undefined, 2));
+else show(found);
+process.exitCode = isSound(found) ? 0 : 1;
