--- a/packages/hub/src/hub.ts
+++ b/packages/hub/src/hub.ts
@@ -44,6 +44,8 @@
 /** So long a question waits for its answer, and so often it is sent again. */
 const ASK_MS = 1500;
 const ASK_AGAIN_MS = 300;
+/** Another copy comes after the first ones of everything, asked for or not. */
+const ANOTHER = 1e6;
 const NEWS_LIST = 'list';
 const NEWS_WORKER = 'worker/';
 
@@ -240,7 +242,8 @@
     const workers = this.workers().filter((worker) => worker.kind === 'model');
     const staying = workers.filter((worker) => !worker.leaving);
     const demands = this.#demand.models(nowMs);
-    this.#orderer.beat(spec, this.stage.placement, staying, nowMs, (model, adapter) => urgencyOf(demands, model, adapter));
+    const held = this.#heldParts(staying);
+    this.#orderer.beat(spec, this.stage.placement, staying, nowMs, (model, adapter) => urgencyOf(demands, held, model, adapter));
     if (this.#dutySince?.epoch !== epoch) this.#dutySince = { epoch, atMs: nowMs };
     const heardAll = staying.every((worker) => this.#orderer.known(worker.name) !== undefined);
     if (!heardAll && nowMs - this.#dutySince.atMs < HEARING_MS) return;
@@ -264,6 +267,20 @@
     if (sent.isErr) this.#placing = undefined;
   }
 
+  /** Models and adapters that some reachable worker holds, as it said itself. */
+  #heldParts(workers: readonly RosterWorker[]): ReadonlySet<string> {
+    const parts = new Set<string>();
+    for (const { name } of workers) {
+      const known = this.#orderer.known(name);
+      if (known?.reachable !== true) continue;
+      for (const { model, adapters } of known.holdings) {
+        parts.add(`${model}/`);
+        for (const adapter of adapters) parts.add(`${model}/${adapter}`);
+      }
+    }
+    return parts;
+  }
+
   #order(order: Order, done: (reply: Result<OrderReply, Fault>) => void): void {
     const entry = this.workers().find((worker) => worker.name === order.worker);
     if (entry === undefined) return done(Result.err(fault('not-found', `worker ${order.worker}`)));
@@ -335,8 +352,10 @@
   }
 }
 
-function urgencyOf(demands: ReadonlyMap<string, ModelDemand>, model: string, adapter: string): number {
+/** How urgent a load is; another copy is loaded after every first one. */
+function urgencyOf(demands: ReadonlyMap<string, ModelDemand>, held: ReadonlySet<string>, model: string, adapter: string): number {
   const demand = demands.get(model);
   if (demand === undefined) return 0;
-  return adapter === '' ? demand.arrivalsPerS + demand.backlog : (demand.adapters.get(adapter) ?? 0);
+  const asked = adapter === '' ? demand.arrivalsPerS + demand.backlog : (demand.adapters.get(adapter) ?? 0);
+  return held.has(`${model}/${adapter}`) ? asked - ANOTHER : asked;
 }
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -202,6 +202,7 @@
 
   #counters(): Record<string, number> {
     const { group } = this.#hub;
+    const { user, system } = process.cpuUsage();
     return {
       ...this.#edge?.gate.counts,
       ...this.#wire.counts,
@@ -214,6 +215,8 @@
       leading: group.leading ? 1 : 0,
       contextBytes: group.contextBytes,
       unstableCasts: group.unstableCount,
+      cpuMs: Math.round((user + system) / 1000),
+      heldMb: Math.round(process.memoryUsage().rss / 2 ** 20),
     };
   }
 
--- a/tools/fleet/src/everywhere.ts
+++ b/tools/fleet/src/everywhere.ts
@@ -1,6 +1,10 @@
+import { setTimeout as pause } from 'node:timers/promises';
 import { isDeepStrictEqual } from 'node:util';
 import type { Fleet, FleetNode } from './fleet.js';
 
+const TURNS = 10;
+const AGAIN_MS = 500;
+
 /** What only the node that is asked can say about itself, and what counts on while one asks. */
 const OWN = new Set(['self', 'disk', 'admitting', 'inFlight', 'backlog', 'served', 'refused', 'prompt', 'measuredMs', 'id', 'number', 'agreed', 'stale']);
 
@@ -20,9 +24,24 @@
   return rows.filter((row) => row.error === undefined).map((row) => row.node);
 }
 
+interface Reply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Which nodes answered otherwise than the first, or not well. */
+function differing(nodes: readonly FleetNode[], path: string, answers: readonly Reply[]): string[] {
+  const [first] = answers;
+  return answers.flatMap((answer, place) => {
+    const same = answer.status === 200 && isDeepStrictEqual(shared(answer.body), shared(first?.body));
+    return same ? [] : [`${path} at ${nodes[place]?.name ?? ''}: ${JSON.stringify(answer).slice(0, 2000)} and not ${JSON.stringify(first).slice(0, 2000)}`];
+  });
+}
+
 /**
  * Asks every read command of every node and says where answers differ, and
- * sends each writing command once to every node.
+ * sends each writing command once to every node. While placement moves, two
+ * moments differ: answers that differ are asked for again, a few times.
  * @example
  * const faults = await tryEverywhere(fleet, 'edge-1.0123456789ab');
  */
@@ -31,7 +50,7 @@
   const reads = ['view', 'spec', 'spec/history', 'zones', 'workers', 'groups', `explain/requests/${request}`, `explain/models/${model}`, 'operations/everywhere-0', 'status?node=core-1'];
   const faults: string[] = [];
   const { nodes } = fleet;
-  function ask(node: FleetNode, method: 'GET' | 'POST' | 'PATCH' | 'PUT', path: string, body?: unknown): Promise<{ status: number; body: unknown }> {
+  function ask(node: FleetNode, method: 'GET' | 'POST' | 'PATCH' | 'PUT', path: string, body?: unknown): Promise<Reply> {
     return fleet.ask(node.http, method, `/rainrun/v1/${path}`, body);
   }
   for (const [place, node] of nodes.entries()) {
@@ -46,12 +65,14 @@
     if (bad.length > 0) faults.push(`${node.name}: ${JSON.stringify(bad)}`);
   }
   for (const path of reads) {
-    const answers = await Promise.all(nodes.map((node) => ask(node, 'GET', path)));
-    const [first] = answers;
-    for (const [place, answer] of answers.entries()) {
-      const same = answer.status === 200 && isDeepStrictEqual(shared(answer.body), shared(first?.body));
-      if (!same) faults.push(`${path} at ${nodes[place]?.name ?? ''}: ${JSON.stringify(answer).slice(0, 300)} and not ${JSON.stringify(first).slice(0, 300)}`);
+    let different: string[] = [];
+    for (let turn = 0; turn < TURNS; turn += 1) {
+      const answers = await Promise.all(nodes.map((node) => ask(node, 'GET', path)));
+      different = differing(nodes, path, answers);
+      if (different.length === 0) break;
+      await pause(AGAIN_MS);
     }
+    faults.push(...different);
   }
   for (const key of ['status', 'counters']) {
     for (const node of nodes) {
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -88,6 +88,31 @@
   return ready ? undefined : 'the spec is not in force everywhere after 2 s';
 }
 
+type Row = Record<string, number | string>;
+
+/** Sums of the nodes' counters, to be held against those of a moment before. */
+async function costs(fleet: Fleet): Promise<Record<'edge' | 'core', Row>> {
+  const { body } = await fleet.ask(fleet.nodes[0]?.http ?? '', 'GET', '/rainrun/v1/counters');
+  const sums: Record<'edge' | 'core', Row> = { edge: {}, core: {} };
+  for (const row of (body as { counters?: Row[] }).counters ?? []) {
+    const role = fleet.nodes.find((node) => node.name === row['node'])?.core === true ? 'core' : 'edge';
+    for (const key of ['cpuMs', 'bytesOut', 'framesOut', 'heldMb']) sums[role][key] = Number(sums[role][key] ?? 0) + Number(row[key] ?? 0);
+  }
+  return sums;
+}
+
+function showCosts(fleet: Fleet, before: Record<'edge' | 'core', Row>, after: Record<'edge' | 'core', Row>, served: number, seconds: number): void {
+  for (const role of ['edge', 'core'] as const) {
+    const nodes = fleet.nodes.filter((node) => node.core === (role === 'core')).length;
+    function spent(key: string): number {
+      return Number(after[role][key] ?? 0) - Number(before[role][key] ?? 0);
+    }
+    const cpu = `CPU ${(spent('cpuMs') / served).toFixed(2)} ms a request, ${((spent('cpuMs') / 10 / seconds) / nodes).toFixed(1)} % of one processor each`;
+    const wire = `${(spent('bytesOut') / 1000 / seconds / nodes).toFixed(1)} kB and ${(spent('framesOut') / seconds / nodes).toFixed(0)} frames a second each between nodes`;
+    console.log(`${role}s: ${cpu}; ${wire}; ${(Number(after[role]['heldMb'] ?? 0) / nodes).toFixed(0)} MB each`);
+  }
+}
+
 async function serve(fleet: Fleet, shape: Shape, dayText: string, speed: number, after: (report: CrowdReport) => Promise<string[]> = () => Promise.resolve([])): Promise<number> {
   const beganMs = performance.now();
   const closed = await open(fleet, shape);
@@ -102,12 +127,16 @@
     return 1;
   }
   await pause(Math.max(0, TRAFFIC_MS - (performance.now() - beganMs)));
+  const [costsBefore, playedMs] = [await costs(fleet), performance.now()];
   const report = await new Crowd(fleet.edges.map((edge) => edge.http)).play(day.value.calls, speed);
+  const seconds = (performance.now() - playedMs) / 1000;
+  const costsAfter = await costs(fleet);
   const workers = (await fleet.ask(fleet.platform, 'GET', '/report')).body as Report;
   const breaches = [...report.breaches, ...workers.breaches, ...compare(report.seen, workers.runs)];
   show(report, workers, breaches);
   const served = report.outcomes['served'] ?? 0;
   const ratio = served / Math.max(1, report.seen.length);
+  showCosts(fleet, costsBefore, costsAfter, Math.max(1, served), seconds);
   console.log(`served ${served} of ${report.seen.length} (${(100 * ratio).toFixed(2)} %)`);
   const faults = await after(report);
   for (const fault of faults) console.error(`fleet: ${fault}`);
