--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -13,7 +13,6 @@
   HelloAckSchema,
   HelloSchema,
   ProposeSchema,
-  PromiseSchema,
   SeatSchema,
   SubmitSchema,
   ViewSchema,
@@ -23,7 +22,6 @@
   type Beat,
   type BeatAck,
   type Cast,
-  type Claim,
   type Elector,
   type Entry,
   type Flush,
@@ -32,7 +30,6 @@
   type HelloAck,
   type Operation,
   type Parcel,
-  type Promise as Promised,
   type Propose,
   type Seat,
   type Speaks,
@@ -44,9 +41,10 @@
 import { word, type Chance, type Clock } from '@rainrun/nacelle';
 import type { Acceptor } from './acceptor.js';
 import { Causal } from './causal.js';
+import { Claims, type ClaimDesk } from './claims.js';
 import { Coordinator, type Desk } from './coordinator.js';
 import { Grants } from './grants.js';
-import { advance, bare, fromVersion, later, majority, rankOf, reborn, rememberedCount, REMEMBERED_MOST, toVersion, unbridged, type Held, type Play } from './play.js';
+import { advance, bare, fromVersion, majority, rankOf, reborn, rememberedCount, REMEMBERED_MOST, toVersion, unbridged, type Held, type Play } from './play.js';
 import type { GroupTimes } from './times.js';
 
 /** What the group tells the rest of its node. */
@@ -92,16 +90,6 @@
   readonly founding: boolean;
 }
 
-interface Claiming {
-  readonly epoch: number;
-  readonly bornMs: number;
-  sentMs: number;
-  /** Electors that would grant; the claim itself comes once they are a majority. */
-  readonly supporters: Set<string>;
-  asking: boolean;
-  readonly promises: Map<string, Promised>;
-}
-
 interface Following {
   readonly life: string;
   readonly epoch: number;
@@ -148,9 +136,8 @@
   #agreedSeen = 0;
   #following: Following | undefined;
   #coordinator: Coordinator<S> | undefined;
-  #claiming: Claiming | undefined;
-  #claimAfterMs: number;
-  #courtedMs = -Infinity;
+  /** Only on a node with a disk. */
+  #claims: Claims | undefined;
   #unableUntilMs = -Infinity;
   #grantLostMs: number | undefined;
   /** Since when a majority has known this node's epoch for the newest. */
@@ -181,7 +168,7 @@
     });
     this.#grants = new Grants(gear.times.grantMs);
     this.#anemometer = new Anemometer(gear.times);
-    this.#claimAfterMs = gear.clock.nowMs() + gear.times.suspectMs + gear.chance.next() * 300;
+    this.#claims = gear.acceptor === undefined ? undefined : new Claims(this.#claimDesk(gear.acceptor));
     const accepted = gear.acceptor?.accepted;
     for (const member of accepted?.state?.view?.members ?? []) this.#addresses.add(member.address);
   }
@@ -306,7 +293,7 @@
     const nowMs = this.#now();
     const awayMs = this.#anemometer.beat(nowMs);
     if (awayMs > 0) {
-      this.#claimAfterMs = Math.max(this.#claimAfterMs, nowMs + this.#gear.times.suspectMs);
+      this.#claims?.woke(nowMs);
       for (const channel of this.#channels.values()) channel.slept(awayMs);
       if (this.#disk !== undefined) this.#disk.sinceMs += awayMs;
     }
@@ -344,9 +331,9 @@
       case 'beatAck':
         return this.#onBeatAck(from, body.value);
       case 'claim':
-        return this.#onClaim(from, body.value);
+        return this.#claims?.onClaim(from, body.value);
       case 'promise':
-        return this.#onPromise(body.value);
+        return this.#claims?.onPromise(body.value);
       case 'propose':
         return this.#onPropose(from, body.value);
       case 'accepted':
@@ -532,7 +519,7 @@
     this.#staying = undefined;
     this.#gapSinceMs = undefined;
     this.#coordinator = undefined;
-    this.#claiming = undefined;
+    this.#claims?.forget();
     this.#following = undefined;
     this.#anemometer.clear();
     this.#channels.clear();
@@ -858,7 +845,8 @@
 
   #lead(nowMs: number): void {
     const { acceptor, times } = this.#gear;
-    if (acceptor === undefined) return;
+    const claims = this.#claims;
+    if (acceptor === undefined || claims === undefined) return;
     if (this.#coordinator !== undefined) {
       if (!this.#inView || this.granted()) this.#grantLostMs = undefined;
       else this.#grantLostMs ??= nowMs;
@@ -869,18 +857,9 @@
       return this.#coordinator.beat(nowMs);
     }
     if (this.#mayFound()) return this.#found(nowMs);
-    if (this.#claiming !== undefined) return this.#pressClaim(this.#claiming, nowMs);
-    if (nowMs < this.#claimAfterMs || nowMs < this.#unableUntilMs || acceptor.busy) return;
-    if (this.#isTaken(undefined, nowMs) || !this.#isNext(acceptor.disk, nowMs)) return;
-    this.#claiming = {
-      epoch: this.epoch + 1,
-      bornMs: nowMs,
-      sentMs: -Infinity,
-      asking: true,
-      supporters: new Set([acceptor.disk]),
-      promises: new Map(),
-    };
-    this.#pressClaim(this.#claiming, nowMs);
+    if (claims.pressing) return claims.beat(nowMs);
+    if (!claims.due(nowMs) || nowMs < this.#unableUntilMs || acceptor.busy) return;
+    if (!claims.isTaken(undefined, nowMs) && this.#isNext(acceptor.disk, nowMs)) claims.begin(nowMs);
   }
 
   /**
@@ -906,82 +885,24 @@
     return first === disk;
   }
 
-  /** Whether a coordinator is at work as far as this node can see; a claim against it is not supported. */
-  #isTaken(claimant: string | undefined, nowMs: number): boolean {
-    const following = this.#liveFollowing();
-    if (following !== undefined && following.life !== claimant) return true;
-    return nowMs - this.#courtedMs < this.#gear.times.suspectMs;
-  }
-
-  #pressClaim(claiming: Claiming, nowMs: number): void {
-    const acceptor = this.#gear.acceptor;
-    if (acceptor === undefined) return;
-    if (nowMs - claiming.bornMs > this.#gear.times.suspectMs) return this.#dropClaim(nowMs);
-    if (nowMs - claiming.sentMs < this.#gear.times.resendMs) return;
-    claiming.sentMs = nowMs;
-    const { epoch, asking } = claiming;
-    const value = create(ClaimSchema, { epoch, disk: acceptor.disk, asking });
-    for (const elector of this.#electors()) {
-      if (asking ? claiming.supporters.has(elector.disk) : claiming.promises.has(elector.disk)) continue;
-      const seat = this.#electorSeat(elector.disk);
-      if (elector.disk === acceptor.disk) acceptor.claim(value, (promise) => this.#onPromise(promise));
-      else if (seat !== undefined) this.#post(seat, { case: 'claim', value });
-    }
-  }
-
-  #dropClaim(nowMs: number): void {
-    this.#claiming = undefined;
-    this.#claimAfterMs = nowMs + 200 + this.#gear.chance.next() * 800;
-  }
-
-  #onClaim(from: string, claim: Claim): void {
-    const acceptor = this.#gear.acceptor;
-    const seat = this.#seats.get(from);
-    if (acceptor === undefined || seat === undefined) return;
-    const taken = this.#isTaken(from, this.#now());
-    if (taken || claim.asking) {
-      const granted = !taken && claim.epoch > acceptor.promisedEpoch;
-      const { epoch, asking } = claim;
-      const value = create(PromiseSchema, { epoch, asking, granted, disk: acceptor.disk, seenEpoch: this.epoch });
-      return this.#post(seat, { case: 'promise', value });
-    }
-    acceptor.claim(claim, (promise) => this.#post(seat, { case: 'promise', value: promise }));
-  }
-
-  #onPromise(promise: Promised): void {
-    const claiming = this.#claiming;
-    this.#epochSeen = Math.max(this.#epochSeen, promise.granted ? 0 : promise.seenEpoch);
-    if (claiming === undefined || promise.epoch !== claiming.epoch) return;
-    if (!promise.granted) return this.#dropClaim(this.#now());
-    if (promise.asking) return this.#supported(claiming, promise.disk);
-    claiming.promises.set(promise.disk, promise);
-    const best = this.#bestOf(claiming);
-    const electors = best?.state?.electors ?? [];
-    const promised = electors.filter((elector) => claiming.promises.has(elector.disk)).length;
-    const mine = this.#electors();
-    const promisedOfMine = mine.filter((elector) => claiming.promises.has(elector.disk)).length;
-    if (best === undefined || promised < majority(electors.length) || promisedOfMine < majority(mine.length)) return;
-    this.#claiming = undefined;
-    if (!electors.some((elector) => elector.disk === this.#gear.acceptor?.disk)) return;
-    this.#take(claiming.epoch, best);
-  }
-
-  #supported(claiming: Claiming, disk: string): void {
-    claiming.supporters.add(disk);
-    const electors = this.#electors();
-    const supporters = electors.filter((elector) => claiming.supporters.has(elector.disk)).length;
-    if (!claiming.asking || supporters < majority(electors.length)) return;
-    claiming.asking = false;
-    claiming.sentMs = -Infinity;
-    this.#pressClaim(claiming, this.#now());
-  }
-
-  #bestOf(claiming: Claiming): Version | undefined {
-    let best: Version | undefined;
-    for (const { accepted } of claiming.promises.values()) {
-      if (accepted !== undefined && (best === undefined || later(accepted, best))) best = accepted;
-    }
-    return best;
+  #claimDesk(acceptor: Acceptor): ClaimDesk {
+    const { times, chance } = this.#gear;
+    return {
+      acceptor,
+      times,
+      chance,
+      nowMs: () => this.#now(),
+      electors: () => this.#electors(),
+      electorSeat: (disk) => this.#electorSeat(disk),
+      seat: (life) => this.#seats.get(life),
+      post: (seat, body) => this.#post(seat, body),
+      following: () => this.#liveFollowing()?.life,
+      epoch: () => this.epoch,
+      sawEpoch: (epoch) => {
+        this.#epochSeen = Math.max(this.#epochSeen, epoch);
+      },
+      take: (epoch, version) => this.#take(epoch, version),
+    };
   }
 
   #take(epoch: number, version: Version): void {
@@ -1007,7 +928,7 @@
 
   #resign(): void {
     this.#coordinator = undefined;
-    this.#claimAfterMs = this.#now() + this.#gear.times.suspectMs + this.#gear.chance.next() * 500;
+    this.#claims?.resigned();
     if (this.#following?.life === this.#seat.life) this.#following = undefined;
   }
 
@@ -1061,7 +982,7 @@
     const listed = version.state?.electors.some((elector) => elector.disk === acceptor.disk) ?? false;
     if (!listed && acceptor.accepted === undefined) return;
     if (version.epoch > (this.#coordinator?.epoch ?? Infinity)) this.#resign();
-    if (version.epoch >= this.epoch) this.#courtedMs = this.#now();
+    if (version.epoch >= this.epoch) this.#claims?.courted();
     acceptor.propose(propose, (accepted) => this.#post(seat, { case: 'accepted', value: accepted }));
   }
 
