The users' word stands: a visitor is granted entry

Gate.enter is Gate.grantEntry now. What was released (admitting in the operators' JSON, the kind not-admitting) keeps its name, since nodes and callers of two versions meet.

--- a/packages/gate/src/gate.test.ts
+++ b/packages/gate/src/gate.test.ts
@@ -142,7 +142,7 @@
       deadlineMs: undefined,
       ...change,
     };
-    return { port, leave: this.gate.enter(ask, port) };
+    return { port, leave: this.gate.grantEntry(ask, port) };
   }
 
   /** Five requests well served earn one extra send. */
--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -31,7 +31,7 @@
  * Work that may not be repeated is sent once.
  * @example
  * const gate = new Gate(gear);
- * const leave = gate.enter(ask, port);
+ * const leave = gate.grantEntry(ask, port);
  * gate.beat(); // every 20 ms and after each change
  */
 export class Gate extends EventEmitter<GateEvents> {
@@ -61,7 +61,7 @@
     this.#assigner = new Assigner(gear.name, gear.zone);
     this.#doubt = new Doubt(gear.sender);
     this.#filters = [
-      (visit) => this.#mayAdmit(visit),
+      (visit) => this.#mayGrantEntry(visit),
       (visit) => this.#knows(visit),
     ];
   }
@@ -85,7 +85,7 @@
   }
 
   /** Lets a visitor in; the returned function says that the visitor has left. */
-  enter(ask: Ask, port: VisitorPort): () => void {
+  grantEntry(ask: Ask, port: VisitorPort): () => void {
     const catalogue = this.#catalogue();
     const nowMs = this.#gear.clock.nowMs();
     const route = catalogue?.route(ask.path);
@@ -176,7 +176,7 @@
 
   // Filters.
 
-  #mayAdmit(visit: Visit): Fault | undefined {
+  #mayGrantEntry(visit: Visit): Fault | undefined {
     if (this.#draining) return fault('draining', 'this node is stopping');
     if (!this.#gear.granted()) return fault('not-admitting', 'this node is cut off from most others');
     if (this.#gear.spec() === undefined) return fault('not-admitting', 'no spec has been agreed yet');
--- a/packages/hub/src/edge.ts
+++ b/packages/hub/src/edge.ts
@@ -16,7 +16,7 @@
  * stage, workers and grant; the node's members see what the gate measured.
  * @example
  * const edge = new Edge(hub, 'edge-1', 'north', clock, chance, sender);
- * edge.gate.enter(ask, port);
+ * edge.gate.grantEntry(ask, port);
  * edge.observe(); // every OBSERVE_MS
  */
 export class Edge {
--- a/packages/mast/src/visitors.ts
+++ b/packages/mast/src/visitors.ts
@@ -111,7 +111,7 @@
   const id = `${edge}.${word(chance)}`;
   const ask = readAsk(req, id);
   if (ask.isErr) return sendFault(res, ask.error, id);
-  const leave = gate.enter(ask.value, new HttpPort(res, id));
+  const leave = gate.grantEntry(ask.value, new HttpPort(res, id));
   res.on('close', () => {
     if (!res.writableFinished) leave();
   });
--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -377,7 +377,7 @@
     this.#wishes.set(id, { model, streamed, ...(work === undefined ? {} : { work }) });
     this.oracle.asked(id, lookup);
     const ask = { id, path, group, kind, model, adapter, prefix, streamed, body: undefined, deadlineMs: undefined };
-    return edge.gate.enter({ ...ask, method: lookup ? 'GET' : 'POST' }, new SimVisitor(this.oracle, id, () => this.time.nowMs(), ended));
+    return edge.gate.grantEntry({ ...ask, method: lookup ? 'GET' : 'POST' }, new SimVisitor(this.oracle, id, () => this.time.nowMs(), ended));
   }
 
   #probe(machine: Machine, running: Running): void {
