--- a/packages/park/src/figures.ts
+++ b/packages/park/src/figures.ts
@@ -138,7 +138,11 @@
 const shape = SHAPES[cli.flags.shape];
 const acts: Readonly<Record<string, (shape: Shape) => void>> = { fairness, shift, cold, affinity };
 const act = acts[cli.input[0] ?? ''];
+const { room, flood } = cli.flags;
 if (shape === undefined || act === undefined) {
   console.error('figures: fairness, shift, cold or affinity; see --help');
   process.exitCode = 2;
+} else if (!(room > 0 && room <= 100 && flood > 0 && flood <= 10_000)) {
+  console.error(`figures: --room: found ${room}, expected above 0 and at most 100; --flood: found ${flood}, expected above 0 and at most 10000`);
+  process.exitCode = 2;
 } else act(shape);
--- a/tools/fleet/src/main.ts
+++ b/tools/fleet/src/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { setTimeout as pause } from 'node:timers/promises';
-import { readFileSync, writeFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
+import { existsSync, readFileSync, writeFileSync, mkdirSync, mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join, resolve } from 'node:path';
 import meow from 'meow';
@@ -35,6 +35,9 @@
     --day       another recorded day to serve
     --other     another checkout, built, to roll out from
     --speed     how fast to serve it (default 1)
+
+  Exit codes
+    0 well   1 a breach, a failure, or too few served   2 wrong usage
 `,
   {
     importMeta: import.meta,
@@ -315,7 +318,22 @@
   return 0;
 }
 
+/** A flag that is out of range, in words, or undefined. */
+function badFlag(): string | undefined {
+  const { port, speed, day, other } = cli.flags;
+  if (!Number.isInteger(port) || port < 1024 || port > 65_000) return `--port: found ${port}, expected a whole number from 1024 to 65000`;
+  if (!(speed > 0) || speed > 1000) return `--speed: found ${speed}, expected above 0 and at most 1000`;
+  if (day !== undefined && !existsSync(day)) return `--day: found "${day}", expected a file`;
+  if (other !== undefined && !existsSync(join(other, 'programs', 'turnstile', 'dist', 'main.js'))) return `--other: found "${other}", expected a checkout that is built`;
+  return undefined;
+}
+
 async function main(): Promise<number> {
+  const bad = badFlag();
+  if (bad !== undefined) {
+    console.error(`fleet: ${bad}`);
+    return 2;
+  }
   const shape = SHAPES[cli.flags.shape];
   if (shape === undefined) return 2;
   switch (cli.input[0]) {
