--- a/packages/park/src/site.ts
+++ b/packages/park/src/site.ts
@@ -9,6 +9,7 @@
   type WorkerList,
 } from '@rainrun/courier';
 import { Acceptor, GROUP_TIMES, readRecords, type Held } from '@rainrun/farm';
+import type { Ask } from '@rainrun/gate';
 import { Edge, Hub } from '@rainrun/hub';
 import type { Spec, Stage } from '@rainrun/marquee';
 import { Dice, word, type Fault } from '@rainrun/nacelle';
@@ -74,14 +75,7 @@
 }
 
 /** A visitor's question, as a day has it. */
-export interface SimCall {
-  readonly path: string;
-  readonly group: string;
-  readonly kind: string;
-  readonly model: string;
-  readonly adapter: string;
-  readonly prefix: number;
-  readonly streamed: boolean;
+export interface SimCall extends Pick<Ask, 'path' | 'group' | 'kind' | 'model' | 'adapter' | 'prefix' | 'streamed'> {
   readonly work?: SimWork;
 }
 
