One look at the workers a beat, one owner of the HTTP server, one figure for reading

The doubt about silent sends built the whole roster anew for each send at each beat, on the path of every request; it is looked up once a beat now, and only when a send is silent. The node found its HTTP server through the broker although its door owns it: the door ends what is left, the lookup is gone. The simulator's cost of reading a prompt and the moment its spec is put each stood written twice.

--- a/packages/gate/src/gate.ts
+++ b/packages/gate/src/gate.ts
@@ -146,7 +146,7 @@
       }
     }
     for (const send of [...this.#flights]) if (nowMs > send.deadlineMs) send.expire();
-    this.#doubt.beat([...this.#flights], (send) => !this.#gear.granted() || !this.#mayServe(send.worker), nowMs);
+    this.#doubtSends(nowMs);
     if (!this.#gear.granted()) return;
     while (this.#sendNext(nowMs));
   }
@@ -332,13 +332,22 @@
   /** The last look before the first byte. */
   #mayStart(visit: Visit, worker: RosterView): boolean {
     if (visit.left || !this.#gear.granted() || this.#gear.clock.nowMs() > visit.deadlineMs) return false;
-    return this.#mayServe(worker);
-  }
-
-  /** Whether a worker may get work now, as far as this node knows. */
-  #mayServe(worker: RosterView): boolean {
-    const now = this.#gear.workers().find((known) => known.name === worker.name);
-    return now !== undefined && now.address === worker.address && !now.leaving && !now.emptied;
+    return mayServe(this.#gear.workers(), worker);
+  }
+
+  /** The workers are looked up once a beat, and only if there is a silent send to judge. */
+  #doubtSends(nowMs: number): void {
+    const granted = this.#gear.granted();
+    let workers: readonly RosterView[] | undefined;
+    this.#doubt.beat(
+      [...this.#flights],
+      (send) => {
+        if (!granted) return true;
+        workers ??= this.#gear.workers();
+        return !mayServe(workers, send.worker);
+      },
+      nowMs,
+    );
   }
 
   /** Each request that leaves for the first time earns a part of a retry; each that leaves again costs one. */
@@ -468,3 +477,9 @@
     if (!visit.repeatable) this.#measures.arrived(this.#models.name(visit.model), this.#adapters.name(visit.adapter));
   }
 }
+
+/** Whether a worker may get work now, as far as this node knows. */
+function mayServe(workers: readonly RosterView[], worker: RosterView): boolean {
+  const now = workers.find((known) => known.name === worker.name);
+  return now !== undefined && now.address === worker.address && !now.leaving && !now.emptied;
+}
--- a/packages/mast/src/door.ts
+++ b/packages/mast/src/door.ts
@@ -61,4 +61,9 @@
     while (this.#connections > 0 && performance.now() < endMs) await pause(POLL_MS);
     this.#server?.closeIdleConnections();
   }
+
+  /** Ends whatever is still open. */
+  tear(): void {
+    this.#server?.closeAllConnections();
+  }
 }
--- a/packages/mast/src/node.ts
+++ b/packages/mast/src/node.ts
@@ -102,7 +102,7 @@
     await this.#door.empty(Math.min(LINGER_MS, this.#settings.drainMs));
     for (const timer of this.#timers) clearInterval(timer);
     this.#log.info({ counters: this.#counters() }, 'stopped');
-    setTimeout(() => this.#server()?.closeAllConnections(), 500).unref();
+    setTimeout(() => this.#door.tear(), 500).unref();
     await this.#broker.stop();
     await this.#recorder?.close();
     await this.#sender.close();
@@ -220,10 +220,6 @@
     };
   }
 
-  #server(): Server | undefined {
-    return (this.#broker.getLocalService('api') as { server?: Server } | undefined)?.server;
-  }
-
   #services(): ServiceSchema[] {
     const operators = this.#operators;
     function text(value: unknown): string {
--- a/packages/park/src/figures.ts
+++ b/packages/park/src/figures.ts
@@ -2,7 +2,7 @@
 import { exampleSpec, makeDay, makeFlood, readDay, SHAPES, type Call, type Shape } from '@rainrun/playbill';
 import { LOOP_SETTINGS } from '@rainrun/hub';
 import { PLACE_SETTINGS } from '@rainrun/yaw';
-import { playMatinee, type Matinee, type MatineeSeen } from './matinee.js';
+import { playMatinee, PREFILL_MS_PER_CHAR, type Matinee, type MatineeSeen } from './matinee.js';
 import type { SiteLoops } from './site.js';
 
 const cli = meow(
@@ -131,7 +131,7 @@
   const usual = playMatinee(shape, day, { seed: 1 });
   report('affinity', usual);
   const { hits, misses, savedMs } = usual.prefill;
-  const spentMs = day.reduce((sum, call) => sum + call.chars * 0.3, 0);
+  const spentMs = day.reduce((sum, call) => sum + call.chars * PREFILL_MS_PER_CHAR, 0);
   console.log(`prefix kept for ${hits} of ${hits + misses} (${((100 * hits) / (hits + misses)).toFixed(1)} %), ${(savedMs / 1000).toFixed(1)} s of ${(spentMs / 1000).toFixed(1)} s of reading saved`);
 }
 
--- a/packages/park/src/matinee.ts
+++ b/packages/park/src/matinee.ts
@@ -19,11 +19,13 @@
   readonly breaches: readonly string[];
 }
 
-/** When traffic begins. */
+/** When the spec is put, and when traffic begins. */
+const PUT_MS = 3000;
 const OPEN_MS = 12_000;
 const AFTER_MS = 30_000;
 const GAP_MS = 25;
-const PREFILL_MS_PER_CHAR = 0.3;
+/** What reading a prompt costs where no prefix is kept. */
+export const PREFILL_MS_PER_CHAR = 0.3;
 
 /**
  * Plays a day in the simulator, at the size of a deployment and on the
@@ -38,13 +40,13 @@
   const { time, oracle } = site;
   site.notes = false;
   for (const machine of site.machines) site.boot(machine);
-  time.runUntil(3000);
+  time.runUntil(PUT_MS);
   const [first] = site.machines;
   if (first !== undefined) site.submit(first, 'spec.put', { base: 0, text: JSON.stringify(spec) });
   const gates = site.machines.filter((machine) => machine.disk === undefined);
   const seen: MatineeSeen[] = [];
   for (const [place, call] of calls.entries()) {
-    time.after(OPEN_MS - 3000 + call.atMs, () => {
+    time.after(OPEN_MS - PUT_MS + call.atMs, () => {
       const edge = gates[place % gates.length]?.running?.edge;
       const record: MatineeSeen = { call, outcome: 'no-answer', firstPieceMs: Infinity, worker: '' };
       seen.push(record);
