--- a/packages/farm/src/coordinator.ts
+++ b/packages/farm/src/coordinator.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import {
   ChosenSchema,
+  ElectorSchema,
   EntrySchema,
   ProposeSchema,
   StopSchema,
@@ -27,6 +28,8 @@
   readonly play: Play<S>;
   readonly times: GroupTimes;
   readonly disk: string;
+  /** So many electors there should be, as far as there are disks. */
+  readonly electorsWanted: number;
   self(): Seat;
   /** Newest version in force in this node. */
   heldNumber(): number;
@@ -397,6 +400,9 @@
       succeeded ??
       missing.find((elector) => nowMs - (this.#missingSinceMs.get(elector.disk) ?? nowMs) >= this.#desk.times.replaceMs);
     const spare = spares.find((seat) => seat.name === lost?.name) ?? spares[0];
+    if (lost === undefined && spare !== undefined && electors.length < this.#desk.electorsWanted) {
+      return [...electors, create(ElectorSchema, { disk: spare.disk, name: spare.name })];
+    }
     if (lost === undefined || spare === undefined) return undefined;
     this.#missingSinceMs.delete(lost.disk);
     return electors.map((elector) =>
--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -68,8 +68,10 @@
   readonly zone: string;
   readonly deployment: string;
   readonly seeds: readonly string[];
-  /** Names of the founding cores; empty on a node that never founds. */
+  /** Names or addresses of the founding cores; empty on a node that never founds. */
   readonly founders: readonly string[];
+  /** So many electors there should be, as far as there are disks; the founders alone without it. */
+  readonly electorsWanted?: number;
   readonly clock: Clock;
   readonly chance: Chance;
   readonly times: GroupTimes;
@@ -938,6 +940,7 @@
       play,
       times,
       disk: acceptor?.disk ?? '',
+      electorsWanted: this.#gear.electorsWanted ?? 0,
       self: () => this.#seat,
       heldNumber: () => (this.#inView ? (this.#held?.number ?? 0) : 0),
       left: (life) => this.#byes.has(life),
@@ -997,19 +1000,26 @@
   // Founding.
 
   #mayFound(): boolean {
-    const { acceptor, founders, name } = this.#gear;
-    return acceptor !== undefined && founders.includes(name) && acceptor.accepted === undefined;
+    const { acceptor } = this.#gear;
+    return acceptor !== undefined && this.#founderName() !== undefined && acceptor.accepted === undefined;
+  }
+
+  /** How the founders' list calls this node: by name or by address. */
+  #founderName(): string | undefined {
+    const { founders, name, address } = this.#gear;
+    return founders.find((founder) => founder === name || founder === address);
   }
 
   #found(nowMs: number): void {
-    const { acceptor, founders, name, deployment, play } = this.#gear;
-    if (acceptor === undefined || [...founders].sort()[0] !== name) return;
+    const { acceptor, founders, deployment, play } = this.#gear;
+    const own = this.#founderName();
+    if (acceptor === undefined || [...founders].sort()[0] !== own) return;
     const fresh = [...this.#contacts.values()].filter((contact) => this.#fresh(contact, nowMs));
     if (fresh.some((contact) => contact.inView || contact.number > 0)) return;
     const seats = [this.#seat];
     for (const founder of founders) {
-      if (founder === name) continue;
-      const contact = fresh.find((known) => known.seat.name === founder && known.founding && known.seat.disk !== '');
+      if (founder === own) continue;
+      const contact = fresh.find(({ seat, founding }) => (seat.name === founder || seat.address === founder) && founding && seat.disk !== '');
       if (contact === undefined) return;
       seats.push(contact.seat);
     }
--- /dev/null
+++ b/packages/hub/src/follower.ts
@@ -0,0 +1,225 @@
+import { create } from '@bufbuild/protobuf';
+import { FollowSchema, FrameSchema, SeatSchema, WIRE, type Frame, type Seat, type Tell, type Want, type WorkerRow } from '@rainrun/courier';
+import { checkConfiguration, decodeDeployment, EMPTY_DEPLOYMENT, type Configuration, type Deployment } from '@rainrun/marquee';
+import { word, type Chance, type Clock } from '@rainrun/nacelle';
+
+/** A worker as an edge knows it. */
+export interface KnownWorker {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly leaving: boolean;
+  readonly slots: number;
+  readonly coldUntilMs: number;
+  /** Adapters by model. */
+  readonly models: ReadonlyMap<string, ReadonlySet<string>>;
+  readonly number: number;
+}
+
+/** What a follower is given by its program, or by the simulator. */
+export interface FollowerGear {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: string;
+  readonly deployment: string;
+  /** Addresses of cores to begin with. */
+  readonly seeds: readonly string[];
+  readonly clock: Clock;
+  readonly chance: Chance;
+  post(address: string, frame: Frame): void;
+  /** What this node asks for now. */
+  wants(): readonly Want[];
+  /** Another edition, or other workers, are known from now on. */
+  changed(what: 'state' | 'workers'): void;
+}
+
+const FOLLOW_MS = 250;
+const SELDOM_MS = 750;
+const HASTE_MS = 6;
+const CORE_MS = 10_000;
+const CORES_MOST = 3;
+const FRESH_MS = 1500;
+
+interface Core {
+  readonly seat: Seat | undefined;
+  readonly address: string;
+  heardMs: number;
+  granted: boolean;
+  askedMs: number;
+}
+
+/**
+ * A node outside the group that follows its cores: it says what it holds and
+ * is told what is newer. What it holds never goes back; cut off, it goes on
+ * with it.
+ * @example
+ * const follower = new Follower(gear);
+ * follower.beat(); // every 20 ms
+ */
+export class Follower {
+  #gear: FollowerGear;
+  #seat: Seat;
+  #state: Deployment = EMPTY_DEPLOYMENT;
+  #configuration: Configuration | undefined;
+  #cores = new Map<string, Core>();
+  #leader: Seat | undefined;
+  #table = '';
+  #row = 0;
+  #workers = new Map<string, KnownWorker>();
+  #edges = 1;
+  #hasteMs: number | undefined;
+  #knewMs: number | undefined;
+
+  constructor(gear: FollowerGear) {
+    this.#gear = gear;
+    this.#seat = create(SeatSchema, { name: gear.name, life: word(gear.chance), address: gear.address, zone: gear.zone });
+  }
+
+  get state(): Deployment {
+    return this.#state;
+  }
+
+  get configuration(): Configuration | undefined {
+    return this.#configuration;
+  }
+
+  get workers(): ReadonlyMap<string, KnownWorker> {
+    return this.#workers;
+  }
+
+  get life(): string {
+    return this.#seat.life;
+  }
+
+  /** How many edges there are, as far as the coordinator knows. */
+  get edges(): number {
+    return this.#edges;
+  }
+
+  get leader(): string | undefined {
+    return this.#leader?.name;
+  }
+
+  /** Whether a core with a majority behind it was heard lately. */
+  get informed(): boolean {
+    const nowMs = this.#gear.clock.nowMs();
+    return [...this.#cores.values()].some((core) => core.granted && nowMs - core.heardMs < FRESH_MS);
+  }
+
+  /** Whether this node may serve: it holds a configuration and the workers, and had both from a core in touch with the others. */
+  get ready(): boolean {
+    return this.#configuration !== undefined && this.#workers.size > 0 && this.#knewMs !== undefined;
+  }
+
+  /** Something is wanted that cannot wait for the next beat. */
+  haste(): void {
+    this.#hasteMs ??= this.#gear.clock.nowMs();
+  }
+
+  beat(): void {
+    const nowMs = this.#gear.clock.nowMs();
+    const hasty = this.#hasteMs !== undefined && nowMs - this.#hasteMs >= HASTE_MS;
+    for (const core of this.#followed(nowMs)) {
+      const leads = core.address === this.#leader?.address;
+      const everyMs = leads || this.#leader === undefined ? FOLLOW_MS : SELDOM_MS;
+      if (nowMs - core.askedMs >= everyMs || (hasty && leads)) this.#follow(core, nowMs, leads);
+    }
+    if (hasty) this.#hasteMs = undefined;
+  }
+
+  /** Says that this node goes. */
+  leave(): void {
+    for (const core of this.#cores.values()) this.#post(core.address, true, []);
+  }
+
+  receive(frame: Frame): void {
+    if (frame.body.case !== 'tell' || frame.to !== this.#seat.life) return;
+    this.#onTell(frame.body.value, frame.from);
+  }
+
+  /** The leader and a few more: seeds until cores are known. */
+  #followed(nowMs: number): Core[] {
+    for (const [address, core] of this.#cores) {
+      if (nowMs - core.heardMs > CORE_MS && !this.#gear.seeds.includes(address)) this.#cores.delete(address);
+    }
+    for (const address of this.#gear.seeds) this.#core(address, undefined);
+    const known = [...this.#cores.values()].filter((core) => core.address !== this.#seat.address);
+    const fresh = known.filter((core) => nowMs - core.heardMs < FRESH_MS);
+    const leader = known.filter((core) => core.address === this.#leader?.address);
+    const chosen = new Set([...leader, ...fresh.filter((core) => core.granted).slice(0, CORES_MOST)]);
+    if (leader.length === 0 || !fresh.includes(leader[0] as Core) || chosen.size < CORES_MOST) for (const core of known) chosen.add(core);
+    return [...chosen];
+  }
+
+  #core(address: string, seat: Seat | undefined): Core {
+    let core = this.#cores.get(address);
+    if (core === undefined) {
+      core = { seat, address, heardMs: this.#gear.clock.nowMs(), granted: false, askedMs: -Infinity };
+      this.#cores.set(address, core);
+    }
+    return core;
+  }
+
+  #follow(core: Core, nowMs: number, leads: boolean): void {
+    core.askedMs = nowMs;
+    this.#post(core.address, false, leads ? this.#gear.wants() : []);
+  }
+
+  #post(address: string, leaving: boolean, wants: readonly Want[]): void {
+    const value = create(FollowSchema, { seat: this.#seat, edition: this.#state.edition, table: this.#table, row: this.#row, wants: [...wants], leaving });
+    const frame = create(FrameSchema, { wire: WIRE, deployment: this.#gear.deployment, from: this.#seat.life, to: '' });
+    frame.body = { case: 'follow', value };
+    this.#gear.post(address, frame);
+  }
+
+  #onTell(tell: Tell, from: string): void {
+    const nowMs = this.#gear.clock.nowMs();
+    for (const seat of tell.cores) {
+      const core = this.#core(seat.address, seat);
+      if (seat.life === from) {
+        core.heardMs = nowMs;
+        core.granted = tell.granted;
+      }
+    }
+    if (tell.granted && tell.leader !== undefined) this.#leader = tell.leader;
+    if (tell.granted) this.#edges = Math.max(1, tell.followers);
+    this.#takeState(tell);
+    this.#takeRows(tell, nowMs);
+    if (tell.granted && this.#configuration !== undefined && this.#workers.size > 0) this.#knewMs ??= nowMs;
+  }
+
+  #takeState(tell: Tell): void {
+    if (tell.edition <= this.#state.edition || tell.state.length === 0) return;
+    const state = decodeDeployment(tell.state);
+    if (state.isErr) return;
+    this.#state = state.value;
+    const checked = state.value.document === undefined ? undefined : checkConfiguration(state.value.document);
+    if (checked?.isOk === true) this.#configuration = checked.value;
+    this.#gear.changed('state');
+  }
+
+  #takeRows(tell: Tell, nowMs: number): void {
+    if (tell.table === '' || epochOf(tell.table) < epochOf(this.#table)) return;
+    if (tell.whole) this.#workers = new Map();
+    else if (tell.table !== this.#table || tell.row < this.#row || tell.base > this.#row) return;
+    for (const row of tell.rows) this.#takeRow(row, nowMs);
+    this.#table = tell.table;
+    this.#row = tell.row;
+    if (tell.whole || tell.rows.length > 0) this.#gear.changed('workers');
+  }
+
+  #takeRow(row: WorkerRow, nowMs: number): void {
+    if (row.gone) {
+      this.#workers.delete(row.id);
+      return;
+    }
+    const { id, service, address, zone, leaving, slots, coldMs, number } = row;
+    const models = new Map(row.holdings.map(({ model, adapters }) => [model, new Set(adapters)]));
+    this.#workers.set(id, { id, service, address, zone, leaving, slots, coldUntilMs: coldMs > 0 ? nowMs + coldMs : -Infinity, models, number });
+  }
+}
+
+function epochOf(table: string): number {
+  return table === '' ? -1 : Number(table.slice(0, table.indexOf('-')));
+}
--- /dev/null
+++ b/packages/hub/src/keeper.ts
@@ -0,0 +1,313 @@
+import { create } from '@bufbuild/protobuf';
+import {
+  FrameSchema,
+  OperationSchema,
+  TellSchema,
+  WIRE,
+  WorkerRowSchema,
+  type Answer,
+  type Entry,
+  type Follow,
+  type Frame,
+  type Seat,
+  type WorkerRow,
+} from '@rainrun/courier';
+import { Group, type GroupGear, type Held, type Outcome, type Play } from '@rainrun/farm';
+import { applyToDeployment, checkConfiguration, decodeDeployment, EMPTY_DEPLOYMENT, encodeDeployment, type Configuration, type Deployment } from '@rainrun/marquee';
+import { fault, word, type Fault } from '@rainrun/nacelle';
+import { Stocker, WorkerBook, type BookRow, type ListedWorker, type StockEngine, type StockOrder, type StockReply } from '@rainrun/yaw';
+import { Result } from 'true-myth';
+
+const DEPLOYMENT_PLAY: Play<Deployment> = {
+  empty: () => EMPTY_DEPLOYMENT,
+  encode: (state) => ({ play: encodeDeployment(state), extra: new Uint8Array() }),
+  decode: (encoded) => decodeDeployment(encoded.play),
+  plain: (state) => state,
+  apply(state, operation): { state: Deployment; outcome: Outcome } {
+    return applyToDeployment(state, { kind: operation.kind, payload: new TextDecoder().decode(operation.payload) });
+  },
+};
+
+/** A follower that was not heard for so long is forgotten. */
+const FOLLOWER_MS = 2500;
+/** Changes of the table are gathered for so long before followers are told. */
+const GATHER_MS = 8;
+
+/** What a core is given by its program, or by the simulator. */
+export interface KeeperGear extends Omit<GroupGear<Deployment>, 'play' | 'audience'> {
+  /** Sends one order to a worker. */
+  order(row: BookRow, order: StockOrder, done: (reply: StockReply) => void): void;
+  /** Called when another edition came into force here. */
+  changed(state: Deployment): void;
+  reborn(life: string): void;
+  refused(why: string): void;
+  /** Called for each decision on placement, for the logs. */
+  decided(text: string): void;
+}
+
+interface Follower {
+  seat: Seat;
+  atMs: number;
+  edition: number;
+  table: string;
+  row: number;
+  toldMs: number;
+}
+
+/**
+ * A core: a member of the process group that holds the deployment's state and
+ * the placement, and tells the nodes that follow it. The coordinator keeps the
+ * table of workers and orders them. No socket, timer or file of its own.
+ * @example
+ * const keeper = new Keeper(gear);
+ * keeper.beat(); // every 20 ms
+ */
+export class Keeper {
+  #gear: KeeperGear;
+  #group: Group<Deployment>;
+  #book = new WorkerBook();
+  #stocker: Stocker;
+  #table = '';
+  #tableEpoch = -1;
+  #followers = new Map<string, Follower>();
+  #waiting = new Map<string, (answer: Answer) => void>();
+  #dirtyMs: number | undefined;
+  #read: { readonly state: Deployment; readonly configuration: Configuration | undefined; readonly engines: ReadonlyMap<string, StockEngine> } | undefined;
+  #encoded: { readonly state: Deployment; readonly bytes: Uint8Array } | undefined;
+
+  constructor(gear: KeeperGear) {
+    this.#gear = gear;
+    this.#stocker = this.#newStocker();
+    this.#group = new Group<Deployment>({
+      ...gear,
+      play: DEPLOYMENT_PLAY,
+      audience: {
+        onVersion: (held, entry) => this.#onVersion(held, entry),
+        onCast: () => undefined,
+        onAnswer: (answer) => this.#onAnswer(answer),
+        onReborn: (life) => gear.reborn(life),
+        onRefused: (why) => gear.refused(why),
+        onFrame: (_from, body) => this.#onFrame(body),
+      },
+      post: (address, frame) => gear.post(address, frame),
+    });
+  }
+
+  get group(): Group<Deployment> {
+    return this.#group;
+  }
+
+  get state(): Deployment {
+    return this.#group.held?.play ?? EMPTY_DEPLOYMENT;
+  }
+
+  get book(): WorkerBook {
+    return this.#book;
+  }
+
+  get stocker(): Stocker {
+    return this.#stocker;
+  }
+
+  get followers(): number {
+    return this.#followers.size;
+  }
+
+  receive(frame: Frame): void {
+    this.#group.receive(frame);
+  }
+
+  beat(): void {
+    const nowMs = this.#gear.clock.nowMs();
+    this.#group.beat();
+    for (const [life, follower] of this.#followers) if (nowMs - follower.atMs > FOLLOWER_MS) this.#followers.delete(life);
+    this.#openTable();
+    if (this.#group.leading) this.#stock(nowMs);
+    this.#tellChanges(nowMs);
+  }
+
+  /** Takes the platform's whole list. */
+  learnList(list: readonly ListedWorker[]): void {
+    if (!this.#group.leading) return;
+    this.#openTable();
+    const nowMs = this.#gear.clock.nowMs();
+    this.#book.learn(list, nowMs);
+    this.#stock(nowMs);
+    this.#tellChanges(nowMs);
+  }
+
+  /** Submits an operation; `done` is called once, with the agreed answer. */
+  submit(kind: string, payload: unknown, done: (answer: Answer) => void): Result<string, Fault> {
+    const id = word(this.#gear.chance);
+    const operation = create(OperationSchema, { id, kind, payload: new TextEncoder().encode(JSON.stringify(payload)), brief: true });
+    this.#waiting.set(id, done);
+    if (this.#group.submit(operation)) return Result.ok(id);
+    this.#waiting.delete(id);
+    return Result.err(fault('unreached', 'no coordinator can be reached; nothing was sent'));
+  }
+
+  /** The caller waits for this answer no longer. */
+  forgetAnswer(id: string): void {
+    this.#waiting.delete(id);
+  }
+
+  #newStocker(): Stocker {
+    const gear = this.#gear;
+    return new Stocker(this.#book, {
+      fence: () => this.#group.dutyEpoch(),
+      order: (row, order, done) => gear.order(row, order, done),
+      nowMs: () => gear.clock.nowMs(),
+      decided: (text) => gear.decided(text),
+    });
+  }
+
+  /** A coordinator's table begins anew with each epoch. */
+  #openTable(): void {
+    const epoch = this.#group.leading ? this.#group.epoch : -1;
+    if (epoch === this.#tableEpoch) return;
+    this.#tableEpoch = epoch;
+    this.#table = epoch < 0 ? '' : `${epoch}-${this.#group.seat.life}`;
+    this.#book = new WorkerBook();
+    this.#stocker = this.#newStocker();
+  }
+
+  #engines(): ReadonlyMap<string, StockEngine> {
+    const { state } = this;
+    if (this.#read?.state !== state) {
+      const checked = state.document === undefined ? undefined : checkConfiguration(state.document);
+      const configuration = checked?.isOk === true ? checked.value : undefined;
+      this.#read = { state, configuration, engines: enginesOf(configuration) };
+    }
+    return this.#read.engines;
+  }
+
+  #stock(nowMs: number): void {
+    this.#stocker.beat(this.#engines(), this.state.evacuated, nowMs);
+  }
+
+  #onFrame(body: Frame['body']): void {
+    if (body.case === 'follow') this.#onFollow(body.value);
+  }
+
+  #onFollow(follow: Follow): void {
+    const { seat, edition, table, row, wants, leaving } = follow;
+    if (seat === undefined) return;
+    const nowMs = this.#gear.clock.nowMs();
+    if (leaving) {
+      this.#followers.delete(seat.life);
+      return;
+    }
+    const known = this.#followers.get(seat.life);
+    const follower: Follower = { seat, atMs: nowMs, edition, table, row, toldMs: known?.toldMs ?? -Infinity };
+    this.#followers.set(seat.life, follower);
+    if (this.#group.leading) {
+      this.#stocker.want(seat.life, wants, nowMs);
+      this.#stock(nowMs);
+    }
+    this.#tell(follower, nowMs);
+  }
+
+  #tellChanges(nowMs: number): void {
+    let due = false;
+    for (const follower of this.#followers.values()) due ||= this.#isBehind(follower);
+    if (!due) {
+      this.#dirtyMs = undefined;
+      return;
+    }
+    this.#dirtyMs ??= nowMs;
+    if (nowMs - this.#dirtyMs < GATHER_MS) return;
+    this.#dirtyMs = undefined;
+    for (const follower of this.#followers.values()) if (this.#isBehind(follower)) this.#tell(follower, nowMs);
+  }
+
+  #isBehind(follower: Follower): boolean {
+    if (follower.edition < this.state.edition) return true;
+    return this.#group.leading && (follower.table !== this.#table || follower.row < this.#book.number);
+  }
+
+  /** What is told is taken for known until the follower says otherwise, so that it is told once. */
+  #tell(follower: Follower, nowMs: number): void {
+    const { state } = this;
+    const view = this.#group.view;
+    const leaderLife = this.#group.coordinatorLife;
+    const leader = view?.members.find((member) => member.life === leaderLife);
+    const tell = create(TellSchema, {
+      edition: state.edition,
+      granted: this.#group.granted(),
+      cores: view?.members ?? [],
+      followers: this.#followers.size,
+    });
+    if (leader !== undefined) tell.leader = leader;
+    if (follower.edition < state.edition) tell.state = this.#bytes(state);
+    if (this.#group.leading && this.#book.number > 0) {
+      const whole = follower.table !== this.#table;
+      tell.table = this.#table;
+      tell.whole = whole;
+      tell.row = this.#book.number;
+      tell.base = whole ? 0 : follower.row;
+      tell.rows = this.#book.since(whole ? 0 : follower.row).map((row) => rowOf(row, nowMs));
+    }
+    follower.edition = Math.max(follower.edition, state.edition);
+    if (tell.table !== '') {
+      follower.table = tell.table;
+      follower.row = tell.row;
+    }
+    follower.toldMs = nowMs;
+    const frame = create(FrameSchema, { wire: WIRE, deployment: this.#gear.deployment, from: this.#group.seat.life, to: follower.seat.life });
+    frame.body = { case: 'tell', value: tell };
+    this.#gear.post(follower.seat.address, frame);
+  }
+
+  #bytes(state: Deployment): Uint8Array {
+    if (this.#encoded?.state !== state) this.#encoded = { state, bytes: encodeDeployment(state) };
+    return this.#encoded.bytes;
+  }
+
+  #onVersion(held: Held<Deployment>, _entry: Entry | undefined): void {
+    this.#gear.changed(held.play);
+    this.#tellChanges(this.#gear.clock.nowMs());
+  }
+
+  #onAnswer(answer: Answer): void {
+    const done = this.#waiting.get(answer.id);
+    this.#waiting.delete(answer.id);
+    done?.(answer);
+  }
+}
+
+function rowOf(row: BookRow, nowMs: number): WorkerRow {
+  const { number, id, service, address, zone, leaving, gone, slots, coldUntilMs, models } = row;
+  return create(WorkerRowSchema, {
+    number,
+    id,
+    service,
+    address,
+    zone,
+    leaving,
+    gone,
+    slots,
+    coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)),
+    holdings: [...models].map(([model, adapters]) => ({ $typeName: 'rainrun.v1.Holding' as const, model, adapters: [...adapters], load: 0 })),
+  });
+}
+
+/**
+ * The engines that a configuration describes, by service.
+ * @example
+ * enginesOf(undefined).size; // 0
+ */
+export function enginesOf(configuration: Configuration | undefined): ReadonlyMap<string, StockEngine> {
+  const engines = new Map<string, StockEngine>();
+  for (const { name, engine } of configuration?.services ?? []) {
+    if (engine === undefined || engine === null || engine.models.length === 0) continue;
+    engines.set(name, {
+      service: name,
+      slots: engine.slots,
+      roomMb: engine.roomMb,
+      adapterPlaces: engine.adapterPlaces,
+      loadsPerS: engine.loadsPerS,
+      models: new Map(engine.models.map((model) => [model.name, { name: model.name, sizeMb: model.sizeMb, loadMs: model.loadS * 1000, adapterMb: model.adapterMb }])),
+    });
+  }
+  return engines;
+}
--- a/packages/marquee/src/index.ts
+++ b/packages/marquee/src/index.ts
@@ -1,3 +1,4 @@
 export * from './edit.js';
 export * from './spec.js';
 export * from './stage.js';
+export * from './configuration.js';
--- /dev/null
+++ b/packages/mast/src/core-node.ts
@@ -0,0 +1,309 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+import { SPEAKS } from '@rainrun/courier';
+import { Acceptor, GROUP_TIMES, readRecords, type GroupTimes } from '@rainrun/farm';
+import { Keeper } from '@rainrun/hub';
+import { Ledger } from '@rainrun/ledger';
+import { ANSWERS, fault, isFaultKind, word, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
+import { PoolLink } from '@rainrun/router';
+import type { BookRow, ListedWorker, StockOrder, StockReply } from '@rainrun/yaw';
+import { Result } from 'true-myth';
+import { request } from 'undici';
+import type { Dialect, OperatorCall, SystemSettings } from './dialect.js';
+import type { Log } from './log.js';
+import { splitAddress, Wire } from './wire.js';
+
+const BEAT_MS = 20;
+const LIST_MS = 500;
+const LIST_WAIT_MS = 900;
+const ORDER_WAIT_MS = 800;
+const COUNTERS_MS = 10_000;
+const ANSWER_WAIT_MS = 900;
+const POLL_MS = 10;
+const BODY_MOST = 16 * 1024 * 1024;
+
+/** A lost core is replaced before it counts as lost no more. */
+const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500 };
+
+const CLOCK: Clock = { nowMs: () => performance.now() };
+const CHANCE: Chance = { next: () => Math.random() };
+
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+/**
+ * A core on a platform: a member of the group that holds the deployment, with
+ * a disk; answers operators, and while it coordinates reads the platform's
+ * list and orders the workers.
+ * @example
+ * const node = await CoreNode.open(settings, dialect, log, broken);
+ * if (node.isOk) await node.value.start();
+ */
+export class CoreNode {
+  #settings: SystemSettings;
+  #dialect: Dialect;
+  #log: Log;
+  #wire: Wire;
+  #keeper: Keeper;
+  #link = new PoolLink();
+  #server: Server;
+  #timers: NodeJS.Timeout[] = [];
+  #listing = false;
+  #listFaults = 0;
+  #listedMs = -Infinity;
+  #stopping = false;
+  #led = false;
+
+  private constructor(settings: SystemSettings, dialect: Dialect, log: Log, acceptor: Acceptor) {
+    this.#settings = settings;
+    this.#dialect = dialect;
+    this.#log = log;
+    this.#wire = new Wire('system', (frame) => this.#keeper.receive(frame));
+    const seeds = settings.seeds.map((host) => `${host}:${settings.ports[0]}`);
+    this.#keeper = new Keeper({
+      name: settings.name,
+      address: `${settings.host}:${settings.ports[0]}`,
+      zone: settings.zone,
+      deployment: 'system',
+      seeds,
+      founders: settings.founding ? seeds : [],
+      electorsWanted: 2 * settings.lossesBorne + 1,
+      clock: CLOCK,
+      chance: CHANCE,
+      times: TIMES,
+      acceptor,
+      speaks: SPEAKS,
+      post: (address, frame) => this.#wire.post(address, frame),
+      order: (row, order, done) => this.#order(row, order, done),
+      changed: (state) => log.info({ edition: state.edition, revision: state.revision, evacuated: state.evacuated }, 'agreed'),
+      reborn: (life) => log.warn({ life }, 'dropped from the view; joining anew'),
+      refused: (why) => log.error({ why }, 'the group does not let this node in'),
+      decided: (text) => log.info({}, text),
+    });
+    this.#server = createServer((req, res) => void this.#receive(req, res));
+  }
+
+  /** Opens the disk; a fault says why it cannot be used. */
+  static async open(settings: SystemSettings, dialect: Dialect, log: Log, broken: (why: Fault) => void): Promise<Result<CoreNode, Fault>> {
+    const opened = await Ledger.open(settings.folder);
+    if (opened.isErr) return Result.err(opened.error);
+    const { ledger, records } = opened.value;
+    return readRecords(records, word(CHANCE)).map((opening) => {
+      const acceptor = new Acceptor(opening, ledger, 'system', broken);
+      if (records.disk === undefined) acceptor.mark();
+      return new CoreNode(settings, dialect, log, acceptor);
+    });
+  }
+
+  async start(): Promise<void> {
+    const { host, ports, listen } = this.#settings;
+    const bound = await this.#wire.listen(`${host}:${ports[0]}`);
+    if (bound.isErr) this.#log.error({ detail: bound.error.detail }, 'cannot listen for the other nodes');
+    this.#server.listen({ host, port: splitAddress(listen.operators).port, backlog: 256 });
+    this.#timers.push(
+      setInterval(() => this.#beat(), BEAT_MS),
+      setInterval(() => this.#log.info({ counters: this.#counters() }, 'counters'), COUNTERS_MS),
+    );
+    this.#log.info({ operators: listen.operators, founding: this.#settings.founding }, 'started');
+  }
+
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    this.#log.info({ counters: this.#counters() }, 'stopping');
+    this.#keeper.group.leave();
+    await pause(150);
+    for (const timer of this.#timers) clearInterval(timer);
+  }
+
+  #beat(): void {
+    this.#keeper.beat();
+    const { leading } = this.#keeper.group;
+    if (leading !== this.#led) {
+      this.#led = leading;
+      this.#listedMs = -Infinity;
+      this.#log.info({ leading, epoch: this.#keeper.group.epoch }, 'coordination');
+    }
+    if (leading && CLOCK.nowMs() - this.#listedMs >= LIST_MS) void this.#list();
+  }
+
+  // The platform's list.
+
+  async #list(): Promise<void> {
+    if (this.#listing) return;
+    this.#listing = true;
+    this.#listedMs = CLOCK.nowMs();
+    const list = await this.#readList();
+    this.#listing = false;
+    if (list.isOk) {
+      this.#listFaults = 0;
+      this.#keeper.learnList(list.value);
+    } else {
+      if (this.#listFaults === 0) this.#log.warn({ detail: list.error.detail }, 'the platform cannot be read');
+      this.#listFaults += 1;
+    }
+  }
+
+  async #readList(): Promise<Result<ListedWorker[], Fault>> {
+    const workers: ListedWorker[] = [];
+    let next: string | undefined;
+    try {
+      do {
+        const { statusCode, body } = await request(`http://${this.#settings.provider.address}${this.#dialect.listPath(next)}`, { headersTimeout: LIST_WAIT_MS, bodyTimeout: LIST_WAIT_MS });
+        const text = await body.text();
+        if (statusCode !== 200) return Result.err(fault('unreached', `the platform's list answered ${statusCode}`));
+        const page = this.#dialect.readPage(text);
+        if (page.isErr) return Result.err(page.error);
+        workers.push(...page.value.workers);
+        next = page.value.next;
+      } while (next !== undefined);
+      return Result.ok(workers);
+    } catch (thrown) {
+      return Result.err(fault('unreached', String(thrown)));
+    }
+  }
+
+  // Orders.
+
+  #order(row: BookRow, order: StockOrder, done: (reply: StockReply) => void): void {
+    const body = Buffer.from(this.#dialect.writeOrder(order, this.#keeper.group.seat.life));
+    let replied = false;
+    const finish = (reply: StockReply) => {
+      if (replied) return;
+      replied = true;
+      clearTimeout(timer);
+      done(reply);
+      this.#keeper.beat();
+    };
+    let status = 0;
+    const send = this.#link.send(
+      {
+        address: row.address,
+        method: 'POST',
+        target: this.#dialect.orderPath,
+        headers: [['content-type', 'application/json'], ['host', row.address], [this.#dialect.wireWords.expectInstance, row.id]],
+        body,
+        stallMs: ORDER_WAIT_MS,
+      },
+      {
+        mayStart: () => !replied && this.#keeper.group.dutyEpoch() === order.fence,
+        head: (code) => {
+          status = code;
+        },
+        chunk: () => undefined,
+        end: () => finish(this.#dialect.readOrderReply(status)),
+        failed: () => finish('no-answer'),
+      },
+    );
+    const timer = setTimeout(() => {
+      send.abort();
+      finish('no-answer');
+    }, ORDER_WAIT_MS + 100);
+  }
+
+  // Operators.
+
+  async #receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const parts: Buffer[] = [];
+    let bytes = 0;
+    try {
+      for await (const part of req as AsyncIterable<Buffer>) {
+        bytes += part.length;
+        if (bytes > BODY_MOST) break;
+        parts.push(part);
+      }
+    } catch {
+      return;
+    }
+    const reply = bytes > BODY_MOST ? this.#failure(fault('too-large', 'the body is too large')) : await this.#answer(req, Buffer.concat(parts).toString('utf8'));
+    if (res.destroyed) return;
+    res.writeHead(reply.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(reply.body) });
+    res.end(reply.body);
+  }
+
+  async #answer(req: IncomingMessage, body: string): Promise<Reply> {
+    const call = this.#dialect.readCall(req.method ?? '', req.url ?? '', req.headers, body);
+    if (call.isErr) return this.#failure(call.error);
+    const reply = await this.#carryOut(call.value);
+    this.#log.info({ call: call.value.kind, base: 'base' in call.value ? call.value.base : undefined, status: reply.status }, 'operator');
+    return reply;
+  }
+
+  #carryOut(call: OperatorCall): Promise<Reply> | Reply {
+    switch (call.kind) {
+      case 'put':
+        return this.#submit('configuration.put', { base: call.base, document: call.document });
+      case 'patch':
+        return this.#submit('configuration.patch', { base: call.base, patch: call.patch });
+      case 'evacuate':
+        return this.#submit('zone.evacuate', { zone: call.zone });
+      case 'return':
+        return this.#submit('zone.return', { zone: call.zone });
+      case 'read':
+        return this.#readBack();
+      case 'none':
+        return this.#failure(fault('not-found', 'nothing is served here'));
+    }
+  }
+
+  #failure(why: Fault): Reply {
+    const { ran } = ANSWERS[why.kind];
+    const status = this.#dialect.statusOf(why) ?? ANSWERS[why.kind].status;
+    return { status, body: JSON.stringify({ error: { kind: why.kind, message: why.detail, ran } }) };
+  }
+
+  /** Answers what was agreed, or that nothing is known yet: then the caller asks again. */
+  #submit(kind: string, payload: unknown): Promise<Reply> {
+    return new Promise((resolve) => {
+      let id = '';
+      const timer = setTimeout(() => {
+        this.#keeper.forgetAnswer(id);
+        resolve(this.#failure(fault('not-admitting', 'not known to be agreed yet; send it again')));
+      }, ANSWER_WAIT_MS);
+      const sent = this.#keeper.submit(kind, payload, (answer) => {
+        clearTimeout(timer);
+        if (isFaultKind(answer.kind)) resolve(this.#failure(fault(answer.kind, answer.detail)));
+        else resolve({ status: 200, body: JSON.stringify({ outcome: answer.kind, detail: answer.detail }) });
+      });
+      if (sent.isOk) {
+        id = sent.value;
+        return;
+      }
+      clearTimeout(timer);
+      resolve(this.#failure(sent.error));
+    });
+  }
+
+  /** Waits until this node holds all that was agreed before the question. */
+  async #readBack(): Promise<Reply> {
+    const { group } = this.#keeper;
+    const askedMs = CLOCK.nowMs();
+    while (group.informedMs() < askedMs) {
+      if (CLOCK.nowMs() - askedMs > ANSWER_WAIT_MS) return this.#failure(fault('not-admitting', 'this node cannot know the newest; ask again'));
+      await pause(POLL_MS);
+    }
+    const { document } = this.#keeper.state;
+    if (document === undefined) return this.#failure(fault('not-found', 'no configuration has been agreed yet'));
+    return { status: 200, body: this.#dialect.writeDocument(document) };
+  }
+
+  #counters(): Record<string, number> {
+    const { group, stocker, followers, book } = this.#keeper;
+    const { user, system } = process.cpuUsage();
+    return {
+      version: group.held?.number ?? 0,
+      members: group.view?.members.length ?? 0,
+      electors: group.held?.electors.length ?? 0,
+      leading: group.leading ? 1 : 0,
+      followers,
+      rows: book.number,
+      ...stocker.counts,
+      framesIn: this.#wire.counts.framesIn,
+      bytesOut: this.#wire.counts.bytesOut,
+      cpuMs: Math.round((user + system) / 1000),
+      heldMb: Math.round(process.memoryUsage.rss() / 2 ** 20),
+    };
+  }
+}
--- /dev/null
+++ b/packages/mast/src/dialect.ts
@@ -0,0 +1,70 @@
+import type { Fault } from '@rainrun/nacelle';
+import type { WireWords } from '@rainrun/router';
+import type { ListedWorker, StockOrder, StockReply } from '@rainrun/yaw';
+import type { Result } from 'true-myth';
+
+/** The settings of a node that runs on a platform, in our terms. */
+export interface SystemSettings {
+  readonly name: string;
+  readonly zone: string;
+  /** Region of each zone. */
+  readonly regions: Readonly<Record<string, string>>;
+  /** IP number of this machine. */
+  readonly host: string;
+  /** Ports at which nodes may listen for each other, the same on every machine. */
+  readonly ports: readonly [first: number, last: number];
+  /** IP numbers of machines that are cores. */
+  readonly seeds: readonly string[];
+  /** True only at the first start of the whole system. */
+  readonly founding: boolean;
+  readonly folder: string;
+  /** So many machines with a disk may be lost at once. */
+  readonly lossesBorne: number;
+  /** Addresses IP:PORT; empty where this node does not serve them. */
+  readonly listen: { readonly clients: string; readonly readiness: string; readonly operators: string };
+  readonly provider: { readonly address: string; readonly callsPerS: number; readonly lagMs: number };
+  readonly retries: { readonly ratio: number; readonly extra: number };
+  readonly graceMs: number;
+  readonly memoryMb: number;
+}
+
+/** A call of an operator, in our terms. */
+export type OperatorCall =
+  | { readonly kind: 'put'; readonly base: number | undefined; readonly document: Record<string, unknown> }
+  | { readonly kind: 'patch'; readonly base: number | undefined; readonly patch: Record<string, unknown> }
+  | { readonly kind: 'read' }
+  | { readonly kind: 'evacuate' | 'return'; readonly zone: string }
+  | { readonly kind: 'none' };
+
+/** Names of headers that the door reads, lower case. */
+export interface DoorWords {
+  readonly requestId: string;
+  readonly deadlineMs: string;
+  readonly model: string;
+  readonly prefix: string;
+  readonly tokens: string;
+  readonly lastEventId: string;
+}
+
+/** One page of the platform's list. */
+export interface ListPage {
+  readonly workers: readonly ListedWorker[];
+  readonly next: string | undefined;
+}
+
+/** What a platform calls things: it only translates, and decides nothing. */
+export interface Dialect {
+  readonly doorWords: DoorWords;
+  readonly wireWords: WireWords;
+  readonly readinessPath: string;
+  readonly orderPath: string;
+  readSettings(text: string): Result<SystemSettings, Fault[]>;
+  readCall(method: string, path: string, headers: Readonly<Record<string, string | string[] | undefined>>, body: string): Result<OperatorCall, Fault>;
+  writeDocument(document: Readonly<Record<string, unknown>>): string;
+  /** The status for a fault, where the platform's differs from ours. */
+  statusOf(fault: Fault): number | undefined;
+  listPath(next: string | undefined): string;
+  readPage(text: string): Result<ListPage, Fault>;
+  writeOrder(order: StockOrder, holder: string): string;
+  readOrderReply(status: number): StockReply;
+}
--- /dev/null
+++ b/packages/mast/src/edge-node.ts
@@ -0,0 +1,152 @@
+import { createServer, type Server } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
+import { create } from '@bufbuild/protobuf';
+import { WantSchema, type Want } from '@rainrun/courier';
+import { Follower } from '@rainrun/hub';
+import type { Chance, Clock } from '@rainrun/nacelle';
+import { PoolLink, Router } from '@rainrun/router';
+import type { Dialect, SystemSettings } from './dialect.js';
+import { FrontDoor } from './front.js';
+import type { Log } from './log.js';
+import { splitAddress, Wire } from './wire.js';
+
+const BEAT_MS = 25;
+const COUNTERS_MS = 10_000;
+/** The platform asks every second and believes the second miss: so long new connections still come. */
+const STILL_COMING_MS = 3000;
+const GRACE_LEFT_MS = 700;
+
+const CLOCK: Clock = { nowMs: () => performance.now() };
+const CHANCE: Chance = { next: () => Math.random() };
+
+/**
+ * An edge on a platform: clients come in, requests go out to workers; what it
+ * knows it is told by the cores that it follows.
+ * @example
+ * const node = new EdgeNode(settings, dialect, log);
+ * await node.start();
+ */
+export class EdgeNode {
+  #settings: SystemSettings;
+  #log: Log;
+  #wire: Wire;
+  #follower: Follower;
+  #link = new PoolLink();
+  #router: Router;
+  #front: FrontDoor;
+  #readiness: Server;
+  #timers: NodeJS.Timeout[] = [];
+  #stopping = false;
+  #wasReady = false;
+
+  constructor(settings: SystemSettings, dialect: Dialect, log: Log) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#wire = new Wire('system', (frame) => this.#follower.receive(frame));
+    this.#follower = new Follower({
+      name: settings.name,
+      zone: settings.zone,
+      address: `${settings.host}:${settings.ports[0] + 1}`,
+      deployment: 'system',
+      seeds: settings.seeds.map((host) => `${host}:${settings.ports[0]}`),
+      clock: CLOCK,
+      chance: CHANCE,
+      post: (address, frame) => this.#wire.post(address, frame),
+      wants: () => this.#wants(),
+      changed: (what) => this.#changed(what),
+    });
+    this.#router = new Router({
+      zone: settings.zone,
+      clock: CLOCK,
+      link: this.#link,
+      words: dialect.wireWords,
+      retries: settings.retries,
+      configuration: () => this.#follower.configuration,
+      evacuated: () => this.#follower.state.evacuated,
+      workers: () => this.#follower.workers,
+      edges: () => this.#follower.edges,
+      life: () => this.#follower.life,
+      region: (zone) => settings.regions[zone] ?? '',
+      missing: () => this.#follower.haste(),
+    });
+    this.#front = new FrontDoor({
+      words: dialect.doorWords,
+      limits: () => this.#follower.configuration?.limits ?? undefined,
+      leaving: () => this.#stopping,
+      take: (ask, port) => this.#router.take(ask, port),
+    });
+    this.#readiness = createServer((req, res) => {
+      const ready = req.url === dialect.readinessPath && this.#follower.ready && !this.#stopping;
+      res.writeHead(ready ? 200 : 503, { 'content-length': '0' });
+      res.end();
+    });
+  }
+
+  async start(): Promise<void> {
+    const { host, ports, listen } = this.#settings;
+    const bound = await this.#wire.listen(`${host}:${ports[0] + 1}`);
+    if (bound.isErr) this.#log.error({ detail: bound.error.detail }, 'cannot listen for the cores');
+    await this.#front.listen(listen.clients);
+    this.#readiness.listen(splitAddress(listen.readiness).port, host);
+    this.#timers.push(
+      setInterval(() => {
+        this.#follower.beat();
+        this.#router.beat();
+        this.#noteReady();
+      }, BEAT_MS),
+      setInterval(() => this.#log.info({ counters: this.#counters() }, 'counters'), COUNTERS_MS),
+    );
+    this.#follower.beat();
+    this.#log.info({ clients: listen.clients }, 'started');
+  }
+
+  /** Lets the platform send others elsewhere, answers what is under way, and goes. */
+  async stop(): Promise<void> {
+    if (this.#stopping) return;
+    this.#stopping = true;
+    const startMs = CLOCK.nowMs();
+    const endMs = startMs + this.#settings.graceMs - GRACE_LEFT_MS;
+    this.#log.info({ open: this.#front.open }, 'stopping');
+    await pause(Math.min(STILL_COMING_MS, this.#settings.graceMs / 2));
+    this.#front.close();
+    while (this.#front.open > 0 && CLOCK.nowMs() < endMs) await pause(25);
+    this.#follower.leave();
+    await pause(30);
+    this.#log.info({ counters: this.#counters() }, 'stopped');
+    for (const timer of this.#timers) clearInterval(timer);
+  }
+
+  #noteReady(): void {
+    if (this.#follower.ready === this.#wasReady) return;
+    this.#wasReady = this.#follower.ready;
+    this.#log.info({ ready: this.#wasReady, revision: this.#follower.state.revision, workers: this.#follower.workers.size }, 'readiness');
+  }
+
+  #changed(what: 'state' | 'workers'): void {
+    if (what === 'state') {
+      this.#front.applyLimits();
+      this.#log.info({ revision: this.#follower.state.revision, evacuated: this.#follower.state.evacuated }, 'configuration');
+    } else this.#link.keepOnly(new Set([...this.#follower.workers.values()].map((worker) => worker.address)));
+    this.#router.beat();
+  }
+
+  #wants(): Want[] {
+    return this.#router.asked().map((asked) => create(WantSchema, asked));
+  }
+
+  #counters(): Record<string, number> {
+    const { user, system } = process.cpuUsage();
+    return {
+      ...this.#router.counts,
+      inFlight: this.#router.inFlight,
+      waiting: this.#router.waiting,
+      edges: this.#follower.edges,
+      workers: this.#follower.workers.size,
+      edition: this.#follower.state.edition,
+      framesIn: this.#wire.counts.framesIn,
+      bytesIn: this.#wire.counts.bytesIn,
+      cpuMs: Math.round((user + system) / 1000),
+      heldMb: Math.round(process.memoryUsage.rss() / 2 ** 20),
+    };
+  }
+}
--- a/packages/mast/src/index.ts
+++ b/packages/mast/src/index.ts
@@ -5,3 +5,8 @@
 export * from './settings.js';
 export * from './visitors.js';
 export * from './wire.js';
+export * from './front.js';
+export * from './log.js';
+export * from './edge-node.js';
+export * from './core-node.js';
+export * from './system.js';
--- /dev/null
+++ b/packages/mast/src/log.ts
@@ -0,0 +1,6 @@
+/** What nodes log through; pino has this shape. */
+export interface Log {
+  info(data: object, text: string): void;
+  warn(data: object, text: string): void;
+  error(data: object, text: string): void;
+}
--- a/packages/mast/src/wire.ts
+++ b/packages/mast/src/wire.ts
@@ -5,6 +5,9 @@
 
 const BACKLOG_MAX_BYTES = 16 * 1024 * 1024;
 const AGAIN_MS = 100;
+/** A line on which nothing was acknowledged for so long, though something is due, is given up. */
+const SILENT_MS = 1000;
+const ACK = Buffer.from([1]);
 
 /** Counters of the wire. */
 export interface WireCounts {
@@ -20,6 +23,10 @@
 interface Line {
   socket: Socket;
   open: boolean;
+  /** Since when something is unacknowledged; the other end says so by a byte for each lot that it read. */
+  dueMs: number | undefined;
+  /** Whether the other end acknowledges at all: earlier builds do not. */
+  acks: boolean;
 }
 
 /**
@@ -69,6 +76,7 @@
       this.counts.dropped += 1;
       return;
     }
+    line.dueMs ??= performance.now();
     const bytes = pack(frame);
     const head = Buffer.alloc(4);
     head.writeUInt32BE(bytes.length);
@@ -85,22 +93,30 @@
   }
 
   #line(address: string): Line | undefined {
-    const known = this.#lines.get(address);
-    if (known !== undefined) return known;
     const nowMs = performance.now();
+    const known = this.#lines.get(address);
+    if (known !== undefined && !isSilent(known, nowMs)) return known;
+    if (known !== undefined) {
+      this.#lines.delete(address);
+      known.socket.resetAndDestroy();
+    }
     if (this.#closed || nowMs - (this.#failedMs.get(address) ?? -Infinity) < AGAIN_MS) return undefined;
     const socket = createConnection({ ...splitAddress(address), localAddress: this.#host, noDelay: true });
-    const line: Line = { socket, open: false };
+    const line: Line = { socket, open: false, dueMs: undefined, acks: false };
     this.#lines.set(address, line);
     socket.on('connect', () => {
       line.open = true;
     });
+    socket.on('data', () => {
+      line.acks = true;
+      line.dueMs = undefined;
+    });
     socket.on('error', () => undefined);
     socket.on('close', () => {
+      if (this.#lines.get(address) !== line) return;
       this.#lines.delete(address);
       this.#failedMs.set(address, performance.now());
     });
-    socket.resume();
     return line;
   }
 
@@ -111,6 +127,7 @@
     socket.on('error', () => undefined);
     socket.on('close', () => this.#guests.delete(socket));
     socket.on('data', (chunk: Buffer) => {
+      socket.write(ACK);
       rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
       for (;;) {
         if (rest.length < 4) return;
@@ -139,6 +156,11 @@
   }
 }
 
+/** A cut holds bytes up without a word, and TCP tries again ever more seldom: a new connection finds the way sooner. */
+function isSilent(line: Line, nowMs: number): boolean {
+  return line.dueMs !== undefined && nowMs - line.dueMs > SILENT_MS && (line.acks || !line.open);
+}
+
 /**
  * Host and port of an address such as `127.0.0.1:7001`.
  * @example
--- a/packages/nacelle/src/hash.ts
+++ b/packages/nacelle/src/hash.ts
@@ -10,3 +10,15 @@
   }
   return hash >>> 0;
 }
+
+/**
+ * A text as 32 well-mixed bits, for choosing one of many by the highest.
+ * @example
+ * spread('a') !== spread('b'); // true
+ */
+export function spread(text: string): number {
+  let hash = hashText(text);
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/router/src/balance.ts
@@ -0,0 +1,176 @@
+import { spread } from '@rainrun/nacelle';
+import type { Passage, WorkerView } from './request.js';
+
+/** What the balancer knows beyond the workers themselves. */
+export interface BalanceGear {
+  readonly zone: string;
+  nowMs(): number;
+  evacuated(): readonly string[];
+  /** How many edges share the workers. */
+  edges(): number;
+  region(zone: string): string;
+}
+
+/** Why no worker was chosen. */
+export type NoWorker = 'not-held' | 'none' | 'full' | 'cold' | 'shunned';
+
+interface Standing {
+  inFlight: number;
+  /** Faults in a row; the worker is shunned the longer the more there were. */
+  faults: number;
+  shunnedUntilMs: number;
+  /** Places left in the second that a cold worker is in. */
+  cold: { places: number; atMs: number } | undefined;
+  /** Models (and adapters) that it turned away, by the row that claimed them. */
+  missing: Map<string, number>;
+}
+
+const SHUN_MS = 400;
+const SHUN_MOST_MS = 6000;
+const COLD_PART = 0.8;
+/** A worker of another zone must be so many requests better. */
+const ZONE_SLACK = 2;
+/** A worker that kept the prompt may have so many requests more than the least loaded. */
+const PREFIX_SLACK = 4;
+const LONG_TOKENS = 1500;
+
+/**
+ * Chooses a worker for a request: one that holds its model, takes more, and is
+ * least loaded as far as this edge knows; prompts that share long parts go
+ * where they went before, the same at every edge.
+ * @example
+ * const choice = balancer.choose(passage, workers);
+ */
+export class Balancer {
+  #gear: BalanceGear;
+  #standings = new Map<string, Standing>();
+
+  constructor(gear: BalanceGear) {
+    this.#gear = gear;
+  }
+
+  inFlight(id: string): number {
+    return this.#standings.get(id)?.inFlight ?? 0;
+  }
+
+  /** Forgets workers that are gone. */
+  keepOnly(workers: ReadonlyMap<string, unknown>): void {
+    for (const [id, standing] of this.#standings) if (!workers.has(id) && standing.inFlight === 0) this.#standings.delete(id);
+  }
+
+  begun(worker: WorkerView): void {
+    this.#standing(worker.id).inFlight += 1;
+  }
+
+  ended(worker: WorkerView, well: boolean): void {
+    const standing = this.#standing(worker.id);
+    standing.inFlight = Math.max(0, standing.inFlight - 1);
+    if (well) standing.faults = 0;
+  }
+
+  /** The worker failed a request: it is left alone for a while. */
+  failed(worker: WorkerView): void {
+    const standing = this.#standing(worker.id);
+    const nowMs = this.#gear.nowMs();
+    if (nowMs < standing.shunnedUntilMs) return;
+    standing.faults += 1;
+    standing.shunnedUntilMs = nowMs + Math.min(SHUN_MOST_MS, SHUN_MS * 2 ** (standing.faults - 1));
+  }
+
+  /** The worker had no room: it is left alone for a moment. */
+  full(worker: WorkerView, waitMs: number): void {
+    const standing = this.#standing(worker.id);
+    standing.shunnedUntilMs = Math.max(standing.shunnedUntilMs, this.#gear.nowMs() + waitMs);
+  }
+
+  /** The worker does not hold this, whatever its row says. */
+  lacks(worker: WorkerView, model: string, adapter: string): void {
+    this.#standing(worker.id).missing.set(`${model}/${adapter}`, worker.number);
+  }
+
+  /** Takes a place at a cold worker; false when it may have no more in this second. */
+  takePlace(worker: WorkerView, perS: number): boolean {
+    const nowMs = this.#gear.nowMs();
+    if (nowMs >= worker.coldUntilMs || perS <= 0) return true;
+    const standing = this.#standing(worker.id);
+    const rate = (perS * COLD_PART) / Math.max(1, this.#gear.edges());
+    const cold = (standing.cold ??= { places: 1, atMs: nowMs });
+    cold.places = Math.min(1, cold.places + (rate * (nowMs - cold.atMs)) / 1000);
+    cold.atMs = nowMs;
+    if (cold.places < 1) return false;
+    cold.places -= 1;
+    return true;
+  }
+
+  choose(passage: Passage, workers: Iterable<WorkerView>): WorkerView | NoWorker {
+    const { ask, service, route } = passage;
+    const nowMs = this.#gear.nowMs();
+    const evacuated = this.#gear.evacuated();
+    const mostHere = this.#mostHere(service.connections);
+    const able: WorkerView[] = [];
+    let why: NoWorker = 'none';
+    for (const worker of workers) {
+      if (worker.service !== service.name || worker.leaving || evacuated.includes(worker.zone)) continue;
+      if (route.regions !== undefined && route.regions !== null && route.regions.length > 0 && !route.regions.includes(this.#gear.region(worker.zone))) continue;
+      if (!this.holds(worker, ask.model, ask.adapter)) {
+        if (why === 'none') why = 'not-held';
+        continue;
+      }
+      const standing = this.#standing(worker.id);
+      if (passage.avoided.has(worker.id) || nowMs < standing.shunnedUntilMs) {
+        why = 'shunned';
+        continue;
+      }
+      if (standing.inFlight >= Math.min(mostHere, Math.max(2, worker.slots))) {
+        why = 'full';
+        continue;
+      }
+      able.push(worker);
+    }
+    if (able.length === 0) return why;
+    const ranked = this.#ranked(passage, able);
+    return ranked.find((worker) => this.takePlace(worker, service.warmupPerS)) ?? 'cold';
+  }
+
+  holds(worker: WorkerView, model: string, adapter: string): boolean {
+    if (model === '' || worker.models.size === 0) return model === '';
+    const adapters = worker.models.get(model);
+    if (adapters === undefined || (adapter !== '' && !adapters.has(adapter))) return false;
+    const missing = this.#standings.get(worker.id)?.missing;
+    return missing === undefined || (missing.get(`${model}/${adapter}`) ?? -1) < worker.number;
+  }
+
+  /** This edge's part of the connections that a worker bears. */
+  #mostHere(connections: number): number {
+    return connections <= 0 ? Infinity : Math.max(2, Math.floor((connections * 0.9) / Math.max(1, this.#gear.edges())));
+  }
+
+  #ranked(passage: Passage, able: WorkerView[]): WorkerView[] {
+    const { ask } = passage;
+    const loads = new Map(able.map((worker) => [worker.id, this.inFlight(worker.id) + (worker.zone === this.#gear.zone ? 0 : ZONE_SLACK)]));
+    const least = Math.min(...loads.values());
+    const shared = ask.prefix.at(-1);
+    const long = shared !== undefined && ask.promptTokens >= LONG_TOKENS;
+    function load(worker: WorkerView): number {
+      return loads.get(worker.id) ?? 0;
+    }
+    if (long) {
+      const key = `${ask.model}/${ask.adapter}/${shared}`;
+      const near = able.filter((worker) => load(worker) <= least + ZONE_SLACK + PREFIX_SLACK);
+      const rest = able.filter((worker) => !near.includes(worker)).sort((one, other) => load(one) - load(other));
+      near.sort((one, other) => spread(`${key} ${other.id}`) - spread(`${key} ${one.id}`));
+      return [...near, ...rest];
+    }
+    const salt = shared ?? ask.id;
+    return able.sort((one, other) => load(one) - load(other) || spread(`${salt} ${other.id}`) - spread(`${salt} ${one.id}`));
+  }
+
+  #standing(id: string): Standing {
+    let standing = this.#standings.get(id);
+    if (standing === undefined) {
+      standing = { inFlight: 0, faults: 0, shunnedUntilMs: -Infinity, cold: undefined, missing: new Map() };
+      this.#standings.set(id, standing);
+    }
+    return standing;
+  }
+}
--- /dev/null
+++ b/packages/router/src/link.ts
@@ -0,0 +1,170 @@
+import { buildConnector, Pool, type Dispatcher } from 'undici';
+import type { Header } from './request.js';
+
+/** What a send reports. */
+export interface LinkHandler {
+  /** Asked at the last moment before the first byte; false stops the send. */
+  mayStart(): boolean;
+  head(status: number, headers: readonly Header[]): void;
+  chunk(bytes: Buffer): void;
+  end(): void;
+  /** `sent` tells whether any byte may have left. */
+  failed(sent: boolean, why: string): void;
+}
+
+/** A send under way. */
+export interface LinkSend {
+  abort(): void;
+  pause(): void;
+  resume(): void;
+}
+
+/** One request to a worker. */
+export interface LinkRequest {
+  readonly address: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly Header[];
+  readonly body: Buffer;
+  readonly stallMs: number;
+}
+
+/** How requests reach workers; the tests have one of their own. */
+export interface Link {
+  send(request: LinkRequest, handler: LinkHandler): LinkSend;
+}
+
+const CONNECT_MS = 600;
+const IDLE_MS = 30_000;
+const EARLY_MS = 1000;
+
+const connectPlain = buildConnector({ timeout: CONNECT_MS });
+
+/** A connection that ends in an error is reset, so that what the system still holds of it cannot arrive late. */
+function connectReset(options: buildConnector.Options, callback: buildConnector.Callback): void {
+  connectPlain(options, (...[thrown, socket]: Parameters<buildConnector.Callback>) => {
+    if (thrown !== null) return callback(thrown, null);
+    const destroy = socket.destroy.bind(socket);
+    socket.destroy = (why?: Error) => (why === undefined ? destroy() : socket.resetAndDestroy());
+    callback(null, socket);
+  });
+}
+
+class Flight implements Dispatcher.DispatchHandler, LinkSend {
+  #handler: LinkHandler;
+  #controller: Dispatcher.DispatchController | undefined;
+  #sent = false;
+  #ended = false;
+  #aborted = false;
+
+  constructor(handler: LinkHandler) {
+    this.#handler = handler;
+  }
+
+  abort(): void {
+    this.#aborted = true;
+    this.#controller?.abort(new Error('given up'));
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#aborted || this.#sent || !this.#handler.mayStart()) {
+      controller.abort(new Error('not started'));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+    if (status >= 200) this.#handler.head(status, pairs(controller.rawHeaders));
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.#ended) this.#handler.chunk(chunk);
+  }
+
+  onResponseEnd(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#handler.end();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, thrown: Error): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#handler.failed(this.#sent, thrown.message);
+  }
+}
+
+function pairs(raw: unknown): Header[] {
+  const headers: Header[] = [];
+  if (!Array.isArray(raw)) return headers;
+  for (let at = 0; at + 1 < raw.length; at += 2) headers.push([String(raw[at]), String(raw[at + 1])]);
+  return headers;
+}
+
+/**
+ * Sends through undici, one pool of kept connections a worker.
+ * @example
+ * const link = new PoolLink();
+ * const send = link.send(request, handler);
+ */
+export class PoolLink implements Link {
+  #pools = new Map<string, Pool>();
+
+  send(request: LinkRequest, handler: LinkHandler): LinkSend {
+    const { address, method, target, headers, body, stallMs } = request;
+    const flight = new Flight(handler);
+    this.#pool(address).dispatch(
+      {
+        method: method as Dispatcher.HttpMethod,
+        path: target,
+        headers: headers.flat(),
+        body: body.length === 0 ? null : body,
+        idempotent: false,
+        blocking: true,
+        headersTimeout: stallMs,
+        bodyTimeout: stallMs,
+      },
+      flight,
+    );
+    return flight;
+  }
+
+  /** Closes the pools of workers that are gone. */
+  keepOnly(addresses: ReadonlySet<string>): void {
+    for (const [address, pool] of this.#pools) {
+      if (addresses.has(address)) continue;
+      this.#pools.delete(address);
+      void pool.close();
+    }
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
+    this.#pools.clear();
+  }
+
+  #pool(address: string): Pool {
+    let pool = this.#pools.get(address);
+    if (pool === undefined) {
+      pool = new Pool(`http://${address}`, {
+        pipelining: 1,
+        connect: connectReset,
+        keepAliveTimeout: IDLE_MS,
+        keepAliveMaxTimeout: 10 * IDLE_MS,
+        keepAliveTimeoutThreshold: EARLY_MS,
+      });
+      this.#pools.set(address, pool);
+    }
+    return pool;
+  }
+}
--- /dev/null
+++ b/packages/router/src/request.ts
@@ -0,0 +1,86 @@
+import type { RouteEntry, ServiceEntry } from '@rainrun/marquee';
+import type { Fault } from '@rainrun/nacelle';
+
+/** A header as it stands on the wire. */
+export type Header = readonly [name: string, value: string];
+
+/** A whole request, read and taken apart at the door. */
+export interface Ask {
+  readonly id: string;
+  readonly method: string;
+  /** Path and query, unchanged. */
+  readonly target: string;
+  readonly host: string;
+  /** All that is to be passed on. */
+  readonly headers: readonly Header[];
+  readonly body: Buffer;
+  /** How long the client will wait from now. */
+  readonly deadlineMs: number | undefined;
+  readonly model: string;
+  readonly adapter: string;
+  /** Ids of the parts of the prompt that others share, first to last. */
+  readonly prefix: readonly string[];
+  /** Tokens to read. */
+  readonly promptTokens: number;
+  readonly lastEventId: string | undefined;
+}
+
+/** Where the answer goes. */
+export interface ClientPort {
+  /** A whole answer. */
+  answer(status: number, headers: readonly Header[], body: Buffer): void;
+  /** An answer of our own: what went wrong, and when to come back. */
+  refuse(why: Fault): void;
+  /** Opens an answer that is passed on piece by piece. */
+  open(status: number, headers: readonly Header[]): void;
+  /** False: the client reads slowly, `drained` will be called. */
+  piece(bytes: Buffer, drained: () => void): boolean;
+  close(): void;
+  /** Ends the connection so that the client sees that the answer is not whole. */
+  cut(): void;
+}
+
+/** A worker as the router sees it. */
+export interface WorkerView {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly leaving: boolean;
+  readonly slots: number;
+  readonly coldUntilMs: number;
+  readonly models: ReadonlyMap<string, ReadonlySet<string>>;
+  /** Grows with each change that was told of it. */
+  readonly number: number;
+}
+
+/** A request on its way through the router. */
+export interface Passage {
+  readonly ask: Ask;
+  readonly port: ClientPort;
+  readonly route: RouteEntry;
+  readonly service: ServiceEntry;
+  readonly key: string;
+  readonly bornMs: number;
+  readonly endMs: number;
+  readonly repeatable: boolean;
+  readonly streamed: boolean;
+  /** Workers that were sent this request and had it. */
+  arrivals: number;
+  /** Sends of any kind, those that never left included. */
+  tries: number;
+  /** Workers that turned it away or failed it. */
+  readonly avoided: Set<string>;
+  /** Whether any byte of an answer went to the client. */
+  opened: boolean;
+  /** Id of the last event that went to the client whole. */
+  lastEventId: string | undefined;
+  /** Whether a worker may have run it. */
+  ran: boolean;
+  left: boolean;
+  /** A further send was promised, and its part of the budget is gone. */
+  unpaid: boolean;
+  notBeforeMs: number;
+  worker: string;
+  cancel: (() => void) | undefined;
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,315 @@
+import { RetryBudget } from '@rainrun/gate';
+import type { Configuration } from '@rainrun/marquee';
+import { fault, type Clock, type Fault } from '@rainrun/nacelle';
+import { Balancer, type NoWorker } from './balance.js';
+import type { Link } from './link.js';
+import type { Ask, ClientPort, Passage, WorkerView } from './request.js';
+import { RouteTable } from './routes.js';
+import { Run, type RunEnd, type WireWords } from './run.js';
+
+/** What a model or an adapter of it is asked for at this edge. */
+export interface Asked {
+  readonly service: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly waiting: number;
+  readonly inFlight: number;
+  readonly perS: number;
+}
+
+/** What the router is given by its node. */
+export interface RouterGear {
+  readonly zone: string;
+  readonly clock: Clock;
+  readonly link: Link;
+  readonly words: WireWords;
+  /** Extra sends: a part of the first ones, and this many more in the fleet, in any window. */
+  readonly retries: { readonly ratio: number; readonly extra: number };
+  configuration(): Configuration | undefined;
+  evacuated(): readonly string[];
+  workers(): ReadonlyMap<string, WorkerView>;
+  edges(): number;
+  life(): string;
+  region(zone: string): string;
+  /** A model is asked for that stands nowhere. */
+  missing(): void;
+}
+
+const HALF_LIFE_S = 4;
+const AGAIN_MS = 25;
+const HELD_AGAIN_S = 0.2;
+const CROWD_MOST = 2000;
+
+interface Rate {
+  perS: number;
+  atMs: number;
+}
+
+/**
+ * The data plane of an edge for routes and services. A request waits for a
+ * worker that may take it and is sent once; again only where its route allows
+ * it or the worker has not run it, and within the fleet's budget.
+ * @example
+ * const router = new Router(gear);
+ * const leave = router.take(ask, port);
+ * router.beat(); // every 20 ms and after each change
+ */
+export class Router {
+  #gear: RouterGear;
+  #balancer: Balancer;
+  #table: { readonly configuration: Configuration; readonly routes: RouteTable } | undefined;
+  #waiting = new Set<Passage>();
+  #runs = new Set<Run>();
+  #budgets = new Map<string, RetryBudget>();
+  #rates = new Map<string, Rate>();
+  #inFlight = new Map<string, number>();
+  #draining = false;
+  #counts = new Map<string, number>();
+
+  constructor(gear: RouterGear) {
+    this.#gear = gear;
+    this.#balancer = new Balancer({
+      zone: gear.zone,
+      nowMs: () => gear.clock.nowMs(),
+      evacuated: () => gear.evacuated(),
+      edges: () => gear.edges(),
+      region: (zone) => gear.region(zone),
+    });
+  }
+
+  get inFlight(): number {
+    return this.#runs.size;
+  }
+
+  get waiting(): number {
+    return this.#waiting.size;
+  }
+
+  get counts(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.#counts);
+  }
+
+  /** What waits is refused, what runs goes on; new requests are still taken. */
+  drain(): void {
+    this.#draining = true;
+  }
+
+  get draining(): boolean {
+    return this.#draining;
+  }
+
+  /** Takes a request; the returned function says that the client has left. */
+  take(ask: Ask, port: ClientPort): () => void {
+    this.#count('taken');
+    const configuration = this.#gear.configuration();
+    if (configuration === undefined) return this.#turnAway(port, fault('not-admitting', 'no configuration is known here yet'));
+    if (this.#table?.configuration !== configuration) this.#table = { configuration, routes: new RouteTable(configuration) };
+    const route = this.#table.routes.find(ask.host, ask.target);
+    const target = route === undefined ? undefined : this.#table.routes.target(route, ask.id);
+    if (target === undefined) return this.#turnAway(port, fault('not-found', `no route for ${ask.host}${ask.target}`));
+    const nowMs = this.#gear.clock.nowMs();
+    const { service } = target;
+    const streamed = target.route.kind === 'streaming';
+    const passage: Passage = {
+      ask,
+      port,
+      route: target.route,
+      service,
+      key: `${service.name}/${ask.model}/${ask.adapter}`,
+      bornMs: nowMs,
+      endMs: nowMs + Math.min(target.route.timeoutMs, ask.deadlineMs ?? Infinity),
+      repeatable: target.route.kind === 'idempotent' || (streamed && target.route.resumable),
+      streamed,
+      arrivals: 0,
+      tries: 0,
+      avoided: new Set(),
+      opened: false,
+      lastEventId: ask.lastEventId,
+      ran: false,
+      left: false,
+      unpaid: false,
+      notBeforeMs: nowMs,
+      worker: '',
+      cancel: undefined,
+    };
+    if (this.#waiting.size >= CROWD_MOST) return this.#turnAway(port, { ...fault('over-share', 'too many requests wait here'), returnS: 1 });
+    this.#arrived(passage, nowMs);
+    this.#dispatch(passage, nowMs);
+    return () => this.#left(passage);
+  }
+
+  /** Gives up what has waited too long, and sends what can be sent now. */
+  beat(): void {
+    const nowMs = this.#gear.clock.nowMs();
+    this.#balancer.keepOnly(this.#gear.workers());
+    const order = [...this.#waiting].sort((one, other) => one.route.priority - other.route.priority || one.bornMs - other.bornMs);
+    const nowhere = new Set<string>();
+    for (const passage of order) {
+      if (nowMs >= passage.endMs) this.#giveUp(passage);
+      else if (nowMs >= passage.notBeforeMs && !(passage.avoided.size === 0 && nowhere.has(passage.key))) {
+        if (!this.#dispatch(passage, nowMs) && passage.avoided.size === 0) nowhere.add(passage.key);
+      }
+    }
+    for (const run of [...this.#runs]) run.beat(nowMs);
+  }
+
+  /** What is asked for now, by service, model and adapter. */
+  asked(): Asked[] {
+    const nowMs = this.#gear.clock.nowMs();
+    const waiting = new Map<string, number>();
+    for (const passage of this.#waiting) waiting.set(passage.key, (waiting.get(passage.key) ?? 0) + 1);
+    const asked: Asked[] = [];
+    for (const [key, rate] of this.#rates) {
+      fade(rate, nowMs);
+      const now = { waiting: waiting.get(key) ?? 0, inFlight: this.#inFlight.get(key) ?? 0 };
+      if (rate.perS < 0.01 && now.waiting + now.inFlight === 0) {
+        this.#rates.delete(key);
+        continue;
+      }
+      const [service = '', model = '', adapter = ''] = key.split('/');
+      asked.push({ service, model, adapter, ...now, perS: rate.perS });
+    }
+    return asked;
+  }
+
+  #arrived(passage: Passage, nowMs: number): void {
+    this.#budget(passage).first(this.#gear.retries.ratio);
+    if (passage.ask.model === '') return;
+    const rate = this.#rates.get(passage.key) ?? { perS: 0, atMs: nowMs };
+    this.#rates.set(passage.key, rate);
+    fade(rate, nowMs);
+    rate.perS += Math.LN2 / HALF_LIFE_S;
+  }
+
+  /** One budget a service: the bound is the service's. */
+  #budget(passage: Passage): RetryBudget {
+    const name = passage.service.name;
+    let budget = this.#budgets.get(name);
+    if (budget === undefined) {
+      budget = new RetryBudget();
+      this.#budgets.set(name, budget);
+    }
+    budget.allot(this.#gear.life(), this.#gear.retries.extra / Math.max(1, this.#gear.edges()));
+    return budget;
+  }
+
+  #turnAway(port: ClientPort, why: Fault): () => void {
+    this.#count(`refused ${why.kind}`);
+    port.refuse(why);
+    return () => undefined;
+  }
+
+  /** Sends a request if a worker may take it now; false: it waits. */
+  #dispatch(passage: Passage, nowMs: number): boolean {
+    const choice = this.#balancer.choose(passage, this.#gear.workers().values());
+    if (typeof choice === 'string') {
+      this.#wait(passage, choice);
+      return false;
+    }
+    this.#waiting.delete(passage);
+    this.#send(passage, choice, nowMs);
+    return true;
+  }
+
+  #wait(passage: Passage, why: NoWorker): void {
+    this.#waiting.add(passage);
+    passage.cancel = undefined;
+    if (why === 'not-held') this.#gear.missing();
+    if (why === 'shunned' && passage.avoided.size > 0 && passage.arrivals < passage.route.attempts) passage.avoided.clear();
+  }
+
+  #send(passage: Passage, worker: WorkerView, nowMs: number): void {
+    const { key } = passage;
+    passage.tries += 1;
+    passage.worker = worker.id;
+    this.#balancer.begun(worker);
+    this.#inFlight.set(key, (this.#inFlight.get(key) ?? 0) + 1);
+    const run = new Run(passage, worker, this.#gear.words, {
+      nowMs: () => this.#gear.clock.nowMs(),
+      mayStart: () => this.#mayStart(passage, worker),
+      over: (end) => {
+        this.#runs.delete(run);
+        this.#inFlight.set(key, Math.max(0, (this.#inFlight.get(key) ?? 1) - 1));
+        this.#over(passage, worker, end);
+      },
+    });
+    this.#runs.add(run);
+    passage.cancel = () => run.leave();
+    run.attach(this.#gear.link.send(run.request(nowMs), run));
+  }
+
+  /** The last look before the first byte. */
+  #mayStart(passage: Passage, worker: WorkerView): boolean {
+    const known = this.#gear.workers().get(worker.id);
+    if (passage.left || known === undefined || known.leaving || this.#gear.evacuated().includes(known.zone)) return false;
+    if (this.#gear.clock.nowMs() >= passage.endMs) return false;
+    passage.unpaid = passage.arrivals > 0 && !this.#budget(passage).spend();
+    if (passage.unpaid) return false;
+    passage.arrivals += 1;
+    passage.ran = true;
+    return true;
+  }
+
+  #over(passage: Passage, worker: WorkerView, end: RunEnd): void {
+    const nowMs = this.#gear.clock.nowMs();
+    passage.cancel = undefined;
+    this.#balancer.ended(worker, end.how === 'served');
+    this.#count(end.how);
+    if (end.how === 'not-run' || end.how === 'misdirected' || end.how === 'not-sent') passage.ran = false;
+    if (end.how === 'misdirected') this.#balancer.lacks(worker, passage.ask.model, passage.ask.adapter);
+    if (end.how === 'not-run') this.#balancer.full(worker, end.againMs ?? AGAIN_MS);
+    if (end.how === 'failed' || end.how === 'unreached') this.#balancer.failed(worker);
+    if (passage.left) return;
+    if (end.how === 'served' || end.how === 'cut') return;
+    if (nowMs >= passage.endMs) return this.#giveUp(passage);
+    if (passage.unpaid) return this.#refuse(passage, end);
+    if (end.how === 'not-sent' || end.how === 'unreached') return this.#again(passage, worker, end.how === 'unreached', nowMs);
+    const mayRepeat = end.how !== 'failed' || passage.repeatable;
+    const mayArrive = passage.arrivals < passage.route.attempts;
+    if (mayRepeat && mayArrive && this.#budget(passage).reserve()) return this.#again(passage, worker, true, nowMs);
+    this.#refuse(passage, end);
+  }
+
+  #again(passage: Passage, worker: WorkerView, avoid: boolean, nowMs: number): void {
+    if (avoid) passage.avoided.add(worker.id);
+    passage.notBeforeMs = nowMs;
+    this.#dispatch(passage, nowMs);
+  }
+
+  #refuse(passage: Passage, end: RunEnd): void {
+    if (passage.opened) {
+      this.#count('cut off');
+      return passage.port.cut();
+    }
+    if (end.how === 'failed') return passage.port.refuse(fault('outcome-unknown', end.why));
+    this.#count('refused full');
+    passage.port.refuse({ ...fault('no-worker', end.why), returnS: HELD_AGAIN_S });
+  }
+
+  #giveUp(passage: Passage): void {
+    this.#waiting.delete(passage);
+    if (passage.left) return;
+    this.#count('given up');
+    if (passage.opened) return passage.port.cut();
+    if (passage.ran) passage.port.refuse(fault('deadline-exceeded', 'the time for it has passed'));
+    else passage.port.refuse({ ...fault('no-worker', 'no worker came free in time'), returnS: HELD_AGAIN_S });
+  }
+
+  #left(passage: Passage): void {
+    if (passage.left) return;
+    passage.left = true;
+    this.#count('client left');
+    this.#waiting.delete(passage);
+    passage.cancel?.();
+  }
+
+  #count(name: string): void {
+    this.#counts.set(name, (this.#counts.get(name) ?? 0) + 1);
+  }
+}
+
+function fade(rate: Rate, nowMs: number): void {
+  rate.perS *= 0.5 ** ((nowMs - rate.atMs) / 1000 / HALF_LIFE_S);
+  rate.atMs = nowMs;
+}
+
--- /dev/null
+++ b/packages/router/src/routes.ts
@@ -0,0 +1,55 @@
+import { spread } from '@rainrun/nacelle';
+import type { Configuration, RouteEntry, ServiceEntry } from '@rainrun/marquee';
+
+/** A route with the service that one request of it goes to. */
+export interface Target {
+  readonly route: RouteEntry;
+  readonly service: ServiceEntry;
+}
+
+/**
+ * The routes of a configuration, made ready once: by host, longest prefix first.
+ * @example
+ * new RouteTable(configuration).find('a.example', '/assist/7');
+ */
+export class RouteTable {
+  #hosts = new Map<string, RouteEntry[]>();
+  #services = new Map<string, ServiceEntry>();
+
+  constructor(configuration: Configuration) {
+    for (const service of configuration.services) this.#services.set(service.name, service);
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const known = this.#hosts.get(host) ?? [];
+      known.push(route);
+      this.#hosts.set(host, known);
+    }
+    for (const routes of this.#hosts.values()) routes.sort((one, other) => other.prefix.length - one.prefix.length);
+  }
+
+  find(host: string, path: string): RouteEntry | undefined {
+    return this.#hosts.get(host.toLowerCase())?.find((route) => path.startsWith(route.prefix));
+  }
+
+  service(name: string): ServiceEntry | undefined {
+    return this.#services.get(name);
+  }
+
+  /** The service for one request: by the parts of the split, the same for the same id. */
+  target(route: RouteEntry, id: string): Target | undefined {
+    const service = this.#services.get(partOf(route, id));
+    return service === undefined ? undefined : { route, service };
+  }
+}
+
+function partOf(route: RouteEntry, id: string): string {
+  const split = route.split ?? [];
+  const sum = split.reduce((total, part) => total + part.weight, 0);
+  if (sum <= 0) return route.service ?? '';
+  let place = (spread(id) / 2 ** 32) * sum;
+  for (const part of split) {
+    place -= part.weight;
+    if (place < 0) return part.service;
+  }
+  return split.findLast((part) => part.weight > 0)?.service ?? '';
+}
--- /dev/null
+++ b/packages/router/src/run.ts
@@ -0,0 +1,223 @@
+import { EventCutter } from './events.js';
+import type { LinkHandler, LinkRequest, LinkSend } from './link.js';
+import type { Header, Passage, WorkerView } from './request.js';
+
+/** The names that stand on the wire between router and workers, lower case where they are compared. */
+export interface WireWords {
+  readonly requestId: string;
+  readonly deadlineMs: string;
+  readonly lastEventId: string;
+  readonly signature: string;
+  readonly expectInstance: string;
+  readonly notRun: string;
+  readonly priority: string;
+}
+
+/** How a send ended. */
+export interface RunEnd {
+  readonly how:
+    /** The client has the worker's answer. */
+    | 'served'
+    /** The client has part of an answer, and sees that it is cut. */
+    | 'cut'
+    /** No byte left, and none was meant to. */
+    | 'not-sent'
+    /** No byte left: the worker could not be reached. */
+    | 'unreached'
+    /** The worker says that it has not run it. */
+    | 'not-run'
+    /** The worker is another one, or does not hold what was asked for. */
+    | 'misdirected'
+    /** It may have run. */
+    | 'failed';
+  readonly why: string;
+  readonly againMs?: number;
+}
+
+/** What a run needs of its router. */
+export interface RunDesk {
+  nowMs(): number;
+  mayStart(): boolean;
+  over(end: RunEnd): void;
+}
+
+const WHOLE_MOST = 16 * 1024 * 1024;
+const HOP = new Set(['connection', 'keep-alive', 'transfer-encoding', 'proxy-connection', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization']);
+
+/**
+ * Whether a header concerns only one connection.
+ * @example
+ * isHop('Connection'); // true
+ */
+export function isHop(name: string): boolean {
+  return HOP.has(name.toLowerCase());
+}
+
+/**
+ * One send of a request to one worker: takes its answer apart and passes it on.
+ * @example
+ * const run = new Run(passage, worker, words, desk);
+ * run.attach(link.send(run.request(nowMs), run));
+ */
+export class Run implements LinkHandler {
+  #passage: Passage;
+  #worker: WorkerView;
+  #words: WireWords;
+  #desk: RunDesk;
+  #send: LinkSend | undefined;
+  #status = 0;
+  #headers: Header[] = [];
+  #cutter: EventCutter | undefined;
+  #whole: Buffer[] = [];
+  #wholeBytes = 0;
+  #started = false;
+  #withheld = false;
+  #over = false;
+  #lifeMs: number;
+
+  constructor(passage: Passage, worker: WorkerView, words: WireWords, desk: RunDesk) {
+    this.#passage = passage;
+    this.#worker = worker;
+    this.#words = words;
+    this.#desk = desk;
+    this.#lifeMs = desk.nowMs();
+  }
+
+  attach(send: LinkSend): void {
+    this.#send = send;
+    if (this.#over) send.abort();
+  }
+
+  request(nowMs: number): LinkRequest {
+    const { ask, endMs, route, lastEventId } = this.#passage;
+    const { deadlineMs, expectInstance, priority, lastEventId: lastWord } = this.#words;
+    const own = new Set([deadlineMs, expectInstance, priority, lastWord].map((name) => name.toLowerCase()));
+    const headers: Header[] = ask.headers.filter(([name]) => !isHop(name) && !own.has(name.toLowerCase()) && name.toLowerCase() !== 'content-length');
+    const leftMs = Math.max(1, Math.floor(endMs - nowMs));
+    if (ask.deadlineMs !== undefined) headers.push([deadlineMs, String(leftMs)]);
+    if (lastEventId !== undefined) headers.push([lastWord, lastEventId]);
+    headers.push([expectInstance, this.#worker.id]);
+    if (this.#passage.streamed) headers.push([priority, String(Math.min(9, route.priority))]);
+    return { address: this.#worker.address, method: ask.method, target: ask.target, headers, body: ask.body, stallMs: leftMs + 50 };
+  }
+
+  /** Ends what is past its time, or silent for longer than its route bears. */
+  beat(nowMs: number): void {
+    if (this.#over) return;
+    if (nowMs >= this.#passage.endMs) return this.#abandon('the time for it has passed');
+    if (this.#passage.repeatable && this.#started && nowMs - this.#lifeMs > this.#patienceMs()) this.#abandon('silent for too long');
+  }
+
+  /** The client has left: the worker's connection is closed. */
+  leave(): void {
+    this.#finish({ how: 'cut', why: 'the client has left' });
+    this.#send?.abort();
+  }
+
+  mayStart(): boolean {
+    if (this.#over) return false;
+    this.#started = this.#desk.mayStart();
+    this.#withheld = !this.#started;
+    this.#lifeMs = this.#desk.nowMs();
+    return this.#started;
+  }
+
+  head(status: number, headers: readonly Header[]): void {
+    if (this.#over) return;
+    this.#lifeMs = this.#desk.nowMs();
+    const echoed = valueOf(headers, this.#words.requestId);
+    const notRun = valueOf(headers, this.#words.notRun) !== undefined;
+    if (echoed !== undefined && echoed !== this.#passage.ask.id) return this.#abandon('an answer to another request');
+    if (status === 421) return this.#drop({ how: 'misdirected', why: `${this.#worker.id} is not there` });
+    if (notRun) return this.#drop({ how: 'not-run', why: `${this.#worker.id} took no more (${status})` });
+    if (status < 300 && (echoed === undefined || valueOf(headers, this.#words.signature) === undefined)) return this.#abandon('an answer without its marks');
+    this.#status = status;
+    this.#headers = headers.filter(([name]) => !isHop(name));
+    const type = valueOf(headers, 'content-type') ?? '';
+    if (this.#passage.streamed && status < 300 && type.startsWith('text/event-stream')) this.#cutter = new EventCutter();
+    else if (this.#passage.opened) this.#abandon(`answered ${status} where a stream was to go on`);
+    else if (status >= 500 && this.#passage.repeatable && this.#passage.arrivals < this.#passage.route.attempts) this.#abandon(`answered ${status}`);
+  }
+
+  chunk(bytes: Buffer): void {
+    if (this.#over) return;
+    this.#lifeMs = this.#desk.nowMs();
+    if (this.#cutter === undefined) {
+      this.#wholeBytes += bytes.length;
+      if (this.#wholeBytes > WHOLE_MOST) return this.#abandon('an answer without end');
+      this.#whole.push(bytes);
+      return;
+    }
+    const events = this.#cutter.take(bytes);
+    if (events === 'endless') return this.#abandon('an event without end');
+    if (events.bytes.length > 0) this.#pass(events.bytes, events.lastId);
+  }
+
+  end(): void {
+    if (this.#over) return;
+    const { port } = this.#passage;
+    if (this.#cutter === undefined) {
+      port.answer(this.#status, this.#headers, Buffer.concat(this.#whole));
+      return this.#finish({ how: 'served', why: '' });
+    }
+    if (this.#cutter.restBytes > 0) return this.#abandon('ended within an event');
+    if (!this.#passage.opened) this.#open();
+    port.close();
+    this.#finish({ how: 'served', why: '' });
+  }
+
+  failed(sent: boolean, why: string): void {
+    if (this.#over) return;
+    if (sent) return this.#fail(why);
+    this.#finish({ how: this.#withheld ? 'not-sent' : 'unreached', why });
+  }
+
+  /** How long a worker may say nothing to a request that can be repeated. */
+  #patienceMs(): number {
+    const { route, opened, streamed, service } = this.#passage;
+    if (!streamed) return Math.max(400, 3 * route.targetMs);
+    if (opened) return Math.max(800, 1.5 * route.gapMs);
+    return Math.max(1500, 3 * route.targetMs + (service.engine?.slots ?? 0) * 4);
+  }
+
+  #open(): void {
+    this.#passage.opened = true;
+    this.#passage.port.open(this.#status, this.#headers.filter(([name]) => name.toLowerCase() !== 'content-length'));
+  }
+
+  #pass(bytes: Buffer, lastId: string | undefined): void {
+    if (!this.#passage.opened) this.#open();
+    if (lastId !== undefined) this.#passage.lastEventId = lastId;
+    if (!this.#passage.port.piece(bytes, () => this.#send?.resume())) this.#send?.pause();
+  }
+
+  /** The answer is read no further, and the connection may be kept. */
+  #drop(end: RunEnd): void {
+    this.#finish(end);
+  }
+
+  #abandon(why: string): void {
+    this.#fail(why);
+    this.#send?.abort();
+  }
+
+  #fail(why: string): void {
+    this.#finish({ how: 'failed', why: `${this.#worker.id}: ${why}` });
+  }
+
+  #finish(end: RunEnd): void {
+    if (this.#over) return;
+    this.#over = true;
+    this.#desk.over(end);
+  }
+}
+
+/**
+ * The value of a header, whatever the case of its name.
+ * @example
+ * valueOf([['Retry-After', '1']], 'retry-after'); // '1'
+ */
+export function valueOf(headers: readonly Header[], name: string): string | undefined {
+  const wanted = name.toLowerCase();
+  return headers.find(([known]) => known.toLowerCase() === wanted)?.[1];
+}
--- /dev/null
+++ b/packages/yaw/src/book.ts
@@ -0,0 +1,109 @@
+/** One worker as the platform lists it. */
+export interface ListedWorker {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly leaving: boolean;
+  readonly coldMs: number;
+  /** What it holds by its own word: adapters by model. */
+  readonly models: ReadonlyMap<string, ReadonlySet<string>>;
+}
+
+/** One life of a worker as the holder of the duty knows it. */
+export interface BookRow {
+  readonly id: string;
+  readonly service: string;
+  address: string;
+  readonly zone: string;
+  slots: number;
+  leaving: boolean;
+  gone: boolean;
+  coldUntilMs: number;
+  /** What requests may be sent for: adapters by model. */
+  models: Map<string, Set<string>>;
+  /** Grows with every change of any row. */
+  number: number;
+  goneMs: number;
+}
+
+const FORGET_MS = 30_000;
+const COLD_STEP_MS = 400;
+
+/**
+ * The table of workers, a numbered row each, so that a reader that has all
+ * rows up to a number is told only what came after it.
+ * @example
+ * const book = new WorkerBook();
+ * book.learn([listed], nowMs);
+ * book.since(0); // every row
+ */
+export class WorkerBook {
+  #rows = new Map<string, BookRow>();
+  #number = 0;
+
+  /** Number of the newest change. */
+  get number(): number {
+    return this.#number;
+  }
+
+  get rows(): IterableIterator<BookRow> {
+    return this.#rows.values();
+  }
+
+  row(id: string): BookRow | undefined {
+    return this.#rows.get(id);
+  }
+
+  /** Rows changed after a number. */
+  since(number: number): BookRow[] {
+    return [...this.#rows.values()].filter((row) => row.number > number);
+  }
+
+  changed(row: BookRow): void {
+    this.#number += 1;
+    row.number = this.#number;
+  }
+
+  /** Takes the platform's whole list. Holdings count only for lives that were not known: later ones follow from replies to orders. */
+  learn(list: readonly ListedWorker[], nowMs: number): BookRow[] {
+    const fresh: BookRow[] = [];
+    const seen = new Set<string>();
+    for (const listed of list) {
+      seen.add(listed.id);
+      const known = this.#rows.get(listed.id);
+      if (known === undefined) fresh.push(this.#enter(listed, nowMs));
+      else this.#update(known, listed, nowMs);
+    }
+    for (const row of this.#rows.values()) {
+      if (!seen.has(row.id) && !row.gone) {
+        row.gone = true;
+        row.goneMs = nowMs;
+        this.changed(row);
+      } else if (row.gone && nowMs - row.goneMs > FORGET_MS) this.#rows.delete(row.id);
+    }
+    return fresh;
+  }
+
+  #enter(listed: ListedWorker, nowMs: number): BookRow {
+    const { id, service, address, zone, slots, leaving, coldMs } = listed;
+    const models = new Map([...listed.models].map(([model, adapters]) => [model, new Set(adapters)]));
+    const row: BookRow = { id, service, address, zone, slots, leaving, gone: false, coldUntilMs: coldMs > 0 ? nowMs + coldMs : -Infinity, models, number: 0, goneMs: 0 };
+    this.#rows.set(id, row);
+    this.changed(row);
+    return row;
+  }
+
+  #update(row: BookRow, listed: ListedWorker, nowMs: number): void {
+    const coldUntilMs = listed.coldMs > 0 ? nowMs + listed.coldMs : -Infinity;
+    const cold = coldUntilMs > row.coldUntilMs + COLD_STEP_MS && coldUntilMs > nowMs;
+    if (row.leaving === listed.leaving && !row.gone && !cold && row.address === listed.address && row.slots === listed.slots) return;
+    row.leaving = listed.leaving;
+    row.gone = false;
+    row.address = listed.address;
+    row.slots = listed.slots;
+    if (cold) row.coldUntilMs = coldUntilMs;
+    this.changed(row);
+  }
+}
