--- a/packages/hub/src/keeper.ts
+++ b/packages/hub/src/keeper.ts
@@ -32,11 +32,19 @@
 const FOLLOWER_MS = 2500;
 /** Changes of the table are gathered for so long before followers are told. */
 const GATHER_MS = 8;
+/** A worker's report is so old at most. */
+const REPORT_LAG_MS = 300;
+/** An order is done after so long, also where many load at once. */
+const ORDERS_MS = 2500;
 
 /** What a core is given by its program, or by the simulator. */
 export interface KeeperGear extends Omit<GroupGear<Deployment>, 'play' | 'audience'> {
   /** Sends one order to a worker. */
   order(row: BookRow, order: StockOrder, done: (reply: StockReply) => void): void;
+  /** Asks a worker what it holds; nothing comes while it is at an order, or if it does not answer. */
+  report(row: BookRow, done: (models: ReadonlyMap<string, ReadonlySet<string>> | undefined) => void): void;
+  /** How far the platform's list lags. */
+  readonly listLagMs: number;
   /** Called when another edition came into force here. */
   changed(state: Deployment): void;
   reborn(life: string): void;
@@ -72,6 +80,10 @@
   #followers = new Map<string, Follower>();
   #waiting = new Map<string, (answer: Answer) => void>();
   #dirtyMs: number | undefined;
+  /** Since when this node may order, in this epoch. */
+  #dutySinceMs: number | undefined;
+  /** When a worker was last asked what it holds. */
+  #askedMs = new Map<string, number>();
   #read: { readonly state: Deployment; readonly configuration: Configuration | undefined; readonly engines: ReadonlyMap<string, StockEngine> } | undefined;
   #encoded: { readonly state: Deployment; readonly bytes: Uint8Array } | undefined;
 
@@ -169,6 +181,8 @@
     this.#table = epoch < 0 ? '' : `${epoch}-${this.#group.seat.life}`;
     this.#book = new WorkerBook();
     this.#stocker = this.#newStocker();
+    this.#dutySinceMs = undefined;
+    this.#askedMs.clear();
   }
 
   #engines(): ReadonlyMap<string, StockEngine> {
@@ -181,7 +195,33 @@
     return this.#read.engines;
   }
 
+  /**
+   * What an earlier holder of the duty ordered last may not show yet. Workers
+   * that are waited for are asked; others are taken as listed once the list
+   * cannot be older than the duty.
+   */
+  #confirm(nowMs: number): void {
+    if (this.#group.dutyEpoch() === undefined) return;
+    this.#dutySinceMs ??= nowMs;
+    const heldMs = nowMs - this.#dutySinceMs;
+    const pressed = this.#stocker.pressed;
+    for (const row of this.#book.rows) {
+      if (row.sure || row.gone) continue;
+      if (heldMs > this.#gear.listLagMs + ORDERS_MS) {
+        this.#stocker.settle(row, row.listed);
+        continue;
+      }
+      if (!pressed || heldMs < REPORT_LAG_MS || nowMs - (this.#askedMs.get(row.id) ?? -Infinity) < REPORT_LAG_MS) continue;
+      this.#askedMs.set(row.id, nowMs);
+      const stocker = this.#stocker;
+      this.#gear.report(row, (models) => {
+        if (models !== undefined && stocker === this.#stocker && !row.sure) stocker.settle(row, models);
+      });
+    }
+  }
+
   #stock(nowMs: number): void {
+    this.#confirm(nowMs);
     this.#stocker.beat(this.#engines(), this.state.evacuated, nowMs);
   }
 
--- a/packages/mast/src/core-node.ts
+++ b/packages/mast/src/core-node.ts
@@ -5,7 +5,7 @@
 import { Keeper } from '@rainrun/hub';
 import { Ledger } from '@rainrun/ledger';
 import { ANSWERS, fault, isFaultKind, word, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
-import { PoolLink } from '@rainrun/router';
+import { PoolLink, type Header } from '@rainrun/router';
 import type { BookRow, ListedWorker, StockOrder, StockReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import { request } from 'undici';
@@ -77,6 +77,8 @@
       speaks: SPEAKS,
       post: (address, frame) => this.#wire.post(address, frame),
       order: (row, order, done) => this.#order(row, order, done),
+      report: (row, done) => this.#report(row, done),
+      listLagMs: settings.provider.lagMs,
       changed: (state) => log.info({ edition: state.edition, revision: state.revision, evacuated: state.evacuated }, 'agreed'),
       reborn: (life) => log.warn({ life }, 'dropped from the view; joining anew'),
       refused: (why) => log.error({ why }, 'the group does not let this node in'),
@@ -168,38 +170,47 @@
   // Orders.
 
   #order(row: BookRow, order: StockOrder, done: (reply: StockReply) => void): void {
-    const body = Buffer.from(this.#dialect.writeOrder(order, this.#keeper.group.seat.life));
-    let replied = false;
-    const finish = (reply: StockReply) => {
-      if (replied) return;
-      replied = true;
-      clearTimeout(timer);
-      done(reply);
+    const body = this.#dialect.writeOrder(order, this.#keeper.group.seat.life);
+    this.#call(row, 'POST', this.#dialect.orderPath, body, () => this.#keeper.group.dutyEpoch() === order.fence, (reply) => {
+      done(reply === undefined ? 'no-answer' : this.#dialect.readOrderReply(reply.status));
       this.#keeper.beat();
-    };
+    });
+  }
+
+  #report(row: BookRow, done: (models: ReadonlyMap<string, ReadonlySet<string>> | undefined) => void): void {
+    this.#call(row, 'GET', this.#dialect.reportPath, '', () => true, (reply) => {
+      done(reply?.status === 200 ? this.#dialect.readReport(reply.body) : undefined);
+    });
+  }
+
+  /** One call to a worker; `done` comes once, with nothing where there was no whole answer. */
+  #call(row: BookRow, method: string, target: string, body: string, mayStart: () => boolean, done: (reply: Reply | undefined) => void): void {
+    let open = true;
     let status = 0;
+    const parts: Buffer[] = [];
+    function finish(reply: Reply | undefined): void {
+      if (!open) return;
+      open = false;
+      clearTimeout(timer);
+      done(reply);
+    }
+    const headers: Header[] = [['host', row.address], [this.#dialect.wireWords.expectInstance, row.id]];
+    if (body !== '') headers.push(['content-type', 'application/json']);
     const send = this.#link.send(
+      { address: row.address, method, target, headers, body: Buffer.from(body), stallMs: ORDER_WAIT_MS },
       {
-        address: row.address,
-        method: 'POST',
-        target: this.#dialect.orderPath,
-        headers: [['content-type', 'application/json'], ['host', row.address], [this.#dialect.wireWords.expectInstance, row.id]],
-        body,
-        stallMs: ORDER_WAIT_MS,
-      },
-      {
-        mayStart: () => !replied && this.#keeper.group.dutyEpoch() === order.fence,
+        mayStart: () => open && mayStart(),
         head: (code) => {
           status = code;
         },
-        chunk: () => undefined,
-        end: () => finish(this.#dialect.readOrderReply(status)),
-        failed: () => finish('no-answer'),
+        chunk: (bytes) => void parts.push(bytes),
+        end: () => finish({ status, body: Buffer.concat(parts).toString('utf8') }),
+        failed: () => finish(undefined),
       },
     );
     const timer = setTimeout(() => {
       send.abort();
-      finish('no-answer');
+      finish(undefined);
     }, ORDER_WAIT_MS + 100);
   }
 
--- a/packages/mast/src/dialect.ts
+++ b/packages/mast/src/dialect.ts
@@ -58,6 +58,7 @@
   readonly wireWords: WireWords;
   readonly readinessPath: string;
   readonly orderPath: string;
+  readonly reportPath: string;
   readSettings(text: string): Result<SystemSettings, Fault[]>;
   readCall(method: string, path: string, headers: Readonly<Record<string, string | string[] | undefined>>, body: string): Result<OperatorCall, Fault>;
   writeDocument(document: Readonly<Record<string, unknown>>): string;
@@ -66,5 +67,7 @@
   listPath(next: string | undefined): string;
   readPage(text: string): Result<ListPage, Fault>;
   writeOrder(order: StockOrder, holder: string): string;
+  /** What a worker says it holds; undefined while it is at an order, or if it cannot be read. */
+  readReport(text: string): ReadonlyMap<string, ReadonlySet<string>> | undefined;
   readOrderReply(status: number): StockReply;
 }
--- a/packages/mast/src/system.ts
+++ b/packages/mast/src/system.ts
@@ -19,17 +19,27 @@
     (thrown) => [fault('bad-setting', `settings: found ${JSON.stringify(path)}, expected a file (${String(thrown)})`)],
     () => readFileSync(path, 'utf8'),
   ).andThen((text) => dialect.readSettings(text));
-  if (read.isErr) return end(EXITS.badSetting, read.error);
+  if (read.isErr) {
+    end(EXITS.badSetting, read.error);
+    return;
+  }
   const settings = read.value;
   const log = pino({ base: { node: settings.name } });
-  process.on('SIGHUP', () => log.info('settings may have changed; they count from the next start'));
+  process.on('SIGHUP', () => {
+    log.info('settings may have changed; they count from the next start');
+  });
   if (role === 'edge') {
     const node = new EdgeNode(settings, dialect, log);
     onStop(() => node.stop());
     return node.start();
   }
-  const opened = await CoreNode.open(settings, dialect, log, (why) => end(EXITS.badDisk, [why]));
-  if (opened.isErr) return end(EXITS.badDisk, [opened.error]);
+  const opened = await CoreNode.open(settings, dialect, log, (why) => {
+    end(EXITS.badDisk, [why]);
+  });
+  if (opened.isErr) {
+    end(EXITS.badDisk, [opened.error]);
+    return;
+  }
   onStop(() => opened.value.stop());
   return opened.value.start();
 }
--- a/packages/router/src/link.ts
+++ b/packages/router/src/link.ts
@@ -125,7 +125,7 @@
     const flight = new Flight(handler);
     this.#pool(address).dispatch(
       {
-        method: method as Dispatcher.HttpMethod,
+        method: method,
         path: target,
         headers: headers.flat(),
         body: body.length === 0 ? null : body,
--- a/packages/yaw/src/book.ts
+++ b/packages/yaw/src/book.ts
@@ -26,6 +26,10 @@
   /** Grows with every change of any row. */
   number: number;
   goneMs: number;
+  /** Whether its holdings are known for certain: no order of an earlier holder of the duty is still to show. */
+  sure: boolean;
+  /** What the list said last. */
+  listed: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
 const FORGET_MS = 30_000;
@@ -89,13 +93,14 @@
   #enter(listed: ListedWorker, nowMs: number): BookRow {
     const { id, service, address, zone, slots, leaving, coldMs } = listed;
     const models = new Map([...listed.models].map(([model, adapters]) => [model, new Set(adapters)]));
-    const row: BookRow = { id, service, address, zone, slots, leaving, gone: false, coldUntilMs: coldMs > 0 ? nowMs + coldMs : -Infinity, models, number: 0, goneMs: 0 };
+    const row: BookRow = { id, service, address, zone, slots, leaving, gone: false, coldUntilMs: coldMs > 0 ? nowMs + coldMs : -Infinity, models, number: 0, goneMs: 0, sure: false, listed: listed.models };
     this.#rows.set(id, row);
     this.changed(row);
     return row;
   }
 
   #update(row: BookRow, listed: ListedWorker, nowMs: number): void {
+    row.listed = listed.models;
     const coldUntilMs = listed.coldMs > 0 ? nowMs + listed.coldMs : -Infinity;
     const cold = coldUntilMs > row.coldUntilMs + COLD_STEP_MS && coldUntilMs > nowMs;
     if (row.leaving === listed.leaving && !row.gone && !cold && row.address === listed.address && row.slots === listed.slots) return;
--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -187,7 +187,7 @@
 
   #plan(engine: StockEngine, rows: readonly BookRow[], evacuated: readonly string[], nowMs: number): void {
     const demands = this.#demands(engine);
-    const usable = rows.filter((row) => !row.leaving && !evacuated.includes(row.zone));
+    const usable = rows.filter((row) => row.sure && !row.leaving && !evacuated.includes(row.zone));
     const copies = new Map<string, number>();
     for (const row of usable) for (const model of this.#coming(row)) copies.set(model, (copies.get(model) ?? 0) + 1);
     const desired = new Map<string, number>();
@@ -195,7 +195,8 @@
     for (const [model, demand] of demands) {
       const key = `${engine.service}/${model}`;
       if (demand.waiting + demand.inFlight > 0) this.#usedMs.set(key, nowMs);
-      const concurrency = this.#concurrency(key, demand.inFlight + demand.waiting, nowMs);
+      const now = demand.inFlight + demand.waiting;
+      const concurrency = Math.max(now, this.#concurrency(key, now, nowMs));
       const wanted = Math.min(usable.length, Math.max(1, Math.ceil(concurrency / Math.max(1, engine.slots * SLOTS_WANTED))));
       desired.set(model, wanted);
       const have = copies.get(model) ?? 0;
@@ -277,6 +278,7 @@
     }
     if (victims.length > 0) this.#book.changed(row);
     work.steps.push(step('load', need.model, '', nowMs));
+    work.present.set(need.model, new Set());
     copies.set(need.model, (copies.get(need.model) ?? 0) + 1);
     const tokens = this.#tokens.get(engine.service);
     if (!work.held.has(need.model) && tokens !== undefined) tokens.count -= 1;
@@ -311,19 +313,44 @@
         const adapters = [...work.present].flatMap(([known, names]) => [...names].map((name) => ({ known, name, usedMs: this.#usedMs.get(`${engine.service}/${known}/${name}`) ?? -Infinity })));
         if (engine.roomMb - this.#usedMb(engine, work) < size) continue;
         if (adapters.length >= engine.adapterPlaces) {
-          const oldest = adapters.sort((one, other) => one.usedMs - other.usedMs)[0];
+          const queued = work.steps.filter((known) => known.adapter !== '');
+          if (adapters.length - queued.filter((known) => known.action === 'unload').length >= engine.adapterPlaces + 1) continue;
+          const free = adapters.filter(({ known, name }) => !queued.some((one) => one.model === known && one.adapter === name) && (this.#adapterIdle(demand, known, model, name)));
+          const oldest = free.sort((one, other) => one.usedMs - other.usedMs)[0];
           if (oldest === undefined) continue;
-          if (work.steps.some((known) => known.adapter !== '')) continue;
-          row.models.get(oldest.known)?.delete(oldest.name);
+                    row.models.get(oldest.known)?.delete(oldest.name);
           this.#book.changed(row);
           work.steps.push(step('unload', oldest.known, oldest.name, nowMs + SETTLE_MS));
         }
         work.steps.push(step('load', model, adapter, nowMs));
+        work.present.get(model)?.add(adapter);
         break;
       }
     }
   }
 
+  /** Whether an adapter is not in use now, as far as the edges say. */
+  #adapterIdle(demand: Demand, known: string, model: string, adapter: string): boolean {
+    const wanted = known === model ? demand.adapters.get(adapter) : undefined;
+    return wanted === undefined || wanted.waiting + wanted.inFlight === 0;
+  }
+
+  /**
+   * What a worker said itself, newer than any order of an earlier holder of
+   * the duty: from here on its holdings are known.
+   */
+  settle(row: BookRow, models: ReadonlyMap<string, ReadonlySet<string>>): void {
+    row.models = new Map([...models].map(([model, adapters]) => [model, new Set(adapters)]));
+    row.sure = true;
+    this.#works.delete(row.id);
+    this.#book.changed(row);
+  }
+
+  /** Whether some request waits for a model or an adapter. */
+  get pressed(): boolean {
+    return [...this.#wants.values()].some(({ wants }) => wants.some((want) => want.waiting > 0));
+  }
+
   #pursue(engine: StockEngine, row: BookRow, nowMs: number): void {
     const work = this.#work(row);
     const first = work.steps[0];
@@ -332,17 +359,14 @@
       work.steps = [];
       return;
     }
+    if (!row.sure) return;
     if (first.posted || nowMs < first.notBeforeMs) return;
     const fence = this.#gear.fence();
     if (fence === undefined) return;
     const { action, model, adapter } = first;
-    if (action === 'load') {
-      const present = work.present.get(model);
-      if (adapter === '' && present === undefined) work.present.set(model, new Set());
-      else if (adapter !== '' && present === undefined) {
-        work.steps.shift();
-        return;
-      } else if (adapter !== '') present?.add(adapter);
+    if (action === 'load' && adapter !== '' && work.present.get(model)?.has(adapter) !== true) {
+      work.steps.shift();
+      return;
     }
     first.posted = true;
     this.counts.orders += 1;
@@ -352,10 +376,10 @@
   #replied(engine: StockEngine, row: BookRow, work: Work, done: Step, reply: StockReply): void {
     if (work.steps[0] !== done) return;
     const nowMs = this.#gear.nowMs();
-    const again = (waitMs: number) => {
+    function again(waitMs: number): void {
       done.posted = false;
       done.notBeforeMs = nowMs + waitMs;
-    };
+    }
     switch (reply) {
       case 'begun': {
         if (done.action === 'unload') return this.#finish(row, work, done);
