Loads go first where most requests are helped; a worker that speaks is waited for

Ruled out: the control plane (new leader after 1.5 s, 4 to 7 loads a second all along). Also: electors that all stand outside elect at once after a loss of power; suspicion after 0.9 s and grants of 0.6 s on the platform.

--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -860,10 +860,19 @@
     }
     if (this.#mayFound()) return this.#found(nowMs);
     if (claims.pressing) return claims.beat(nowMs);
-    if (!claims.due(nowMs) || nowMs < this.#unableUntilMs || acceptor.busy) return;
+    if ((!claims.due(nowMs) && !this.#allOutside(nowMs)) || nowMs < this.#unableUntilMs || acceptor.busy) return;
     if (!claims.isTaken(undefined, nowMs) && this.#isNext(acceptor.disk, nowMs)) claims.begin(nowMs);
   }
 
+  /** Whether every elector is there and none is in a view, as after a loss of power everywhere: nobody need be waited for. */
+  #allOutside(nowMs: number): boolean {
+    const { acceptor } = this.#gear;
+    const electors = this.#electors();
+    if (this.#inView || acceptor === undefined || electors.length === 0) return false;
+    const outside = [...this.#contacts.values()].filter((contact) => !contact.inView && this.#fresh(contact, nowMs));
+    return electors.every(({ disk }) => disk === acceptor.disk || outside.some((contact) => contact.seat.disk === disk));
+  }
+
   /**
    * Whether no elector of lower rank can be reached. Lives in the view come
    * first, in its order; an elector that is back under a new life comes after them.
--- a/packages/mast/src/core-node.ts
+++ b/packages/mast/src/core-node.ts
@@ -23,7 +23,7 @@
 const BODY_MOST = 16 * 1024 * 1024;
 
 /** A lost core is replaced before it counts as lost no more. */
-const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500 };
+const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500, suspectMs: 900, grantMs: 600 };
 
 const CLOCK: Clock = { nowMs: () => performance.now() };
 const CHANCE: Chance = { next: () => Math.random() };
--- a/packages/router/src/balance.ts
+++ b/packages/router/src/balance.ts
@@ -16,6 +16,7 @@
 
 interface Standing {
   inFlight: number;
+  heardMs: number;
   /** Faults in a row; the worker is shunned the longer the more there were. */
   faults: number;
   shunnedUntilMs: number;
@@ -53,6 +54,15 @@
     return this.#standings.get(id)?.inFlight ?? 0;
   }
 
+  /** When a worker was last heard. */
+  heardMs(id: string): number {
+    return this.#standings.get(id)?.heardMs ?? -Infinity;
+  }
+
+  heard(id: string): void {
+    this.#standing(id).heardMs = this.#gear.nowMs();
+  }
+
   /** Forgets workers that are gone. */
   keepOnly(workers: ReadonlyMap<string, unknown>): void {
     for (const [id, standing] of this.#standings) if (!workers.has(id) && standing.inFlight === 0) this.#standings.delete(id);
@@ -168,7 +178,7 @@
   #standing(id: string): Standing {
     let standing = this.#standings.get(id);
     if (standing === undefined) {
-      standing = { inFlight: 0, faults: 0, shunnedUntilMs: -Infinity, cold: undefined, missing: new Map() };
+      standing = { inFlight: 0, heardMs: -Infinity, faults: 0, shunnedUntilMs: -Infinity, cold: undefined, missing: new Map() };
       this.#standings.set(id, standing);
     }
     return standing;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -227,6 +227,8 @@
     const run = new Run(passage, worker, this.#gear.words, {
       nowMs: () => this.#gear.clock.nowMs(),
       mayStart: () => this.#mayStart(passage, worker),
+      heardMs: () => this.#balancer.heardMs(worker.id),
+      heard: () => this.#balancer.heard(worker.id),
       over: (end) => {
         this.#runs.delete(run);
         this.#inFlight.set(key, Math.max(0, (this.#inFlight.get(key) ?? 1) - 1));
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -38,9 +38,15 @@
 export interface RunDesk {
   nowMs(): number;
   mayStart(): boolean;
+  /** When this worker was last heard on any connection. */
+  heardMs(): number;
+  /** It was heard now. */
+  heard(): void;
   over(end: RunEnd): void;
 }
 
+const SILENT_MS = 1000;
+const SPEAKS_MS = 700;
 const WHOLE_MOST = 16 * 1024 * 1024;
 const HOP = new Set(['connection', 'keep-alive', 'transfer-encoding', 'proxy-connection', 'te', 'trailer', 'upgrade', 'proxy-authenticate', 'proxy-authorization']);
 
@@ -105,7 +111,7 @@
   beat(nowMs: number): void {
     if (this.#over) return;
     if (nowMs >= this.#passage.endMs) return this.#abandon('the time for it has passed');
-    if (this.#passage.repeatable && this.#started && nowMs - this.#lifeMs > this.#patienceMs()) this.#abandon('silent for too long');
+    if (this.#passage.repeatable && this.#started && nowMs - this.#lifeMs > this.#patienceMs(nowMs)) this.#abandon('silent for too long');
   }
 
   /** The client has left: the worker's connection is closed. */
@@ -125,6 +131,7 @@
   head(status: number, headers: readonly Header[]): void {
     if (this.#over) return;
     this.#lifeMs = this.#desk.nowMs();
+    this.#desk.heard();
     const echoed = valueOf(headers, this.#words.requestId);
     const notRun = valueOf(headers, this.#words.notRun) !== undefined;
     if (echoed !== undefined && echoed !== this.#passage.ask.id) return this.#abandon('an answer to another request');
@@ -142,6 +149,7 @@
   chunk(bytes: Buffer): void {
     if (this.#over) return;
     this.#lifeMs = this.#desk.nowMs();
+    this.#desk.heard();
     if (this.#cutter === undefined) {
       this.#wholeBytes += bytes.length;
       if (this.#wholeBytes > WHOLE_MOST) return this.#abandon('an answer without end');
@@ -172,12 +180,16 @@
     this.#finish({ how: this.#withheld ? 'not-sent' : 'unreached', why });
   }
 
-  /** How long a worker may say nothing to a request that can be repeated. */
-  #patienceMs(): number {
-    const { route, opened, streamed, service } = this.#passage;
+  /**
+   * How long a worker may say nothing to a request that can be repeated. One
+   * that speaks to others is at work: what it has read would be read again.
+   */
+  #patienceMs(nowMs: number): number {
+    const { route, opened, streamed } = this.#passage;
+    const heard = nowMs - this.#desk.heardMs() < SPEAKS_MS;
     if (!streamed) return Math.max(400, 3 * route.targetMs);
-    if (opened) return Math.max(800, 1.5 * route.gapMs);
-    return Math.max(1500, 3 * route.targetMs + (service.engine?.slots ?? 0) * 4);
+    if (opened) return heard ? 4 * Math.max(SILENT_MS, route.gapMs) : SILENT_MS;
+    return heard ? Infinity : SILENT_MS + route.targetMs;
   }
 
   #open(): void {
--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -81,6 +81,8 @@
 /** Part of a worker's slots that its copies should have in use: the set point of the copies' loop. */
 const SLOTS_WANTED = 0.2;
 const REST_MS = 400;
+/** A request that no worker can take counts for more than one that a busy copy takes late. */
+const ALONE = 1.5;
 
 /**
  * Decides which worker holds which model, and orders it, while this node has
@@ -191,7 +193,7 @@
     const copies = new Map<string, number>();
     for (const row of usable) for (const model of this.#coming(row)) copies.set(model, (copies.get(model) ?? 0) + 1);
     const desired = new Map<string, number>();
-    const needs: { model: string; worth: number; waiting: number }[] = [];
+    const needs: { model: string; worth: number; helped: number }[] = [];
     for (const [model, demand] of demands) {
       const key = `${engine.service}/${model}`;
       if (demand.waiting + demand.inFlight > 0) this.#usedMs.set(key, nowMs);
@@ -200,15 +202,18 @@
       const wanted = Math.min(usable.length, Math.max(1, Math.ceil(concurrency / Math.max(1, engine.slots * SLOTS_WANTED))));
       desired.set(model, wanted);
       const have = copies.get(model) ?? 0;
-      if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, waiting: demand.waiting });
-      else if (have > 0 && have < wanted) needs.push({ model, worth: 4 + (wanted - have) / wanted, waiting: demand.waiting });
+      if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, helped: ALONE * demand.waiting });
+      else if (have > 0 && have < wanted) needs.push({ model, worth: have * 2 <= wanted ? 8 : 4 + (wanted - have) / wanted, helped: concurrency - have * engine.slots * SLOTS_WANTED });
     }
-    needs.sort((one, other) => other.worth - one.worth || other.waiting - one.waiting);
+    needs.sort((one, other) => other.helped - one.helped);
     let running = 0;
-    for (const row of rows) if (this.#work(row).steps.some((step) => step.action === 'load' && step.adapter === '')) running += 1;
+    for (const row of rows) {
+      const work = this.#work(row);
+      if (work.steps.some((known) => known.action === 'load' && known.adapter === '' && !work.held.has(known.model))) running += 1;
+    }
     for (const need of needs) {
-      if (running >= this.#atOnce(engine)) break;
-      if (this.#place(engine, usable, need, demands, copies, desired, nowMs)) running += 1;
+      const placed = this.#place(engine, usable, need, demands, copies, desired, running < this.#atOnce(engine), nowMs);
+      if (placed === 'from-store') running += 1;
     }
     for (const [model, demand] of demands) this.#placeAdapters(engine, usable, model, demand, nowMs);
   }
@@ -242,16 +247,17 @@
     demands: ReadonlyMap<string, Demand>,
     copies: Map<string, number>,
     desired: ReadonlyMap<string, number>,
+    storeFree: boolean,
     nowMs: number,
-  ): boolean {
+  ): 'no' | 'from-disk' | 'from-store' {
     const model = engine.models.get(need.model);
-    if (model === undefined || model.sizeMb > engine.roomMb) return false;
+    if (model === undefined || model.sizeMb > engine.roomMb) return 'no';
     let best: { row: BookRow; cost: number; victims: string[] } | undefined;
     for (const row of rows) {
       const work = this.#work(row);
       if (work.steps.length > 0 || work.present.has(need.model)) continue;
       const fromDisk = work.held.has(need.model);
-      if (!fromDisk && (this.#tokens.get(engine.service)?.count ?? 0) < 1) continue;
+      if (!fromDisk && (!storeFree || (this.#tokens.get(engine.service)?.count ?? 0) < 1)) continue;
       let freeMb = engine.roomMb - this.#usedMb(engine, work);
       const victims: string[] = [];
       let cost = fromDisk ? -0.9 : 0;
@@ -268,7 +274,7 @@
       if (freeMb < model.sizeMb) continue;
       if (best === undefined || cost < best.cost) best = { row, cost, victims };
     }
-    if (best === undefined) return false;
+    if (best === undefined) return 'no';
     const { row, victims } = best;
     const work = this.#work(row);
     for (const victim of victims) {
@@ -283,7 +289,7 @@
     const tokens = this.#tokens.get(engine.service);
     if (!work.held.has(need.model) && tokens !== undefined) tokens.count -= 1;
     this.#gear.decided(`${row.id} loads ${need.model}${victims.length > 0 ? ` in the place of ${victims.join(', ')}` : ''} (worth ${need.worth.toFixed(2)})`);
-    return true;
+    return work.held.has(need.model) ? 'from-disk' : 'from-store';
   }
 
   #sizeMb(engine: StockEngine, model: string, work: Work): number {
