Copies steered by the wait for the first word; budget, zones and bad paths mended

Cause: one copy of a busy model reads prompts at its bound long before its slots are taken (steps of 107 ms, waits of 500 ms at 14 runs), so copies now follow a set point of 7 runs and a loop on the wait for the first word (0.2 of the target).

--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -268,6 +268,11 @@
     return true;
   }
 
+  /** Nobody waits for an operation any more: it is not sent again, so that it cannot come to pass long after its caller has asked elsewhere. */
+  withdraw(id: string): void {
+    this.#waiting.delete(id);
+  }
+
   /** What is known of an operation by its id. */
   ask(id: string): Answer | undefined {
     const answer = this.#held?.answers.find((known) => known.id === id);
--- a/packages/hub/src/keeper.ts
+++ b/packages/hub/src/keeper.ts
@@ -158,9 +158,10 @@
     return Result.err(fault('unreached', 'no coordinator can be reached; nothing was sent'));
   }
 
-  /** The caller waits for this answer no longer. */
+  /** The caller waits for this answer no longer, and may have asked another node. */
   forgetAnswer(id: string): void {
     this.#waiting.delete(id);
+    this.#group.withdraw(id);
   }
 
   #newStocker(): Stocker {
--- a/packages/mast/src/core-node.ts
+++ b/packages/mast/src/core-node.ts
@@ -84,7 +84,12 @@
       refused: (why) => log.error({ why }, 'the group does not let this node in'),
       decided: (text) => log.info({}, text),
     });
-    this.#server = createServer((req, res) => void this.#receive(req, res));
+    this.#server = createServer((req, res) => {
+      this.#receive(req, res).catch((thrown: unknown) => {
+        log.error({ detail: String(thrown) }, 'a call could not be answered');
+        res.destroy();
+      });
+    });
   }
 
   /** Opens the disk; a fault says why it cannot be used. */
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -78,6 +78,8 @@
   /** Whether a worker may have run it. */
   ran: boolean;
   left: boolean;
+  /** A part of the budget is set aside for its next send. */
+  reserved: boolean;
   /** A further send was promised, and its part of the budget is gone. */
   unpaid: boolean;
   notBeforeMs: number;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -15,6 +15,8 @@
   readonly waiting: number;
   readonly inFlight: number;
   readonly perS: number;
+  /** Mean wait for a worker's first word, in parts of the target; 0 if none is known. */
+  readonly pressure: number;
 }
 
 /** What the router is given by its node. */
@@ -36,12 +38,14 @@
 }
 
 const HALF_LIFE_S = 4;
+const PRESSURE_PART = 0.15;
 const AGAIN_MS = 25;
 const HELD_AGAIN_S = 0.2;
 const CROWD_MOST = 2000;
 
 interface Rate {
   perS: number;
+  pressure: number;
   atMs: number;
 }
 
@@ -127,6 +131,7 @@
       lastEventId: ask.lastEventId,
       ran: false,
       left: false,
+      reserved: false,
       unpaid: false,
       notBeforeMs: nowMs,
       worker: '',
@@ -167,7 +172,7 @@
         continue;
       }
       const [service = '', model = '', adapter = ''] = key.split('/');
-      asked.push({ service, model, adapter, ...now, perS: rate.perS });
+      asked.push({ service, model, adapter, ...now, perS: rate.perS, pressure: rate.pressure });
     }
     return asked;
   }
@@ -175,12 +180,19 @@
   #arrived(passage: Passage, nowMs: number): void {
     this.#budget(passage).first(this.#gear.retries.ratio);
     if (passage.ask.model === '') return;
-    const rate = this.#rates.get(passage.key) ?? { perS: 0, atMs: nowMs };
+    const rate = this.#rates.get(passage.key) ?? { perS: 0, pressure: 0, atMs: nowMs };
     this.#rates.set(passage.key, rate);
     fade(rate, nowMs);
     rate.perS += Math.LN2 / HALF_LIFE_S;
   }
 
+  #notePressure(passage: Passage, waitMs: number): void {
+    const rate = this.#rates.get(passage.key);
+    if (rate === undefined || passage.route.targetMs <= 0) return;
+    const pressure = waitMs / passage.route.targetMs;
+    rate.pressure = rate.pressure === 0 ? pressure : rate.pressure + (pressure - rate.pressure) * PRESSURE_PART;
+  }
+
   /** One budget a service: the bound is the service's. */
   #budget(passage: Passage): RetryBudget {
     const name = passage.service.name;
@@ -229,6 +241,7 @@
       mayStart: () => this.#mayStart(passage, worker),
       heardMs: () => this.#balancer.heardMs(worker.id),
       heard: () => this.#balancer.heard(worker.id),
+      answered: (waitMs) => this.#notePressure(passage, waitMs),
       over: (end) => {
         this.#runs.delete(run);
         this.#inFlight.set(key, Math.max(0, (this.#inFlight.get(key) ?? 1) - 1));
@@ -245,10 +258,10 @@
     const known = this.#gear.workers().get(worker.id);
     if (passage.left || known === undefined || known.leaving || this.#gear.evacuated().includes(known.zone)) return false;
     if (this.#gear.clock.nowMs() >= passage.endMs) return false;
-    passage.unpaid = passage.arrivals > 0 && !this.#budget(passage).spend();
+    passage.unpaid = passage.reserved && !this.#budget(passage).spend();
+    passage.reserved = false;
     if (passage.unpaid) return false;
     passage.arrivals += 1;
-    passage.ran = true;
     return true;
   }
 
@@ -257,7 +270,7 @@
     passage.cancel = undefined;
     this.#balancer.ended(worker, end.how === 'served');
     this.#count(end.how);
-    if (end.how === 'not-run' || end.how === 'misdirected' || end.how === 'not-sent') passage.ran = false;
+    if (end.how === 'failed' || end.how === 'cut') passage.ran = true;
     if (end.how === 'misdirected') this.#balancer.lacks(worker, passage.ask.model, passage.ask.adapter);
     if (end.how === 'not-run') this.#balancer.full(worker, end.againMs ?? AGAIN_MS);
     if (end.how === 'failed' || end.how === 'unreached') this.#balancer.failed(worker);
@@ -268,7 +281,8 @@
     if (end.how === 'not-sent' || end.how === 'unreached') return this.#again(passage, worker, end.how === 'unreached', nowMs);
     const mayRepeat = end.how !== 'failed' || passage.repeatable;
     const mayArrive = passage.arrivals < passage.route.attempts;
-    if (mayRepeat && mayArrive && this.#budget(passage).reserve()) return this.#again(passage, worker, true, nowMs);
+    passage.reserved = mayRepeat && mayArrive && this.#budget(passage).reserve();
+    if (passage.reserved) return this.#again(passage, worker, true, nowMs);
     this.#refuse(passage, end);
   }
 
@@ -278,18 +292,26 @@
     this.#dispatch(passage, nowMs);
   }
 
+  /** A further send that will not be is given back to the budget. */
+  #release(passage: Passage): void {
+    if (passage.reserved) this.#budget(passage).release();
+    passage.reserved = false;
+  }
+
   #refuse(passage: Passage, end: RunEnd): void {
+    this.#release(passage);
     if (passage.opened) {
       this.#count('cut off');
       return passage.port.cut();
     }
-    if (end.how === 'failed') return passage.port.refuse(fault('outcome-unknown', end.why));
+    if (passage.ran) return passage.port.refuse(fault('outcome-unknown', end.why));
     this.#count('refused full');
     passage.port.refuse({ ...fault('no-worker', end.why), returnS: HELD_AGAIN_S });
   }
 
   #giveUp(passage: Passage): void {
     this.#waiting.delete(passage);
+    this.#release(passage);
     if (passage.left) return;
     this.#count('given up');
     if (passage.opened) return passage.port.cut();
@@ -303,6 +325,7 @@
     this.#count('client left');
     this.#waiting.delete(passage);
     passage.cancel?.();
+    this.#release(passage);
   }
 
   #count(name: string): void {
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -42,6 +42,8 @@
   heardMs(): number;
   /** It was heard now. */
   heard(): void;
+  /** The first word of an answer came so long after the send. */
+  answered(waitMs: number): void;
   over(end: RunEnd): void;
 }
 
@@ -80,6 +82,7 @@
   #withheld = false;
   #over = false;
   #lifeMs: number;
+  #bornMs: number;
 
   constructor(passage: Passage, worker: WorkerView, words: WireWords, desk: RunDesk) {
     this.#passage = passage;
@@ -87,6 +90,7 @@
     this.#words = words;
     this.#desk = desk;
     this.#lifeMs = desk.nowMs();
+    this.#bornMs = this.#lifeMs;
   }
 
   attach(send: LinkSend): void {
@@ -138,6 +142,7 @@
     if (status === 421) return this.#drop({ how: 'misdirected', why: `${this.#worker.id} is not there` });
     if (notRun) return this.#drop({ how: 'not-run', why: `${this.#worker.id} took no more (${status})` });
     if (status < 300 && (echoed === undefined || valueOf(headers, this.#words.signature) === undefined)) return this.#abandon('an answer without its marks');
+    this.#desk.answered(this.#lifeMs - this.#bornMs);
     this.#status = status;
     this.#headers = headers.filter(([name]) => !isHop(name));
     const type = valueOf(headers, 'content-type') ?? '';
--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -1,5 +1,6 @@
 import { spread } from '@rainrun/nacelle';
 import { WorkerBook, type BookRow } from './book.js';
+import { Loop, type LoopSettings } from './loop.js';
 
 /** What a model weighs and how long it takes to load. */
 export interface StockModel {
@@ -27,6 +28,8 @@
   readonly waiting: number;
   readonly inFlight: number;
   readonly perS: number;
+  /** Mean wait for a worker's first word, in parts of the target; 0 if none is known. */
+  readonly pressure: number;
 }
 
 /** An order to a worker. */
@@ -54,6 +57,8 @@
   readonly action: 'load' | 'unload';
   readonly model: string;
   readonly adapter: string;
+  /** Whether the worker has said that it is at it. */
+  begun: boolean;
   posted: boolean;
   notBeforeMs: number;
 }
@@ -64,25 +69,74 @@
   readonly held: Set<string>;
   /** All that may be there: what is held, and what an order may have brought. */
   readonly present: Map<string, Set<string>>;
+  /** Since when it holds a model. */
+  readonly sinceMs: Map<string, number>;
 }
 
 interface Demand {
   waiting: number;
   inFlight: number;
   perS: number;
+  /** Sum of the pressures, each as often as it is asked for. */
+  pressed: number;
   adapters: Map<string, { waiting: number; inFlight: number; perS: number }>;
 }
 
+/** A copy that is wanted. */
+interface Need {
+  readonly model: string;
+  readonly worth: number;
+  /** Requests that it would help. */
+  readonly helped: number;
+  /** What each present copy carries. */
+  readonly load: number;
+}
+
+interface Counts {
+  readonly demands: ReadonlyMap<string, Demand>;
+  readonly copies: Map<string, number>;
+  readonly desired: ReadonlyMap<string, number>;
+}
+
+/** How much of a model runs and waits at once: lately, and at its height, which is forgotten slowly. */
+interface Concurrency {
+  recent: number;
+  height: number;
+  atMs: number;
+}
+
 const WANT_MS = 2000;
 const SETTLE_MS = 12;
-const AGAIN_MS = 60;
+const AGAIN_MS = 35;
+/** A load from a worker's own disk takes about this part of one from the store. */
+const DISK_PART = 0.68;
+/** So long a worker takes to let a model go that nobody uses. */
+const UNLOAD_MS = 35;
 const SILENT_MS = 1000;
-const SMOOTH_MS = 1000;
+const SMOOTH_MS = 400;
+/** Copies are given up as slowly as this, so that a wave of demand does not move them to and fro. */
+const HEIGHT_MS = 6000;
 /** Part of a worker's slots that its copies should have in use: the set point of the copies' loop. */
 const SLOTS_WANTED = 0.2;
+/** Whatever the slots: reading prompts binds before slots do. */
+const RUNS_WANTED = 7;
+/** Where the wait for the first word should be, in parts of the target. */
+const PRESSURE_WANTED = 0.2;
+/** Rarely asked models say too little to steer by. */
+const STEERED_PER_S = 3;
+const COPIES_LOOP: LoopSettings = { gain: 0.4, integralPerS: 0.15, least: 0.6, most: 2.5, stepPerS: 0.8, deadBand: 0.25 };
+const LOOP_MS = 200;
+/** A further copy is wanted only this much beyond the set point, in copies. */
+const DEAD_BAND = 0.15;
 const REST_MS = 400;
+/** A copy stays so long once it is loaded. */
+const RESIDE_MS = 800;
+/** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
+const GIVES_WAY = 0.7;
 /** A request that no worker can take counts for more than one that a busy copy takes late. */
 const ALONE = 1.5;
+/** What it is worth that a model comes from a worker's own disk: sooner, and without the store. */
+const DISK = 1.5;
 
 /**
  * Decides which worker holds which model, and orders it, while this node has
@@ -100,7 +154,8 @@
   #works = new Map<string, Work>();
   #wants = new Map<string, { atMs: number; wants: readonly StockWant[] }>();
   #usedMs = new Map<string, number>();
-  #smooth = new Map<string, { value: number; atMs: number }>();
+  #smooth = new Map<string, Concurrency>();
+  #loops = new Map<string, { readonly loop: Loop; atMs: number }>();
   /** Loads from the store that may begin now, by service; a new holder begins with none. */
   #tokens = new Map<string, { count: number; atMs: number }>();
   readonly counts = { loads: 0, unloads: 0, orders: 0, busy: 0, unanswered: 0 };
@@ -136,7 +191,7 @@
   #work(row: BookRow): Work {
     let work = this.#works.get(row.id);
     if (work === undefined) {
-      work = { steps: [], held: new Set(row.models.keys()), present: new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])) };
+      work = { steps: [], held: new Set(row.models.keys()), present: new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])), sinceMs: new Map() };
       this.#works.set(row.id, work);
     }
     return work;
@@ -161,11 +216,12 @@
     for (const { wants } of this.#wants.values()) {
       for (const want of wants) {
         if (want.service !== engine.service || !engine.models.has(want.model)) continue;
-        const demand = demands.get(want.model) ?? { waiting: 0, inFlight: 0, perS: 0, adapters: new Map<string, { waiting: number; inFlight: number; perS: number }>() };
+        const demand = demands.get(want.model) ?? { waiting: 0, inFlight: 0, perS: 0, pressed: 0, adapters: new Map<string, { waiting: number; inFlight: number; perS: number }>() };
         demands.set(want.model, demand);
         demand.waiting += want.waiting;
         demand.inFlight += want.inFlight;
         demand.perS += want.perS;
+        demand.pressed += want.pressure * want.perS;
         if (want.adapter === '') continue;
         const adapter = demand.adapters.get(want.adapter) ?? { waiting: 0, inFlight: 0, perS: 0 };
         demand.adapters.set(want.adapter, adapter);
@@ -177,33 +233,33 @@
     return demands;
   }
 
-  /** Concurrency of a model over the fleet, smoothed. */
-  #concurrency(key: string, now: number, nowMs: number): number {
-    const known = this.#smooth.get(key) ?? { value: now, atMs: nowMs };
-    const part = 1 - Math.exp(-(nowMs - known.atMs) / SMOOTH_MS);
-    known.value += (now - known.value) * part;
-    known.atMs = nowMs;
+  #concurrency(key: string, now: number, nowMs: number): Concurrency {
+    const known = this.#smooth.get(key) ?? { recent: now, height: now, atMs: nowMs };
     this.#smooth.set(key, known);
-    return known.value;
+    const passedMs = nowMs - known.atMs;
+    known.recent += (now - known.recent) * (1 - Math.exp(-passedMs / SMOOTH_MS));
+    known.height = Math.max(known.recent, known.height * Math.exp(-passedMs / HEIGHT_MS));
+    known.atMs = nowMs;
+    return known;
   }
 
   #plan(engine: StockEngine, rows: readonly BookRow[], evacuated: readonly string[], nowMs: number): void {
     const demands = this.#demands(engine);
     const usable = rows.filter((row) => row.sure && !row.leaving && !evacuated.includes(row.zone));
     const copies = new Map<string, number>();
-    for (const row of usable) for (const model of this.#coming(row)) copies.set(model, (copies.get(model) ?? 0) + 1);
+    for (const row of rows) if (!row.leaving && !evacuated.includes(row.zone)) for (const model of this.#coming(row)) copies.set(model, (copies.get(model) ?? 0) + 1);
     const desired = new Map<string, number>();
-    const needs: { model: string; worth: number; helped: number }[] = [];
+    const needs: Need[] = [];
     for (const [model, demand] of demands) {
       const key = `${engine.service}/${model}`;
       if (demand.waiting + demand.inFlight > 0) this.#usedMs.set(key, nowMs);
-      const now = demand.inFlight + demand.waiting;
-      const concurrency = Math.max(now, this.#concurrency(key, now, nowMs));
-      const wanted = Math.min(usable.length, Math.max(1, Math.ceil(concurrency / Math.max(1, engine.slots * SLOTS_WANTED))));
-      desired.set(model, wanted);
+      const { recent, height } = this.#concurrency(key, demand.inFlight + demand.waiting, nowMs);
+      const each = Math.max(1, Math.min(RUNS_WANTED, engine.slots * SLOTS_WANTED)) / this.#steer(key, demand, nowMs);
+      const wanted = Math.min(usable.length, Math.ceil(recent / each - DEAD_BAND));
+      desired.set(model, Math.ceil(height / each));
       const have = copies.get(model) ?? 0;
-      if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, helped: ALONE * demand.waiting });
-      else if (have > 0 && have < wanted) needs.push({ model, worth: have * 2 <= wanted ? 8 : 4 + (wanted - have) / wanted, helped: concurrency - have * engine.slots * SLOTS_WANTED });
+      if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, helped: ALONE * demand.waiting, load: Infinity });
+      else if (have > 0 && have < wanted) needs.push({ model, worth: 4 + (wanted - have) / wanted, helped: recent - have * each, load: recent / have });
     }
     needs.sort((one, other) => other.helped - one.helped);
     let running = 0;
@@ -212,12 +268,25 @@
       if (work.steps.some((known) => known.action === 'load' && known.adapter === '' && !work.held.has(known.model))) running += 1;
     }
     for (const need of needs) {
-      const placed = this.#place(engine, usable, need, demands, copies, desired, running < this.#atOnce(engine), nowMs);
+      const placed = this.#place(engine, usable, need, { demands, copies, desired }, running < this.#atOnce(engine), nowMs);
       if (placed === 'from-store') running += 1;
     }
     for (const [model, demand] of demands) this.#placeAdapters(engine, usable, model, demand, nowMs);
   }
 
+  /** How many times its copies a model needs, by how promptly workers take up its requests. */
+  #steer(key: string, demand: Demand, nowMs: number): number {
+    const known = this.#loops.get(key) ?? { loop: new Loop(COPIES_LOOP), atMs: nowMs };
+    this.#loops.set(key, known);
+    const passedMs = nowMs - known.atMs;
+    if (passedMs >= LOOP_MS) {
+      known.atMs = nowMs;
+      const pressure = demand.perS < STEERED_PER_S ? 0 : demand.pressed / demand.perS;
+      if (pressure > 0) known.loop.move(pressure / PRESSURE_WANTED, Math.min(1, passedMs / 1000));
+    }
+    return known.loop.output;
+  }
+
   /** Models that a worker holds or will hold once its orders are done. */
   #coming(row: BookRow): Set<string> {
     const models = new Set(row.models.keys());
@@ -229,27 +298,30 @@
     return models;
   }
 
-  /** What a copy is worth where it stands; more than a need is worth, and it stays. */
-  #valueOf(engine: StockEngine, model: string, demand: Demand | undefined, copies: number, desired: number, nowMs: number): number {
-    const idleMs = nowMs - (this.#usedMs.get(`${engine.service}/${model}`) ?? -60_000);
+  /**
+   * What a copy is worth where it stands; more than a need is worth, and it
+   * stays. A further copy of one busy model gives way to another's only if
+   * that is clearly better off for it, so that two do not take turns.
+   */
+  #valueOf(engine: StockEngine, row: BookRow, model: string, need: Need, counts: Counts, nowMs: number): number {
+    const key = `${engine.service}/${model}`;
+    const demand = counts.demands.get(model);
+    const copies = counts.copies.get(model) ?? 0;
     const active = demand !== undefined && demand.inFlight + demand.waiting > 0;
-    if (copies > Math.max(1, desired)) return 1 + (active ? 0.5 : 0);
-    if (copies > 1) return active ? 6 : 2;
+    if (nowMs - (this.#work(row).sinceMs.get(model) ?? -Infinity) < RESIDE_MS) return 9;
+    if (copies > Math.max(1, counts.desired.get(model) ?? 0)) return 1 + (active ? 0.5 : 0);
+    if (copies > 1) {
+      if (!active) return 2;
+      const after = (this.#smooth.get(key)?.recent ?? 0) / (copies - 1);
+      return after < need.load * GIVES_WAY ? 3.5 : 6;
+    }
     if (active) return 12;
+    const idleMs = nowMs - (this.#usedMs.get(key) ?? -60_000);
     if (idleMs < REST_MS) return 7.5;
     return 2 + 2 / (1 + idleMs / 1000);
   }
 
-  #place(
-    engine: StockEngine,
-    rows: readonly BookRow[],
-    need: { readonly model: string; readonly worth: number },
-    demands: ReadonlyMap<string, Demand>,
-    copies: Map<string, number>,
-    desired: ReadonlyMap<string, number>,
-    storeFree: boolean,
-    nowMs: number,
-  ): 'no' | 'from-disk' | 'from-store' {
+  #place(engine: StockEngine, rows: readonly BookRow[], need: Need, counts: Counts, storeFree: boolean, nowMs: number): 'no' | 'from-disk' | 'from-store' {
     const model = engine.models.get(need.model);
     if (model === undefined || model.sizeMb > engine.roomMb) return 'no';
     let best: { row: BookRow; cost: number; victims: string[] } | undefined;
@@ -260,9 +332,9 @@
       if (!fromDisk && (!storeFree || (this.#tokens.get(engine.service)?.count ?? 0) < 1)) continue;
       let freeMb = engine.roomMb - this.#usedMb(engine, work);
       const victims: string[] = [];
-      let cost = fromDisk ? -0.9 : 0;
+      let cost = fromDisk ? -DISK : 0;
       const others = [...work.present.keys()]
-        .map((other) => ({ other, value: this.#valueOf(engine, other, demands.get(other), copies.get(other) ?? 0, desired.get(other) ?? 0, nowMs) }))
+        .map((other) => ({ other, value: this.#valueOf(engine, row, other, need, counts, nowMs) }))
         .sort((one, other) => one.value - other.value);
       for (const { other, value } of others) {
         if (freeMb >= model.sizeMb) break;
@@ -279,13 +351,13 @@
     const work = this.#work(row);
     for (const victim of victims) {
       row.models.delete(victim);
-      copies.set(victim, (copies.get(victim) ?? 1) - 1);
+      counts.copies.set(victim, (counts.copies.get(victim) ?? 1) - 1);
       work.steps.push(step('unload', victim, '', nowMs + SETTLE_MS));
     }
     if (victims.length > 0) this.#book.changed(row);
     work.steps.push(step('load', need.model, '', nowMs));
     work.present.set(need.model, new Set());
-    copies.set(need.model, (copies.get(need.model) ?? 0) + 1);
+    counts.copies.set(need.model, (counts.copies.get(need.model) ?? 0) + 1);
     const tokens = this.#tokens.get(engine.service);
     if (!work.held.has(need.model) && tokens !== undefined) tokens.count -= 1;
     this.#gear.decided(`${row.id} loads ${need.model}${victims.length > 0 ? ` in the place of ${victims.join(', ')}` : ''} (worth ${need.worth.toFixed(2)})`);
@@ -391,8 +463,10 @@
         if (done.action === 'unload') return this.#finish(row, work, done);
         if (done.adapter !== '') return this.#finish(row, work, done);
         const loadMs = engine.models.get(done.model)?.loadMs ?? 1000;
+        if (done.begun) return again(AGAIN_MS);
+        done.begun = true;
         this.counts.loads += 1;
-        return again(work.held.has(done.model) ? loadMs * 0.62 : loadMs + 5);
+        return again(work.held.has(done.model) ? loadMs * DISK_PART : loadMs + 5);
       }
       case 'held':
         return this.#finish(row, work, done);
@@ -419,11 +493,14 @@
 
   #finish(row: BookRow, work: Work, done: Step): void {
     work.steps.shift();
+    const next = work.steps[0];
     if (done.action === 'unload') {
+      if (next !== undefined && done.adapter === '') next.notBeforeMs = this.#gear.nowMs() + UNLOAD_MS;
       this.#forget(work, done);
       this.counts.unloads += 1;
     } else if (done.adapter === '') {
       work.held.add(done.model);
+      work.sinceMs.set(done.model, this.#gear.nowMs());
       row.models.set(done.model, new Set(work.present.get(done.model) ?? []));
     } else row.models.get(done.model)?.add(done.adapter);
     this.#book.changed(row);
@@ -431,5 +508,5 @@
 }
 
 function step(action: 'load' | 'unload', model: string, adapter: string, notBeforeMs: number): Step {
-  return { action, model, adapter, posted: false, notBeforeMs };
+  return { action, model, adapter, begun: false, posted: false, notBeforeMs };
 }
