A deterministic harness of cores, edges and workers, with an oracle

Cause: the new control plane (Keeper, Follower, stocker) had no simulated test. The oracle looks for editions that go back, acknowledged changes that are late or lost, late answers, two holders, fences, room and places, loads from the store, evacuations.

--- /dev/null
+++ b/packages/park/src/stalls.ts
@@ -0,0 +1,295 @@
+import { word, type Dice } from '@rainrun/nacelle';
+import type { ListedWorker, StockOrder, StockReply } from '@rainrun/yaw';
+import type { VirtualTime } from './world.js';
+
+/** The one service of models of a simulated system. */
+export const SERVICE = 'assist';
+
+/** What the simulated workers are like; the configuration says the same. */
+export const ENGINE = {
+  slots: 8,
+  roomMb: 100,
+  adapterPlaces: 3,
+  loadsPerS: 6,
+  loadMs: 600,
+  adapterMb: 1,
+} as const;
+
+const LIST_STEP_MS = 100;
+/** The list lags by no more. */
+export const LIST_LAG_MS = 800;
+/** A worker's own report lags by no more than this and a step of the list. */
+const REPORT_LAG_MS = 200;
+const LEASE_MS = 3000;
+const WINDOW_MS = 5000;
+const OVERSHOOT = 1.1;
+const LOADS_EXTRA = 3;
+const EVACUATE_MS = 2000;
+
+/** Size of a model by its name: a worker has room for two or three. */
+export function sizeOf(model: string): number {
+  return 30 + 6 * (Number(model.slice(1)) % 2);
+}
+
+/** Takes note of a rule that was broken. */
+export type Note = (rule: string, detail: string) => void;
+
+interface Taken {
+  readonly holder: string;
+  readonly fence: number;
+  readonly atMs: number;
+}
+
+interface Doing {
+  readonly untilMs: number;
+  readonly done: () => void;
+}
+
+/** One place of the platform at which lives of a worker follow each other. */
+export class Stall {
+  readonly zone: string;
+  readonly address: string;
+  id: string;
+  leaving = false;
+  /** Silent: it takes nothing and answers nothing. */
+  dark = false;
+  /** Off the platform's list and away. */
+  away = false;
+  readonly models = new Map<string, Set<string>>();
+  #yard: Yard;
+  #onDisk = new Set<string>();
+  #doing: Doing | undefined;
+  #coming = '';
+  #taken: Taken[] = [];
+
+  constructor(yard: Yard, zone: string, address: string) {
+    this.#yard = yard;
+    this.zone = zone;
+    this.address = address;
+    this.id = yard.newId();
+  }
+
+  /** Holds a model from the start. */
+  stock(model: string): void {
+    this.models.set(model, new Set());
+    this.#onDisk.add(model);
+  }
+
+  /** A new life begins, empty and with nothing remembered; its disk is the same. */
+  restart(): void {
+    this.id = this.#yard.newId();
+    this.models.clear();
+    this.#doing = undefined;
+    this.#coming = '';
+    this.#taken = [];
+    this.leaving = false;
+  }
+
+  usedMb(): number {
+    let sumMb = this.#coming === '' ? 0 : sizeOf(this.#coming);
+    for (const [model, adapters] of this.models) sumMb += sizeOf(model) + adapters.size * ENGINE.adapterMb;
+    return sumMb;
+  }
+
+  adapters(): number {
+    let count = 0;
+    for (const adapters of this.models.values()) count += adapters.size;
+    return count;
+  }
+
+  /** An order arrives; undefined: no answer is ever given. */
+  order(id: string, holder: string, order: StockOrder): StockReply | undefined {
+    const nowMs = this.#yard.time.nowMs();
+    if (this.dark || this.away) return undefined;
+    if (id !== this.id) return 'wrong-worker';
+    if (this.#taken.some((taken) => taken.fence > order.fence)) return 'fenced';
+    this.#checkHolder({ holder, fence: order.fence, atMs: nowMs });
+    if (this.#doing !== undefined && nowMs < this.#doing.untilMs) return 'busy';
+    this.settle();
+    return order.action === 'load' ? this.#load(order, nowMs) : this.#unload(order, nowMs);
+  }
+
+  /** Whether an order is being done. */
+  get busy(): boolean {
+    return this.#doing !== undefined;
+  }
+
+  /** Ends what is done by now. */
+  settle(): void {
+    const doing = this.#doing;
+    if (doing === undefined || this.#yard.time.nowMs() < doing.untilMs) return;
+    this.#doing = undefined;
+    doing.done();
+  }
+
+  #checkHolder(taken: Taken): void {
+    const before = this.#taken.at(-1);
+    if (before !== undefined && before.holder !== taken.holder) {
+      const back = this.#taken.findLast((known) => known.holder === taken.holder);
+      if (back !== undefined && taken.atMs - back.atMs < LEASE_MS) this.#yard.breach('one holder', `${this.address}: ${taken.holder} and ${before.holder} take turns`);
+    }
+    this.#taken.push(taken);
+    if (this.#taken.length > 64) this.#taken.shift();
+  }
+
+  #load({ model, adapter }: StockOrder, nowMs: number): StockReply {
+    const adapters = this.models.get(model);
+    if (adapter !== '') {
+      if (adapters === undefined) return 'refused';
+      if (adapters.has(adapter)) return 'held';
+      adapters.add(adapter);
+      this.#begin(nowMs, 5 + this.#yard.dice.next() * 15, () => undefined);
+      this.#checkRoom(`adapter ${adapter} of ${model}`);
+      return 'begun';
+    }
+    if (adapters !== undefined) return 'held';
+    const fromDisk = this.#onDisk.has(model);
+    if (!fromDisk) this.#yard.loaded(nowMs);
+    this.#yard.placed(this, model);
+    this.#coming = model;
+    this.#begin(nowMs, ENGINE.loadMs * (fromDisk ? 0.6 : 1) * (0.9 + this.#yard.dice.next() * 0.8), () => {
+      this.#coming = '';
+      this.#onDisk.add(model);
+      this.models.set(model, new Set());
+    });
+    this.#checkRoom(model);
+    return 'begun';
+  }
+
+  #unload({ model, adapter }: StockOrder, nowMs: number): StockReply {
+    const adapters = this.models.get(model);
+    if (adapters === undefined || (adapter !== '' && !adapters.has(adapter))) return 'held';
+    this.#begin(nowMs, this.#yard.dice.next() * 200, () => {
+      if (adapter === '') this.models.delete(model);
+      else adapters.delete(adapter);
+    });
+    return 'begun';
+  }
+
+  #begin(nowMs: number, takesMs: number, done: () => void): void {
+    this.#doing = { untilMs: nowMs + takesMs, done };
+  }
+
+  #checkRoom(what: string): void {
+    const over = this.usedMb() > ENGINE.roomMb ? `${this.usedMb()} MB of ${ENGINE.roomMb}` : this.adapters() > ENGINE.adapterPlaces ? `${this.adapters()} adapters of ${ENGINE.adapterPlaces}` : undefined;
+    if (over === undefined) return;
+    this.#yard.breach('limit', `${this.address} ordered to load ${what}: ${over}; holds ${[...this.models.keys()].join(', ')}`);
+    this.restart();
+  }
+}
+
+/** The platform's workers and its list of them, which lags. */
+export class Yard {
+  readonly time: VirtualTime;
+  readonly dice: Dice;
+  readonly stalls: Stall[] = [];
+  readonly breach: Note;
+  /** When each load from the store began, and whether it counts. */
+  readonly loads: number[] = [];
+  /** Whether loads that begin now are counted. */
+  counted: () => boolean = () => true;
+  #fences = new Map<number, string>();
+  #newest: { fence: number; holder: string } = { fence: 0, holder: '' };
+  #snapshots: { atMs: number; list: readonly ListedWorker[]; busy: ReadonlySet<string> }[] = [];
+  #shownMs = -Infinity;
+  #leavingMs = new Map<string, number>();
+  #evacuatedMs = new Map<string, number>();
+
+  constructor(time: VirtualTime, dice: Dice, breach: Note, workers: number, zones: readonly string[]) {
+    this.time = time;
+    this.dice = dice;
+    this.breach = breach;
+    for (let place = 0; place < workers; place += 1) this.stalls.push(new Stall(this, zones[place % zones.length] ?? '', `10.0.0.${place}:80`));
+  }
+
+  /** The platform begins to list what stands here. */
+  open(): void {
+    this.#snap();
+  }
+
+  newId(): string {
+    return `i-${word(this.dice)}`;
+  }
+
+  /** A worker is marked as leaving. */
+  leave(stall: Stall): void {
+    stall.leaving = true;
+    this.#leavingMs.set(stall.id, this.time.nowMs());
+  }
+
+  evacuate(zone: string, evacuated: boolean): void {
+    if (evacuated) this.#evacuatedMs.set(zone, this.time.nowMs());
+    else this.#evacuatedMs.delete(zone);
+  }
+
+  /** Lives that the newest list that was shown has called leaving, and since when any list could. */
+  leavingSince(id: string): number {
+    return this.#leavingMs.get(id) ?? Infinity;
+  }
+
+  /** A holder sends an order: fences never go back between holders, whatever worker it is for. */
+  sent(holder: string, fence: number): void {
+    const other = this.#fences.get(fence);
+    if (other !== undefined && other !== holder) this.breach('one holder', `${other} and ${holder} share fence ${fence}`);
+    this.#fences.set(fence, holder);
+    if (fence < this.#newest.fence) this.breach('one holder', `${holder} orders under ${fence} after ${this.#newest.holder} did under ${this.#newest.fence}`);
+    if (fence >= this.#newest.fence) this.#newest = { fence, holder };
+  }
+
+  loaded(atMs: number): void {
+    if (!this.counted()) return;
+    this.loads.push(atMs);
+    const bound = ENGINE.loadsPerS * (WINDOW_MS / 1000) * OVERSHOOT + LOADS_EXTRA;
+    const inWindow = this.loads.filter((known) => known > atMs - WINDOW_MS).length;
+    if (inWindow > bound) this.breach('ceiling', `${inWindow} loads from the store in ${WINDOW_MS} ms, the bound is ${bound.toFixed(0)}`);
+  }
+
+  /** A model begins to load in a zone. */
+  placed(stall: Stall, model: string): void {
+    const sinceMs = this.#evacuatedMs.get(stall.zone);
+    if (sinceMs !== undefined && this.time.nowMs() - sinceMs > EVACUATE_MS) this.breach('evacuation', `${stall.address} in ${stall.zone} loads ${model} ${(this.time.nowMs() - sinceMs).toFixed(0)} ms after the evacuation`);
+  }
+
+  /** What the platform's list shows to one who asks now. */
+  list(): readonly ListedWorker[] {
+    const nowMs = this.time.nowMs();
+    const wantedMs = Math.max(this.#shownMs, nowMs - this.dice.next() * LIST_LAG_MS);
+    this.#shownMs = wantedMs;
+    return (this.#snapshots.findLast((known) => known.atMs <= wantedMs) ?? this.#snapshots[0])?.list ?? [];
+  }
+
+  /** What a worker says that it holds, as it stood a little before; undefined where it says nothing or is at an order. */
+  report(address: string, id: string): ReadonlyMap<string, ReadonlySet<string>> | undefined {
+    const stall = this.stallAt(address);
+    if (stall === undefined || stall.id !== id || stall.dark || stall.away) return undefined;
+    const stoodMs = this.time.nowMs() - this.dice.next() * REPORT_LAG_MS;
+    const snapshot = this.#snapshots.findLast((known) => known.atMs <= stoodMs);
+    if (snapshot === undefined || snapshot.busy.has(id)) return undefined;
+    return snapshot.list.find((listed) => listed.id === id)?.models;
+  }
+
+  stallAt(address: string): Stall | undefined {
+    return this.stalls.find((stall) => stall.address === address);
+  }
+
+  #snap(): void {
+    const nowMs = this.time.nowMs();
+    for (const stall of this.stalls) stall.settle();
+    const list = this.stalls
+      .filter((stall) => !stall.away)
+      .map(({ id, address, zone, leaving, models }) => ({
+        id,
+        service: SERVICE,
+        address,
+        zone,
+        slots: ENGINE.slots,
+        leaving,
+        coldMs: 0,
+        models: new Map([...models].map(([model, adapters]) => [model, new Set(adapters)])),
+      }));
+    const busy = new Set(this.stalls.filter((stall) => stall.busy).map((stall) => stall.id));
+    this.#snapshots.push({ atMs: nowMs, list, busy });
+    if (this.#snapshots.length > 2 * (LIST_LAG_MS / LIST_STEP_MS)) this.#snapshots.shift();
+    this.time.after(LIST_STEP_MS, () => this.#snap());
+  }
+}
--- /dev/null
+++ b/packages/park/src/system-seeds.ts
@@ -0,0 +1,46 @@
+import meow from 'meow';
+import { runSystemDay, SYSTEMS } from './system-trial.js';
+
+const cli = meow(
+  `
+  Runs days of a simulated system, cores and edges and workers, over a row of seeds.
+
+  Usage
+    $ node packages/park/dist/system-seeds.js --from 1 --count 100
+
+  Options
+    --from    first seed (default 1)
+    --count   how many seeds (default 20)
+    --size    small or five (default small)
+    --show    print the timeline of every seed, not only of failing ones
+    --brief   print no timeline at all
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      from: { type: 'number', default: 1 },
+      count: { type: 'number', default: 20 },
+      size: { type: 'string', default: 'small', choices: Object.keys(SYSTEMS) },
+      show: { type: 'boolean', default: false },
+      brief: { type: 'boolean', default: false },
+    },
+  },
+);
+
+let failed = 0;
+let acked = 0;
+let loads = 0;
+for (let seed = cli.flags.from; seed < cli.flags.from + cli.flags.count; seed += 1) {
+  const result = runSystemDay(seed, SYSTEMS[cli.flags.size as keyof typeof SYSTEMS]);
+  acked += result.acked;
+  loads += result.loads;
+  if (result.breaches.length > 0) {
+    failed += 1;
+    console.log(`seed ${seed} FAILED after: ${result.troubles.join('; ')}`);
+    for (const { rule, detail, atMs } of result.breaches) console.log(`  ${atMs.toFixed(0)} ms  ${rule}: ${detail}`);
+  }
+  if (!cli.flags.brief && (result.breaches.length > 0 || cli.flags.show)) console.log(result.timeline);
+}
+console.log(`changes acknowledged ${acked}, loads from the store ${loads}`);
+console.log(`seeds: ${cli.flags.count - failed} passed, ${failed} failed`);
+process.exitCode = failed === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/park/src/system.test.ts
@@ -0,0 +1,143 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { sampleDocument, SMALL_SYSTEM, System, type CallEnd, type Station, type SystemSize } from './system.js';
+
+const SMALL: SystemSize = { ...SMALL_SYSTEM, edges: 2, workers: 2, models: 4, beatMs: 40 };
+const MODELS = SMALL.models;
+
+/** A system with its first configuration, undisturbed for a while. */
+function opened(seed: number, size: SystemSize = SMALL): System {
+  const system = new System(seed, size);
+  system.start();
+  system.put(0, sampleDocument(5, size.models, 'first'));
+  system.time.runUntil(5000);
+  return system;
+}
+
+function restore(system: System): void {
+  for (const station of system.stations) system.boot(station);
+}
+
+function ended(system: System): string[] {
+  system.checkEnd();
+  return system.breaches.map(({ rule, detail }) => `${rule}: ${detail}`);
+}
+
+function leaderOf(system: System): Station {
+  return system.leader() ?? (system.cores[0] as Station);
+}
+
+/** As soon as an operator is told of a change, something happens; all come back and the end is looked at. */
+function closed(seed: number, size: SystemSize, strike: (system: System, leader: Station) => void): string[] {
+  const system = opened(seed, size);
+  const leader = leaderOf(system);
+  const struck: string[] = [];
+  system.atAnswer = (kind) => {
+    if (struck.length > 0 || kind !== 'agreed') return;
+    struck.push(kind);
+    strike(system, leader);
+    system.time.after(700, () => restore(system));
+  };
+  system.put(5, sampleDocument(8, size.models, 'last'));
+  system.zone('east', true);
+  system.time.runUntil(20_000);
+  const wrong = ended(system);
+  if (struck.length === 0) wrong.push('nothing was acknowledged');
+  if (system.acked.revision !== 8) wrong.push(`revision ${system.acked.revision} was the last acknowledged`);
+  return wrong;
+}
+
+function powerOff(system: System): void {
+  for (const station of system.stations) system.kill(station);
+}
+
+describe('what was acknowledged', () => {
+  it('outlives the loss of power of all at once', () => {
+    expect([1, 2, 3].flatMap((seed) => closed(seed, SMALL, powerOff))).toEqual([]);
+  });
+
+  it('outlives a wiped disk while all others lose power, whichever disk it is', () => {
+    const wrong = [1, 2].flatMap((seed) =>
+      [0, 1, 2].flatMap((place) =>
+        closed(seed, SMALL, (system) => {
+          powerOff(system);
+          system.cores[place]?.disk?.wipe();
+        }),
+      ),
+    );
+    expect(wrong).toEqual([]);
+  });
+
+  it('outlives the kill of the coordinator', () => {
+    expect([1, 2].flatMap((seed) => closed(seed, SMALL, (system, leader) => system.kill(leader)))).toEqual([]);
+  });
+
+  it('outlives the replacement of a core by an empty one, then of another', () => {
+    const wrong = [1, 2].flatMap((seed) => {
+      const system = opened(seed);
+      system.put(5, sampleDocument(8, MODELS, 'last'));
+      system.time.runUntil(6000);
+      for (const place of [0, 1]) {
+        system.remove(system.cores[place] as Station);
+        system.boot(system.addCore());
+        system.time.runUntil(system.time.nowMs() + 4000);
+      }
+      system.remove(system.cores[2] as Station);
+      system.boot(system.addCore());
+      system.time.runUntil(system.time.nowMs() + 8000);
+      powerOff(system);
+      system.time.after(500, () => restore(system));
+      system.time.runUntil(system.time.nowMs() + 10_000);
+      return [...ended(system), ...(system.acked.revision === 8 ? [] : ['never acknowledged'])];
+    });
+    expect(wrong).toEqual([]);
+  });
+});
+
+describe('changes', () => {
+  it('on the same version: one is agreed, also when the coordinator dies, and a repeated call is agreed again', () => {
+    const wrong = [1, 2, 3, 4].flatMap((seed) => {
+      const system = opened(seed);
+      const ends: CallEnd[] = [];
+      const one = sampleDocument(7, MODELS, 'one');
+      const other = sampleDocument(9, MODELS, 'other');
+      system.put(5, one, (end) => ends.push(end));
+      system.put(5, other, (end) => ends.push(end));
+      const leader = leaderOf(system);
+      system.time.after(seed * 5, () => system.kill(leader));
+      system.time.after(1500, () => restore(system));
+      system.time.runUntil(14_000);
+      const repeated: CallEnd[] = [];
+      system.put(5, system.acked.revision === 7 ? one : other, (end) => repeated.push(end));
+      system.time.runUntil(16_000);
+      const kinds = ends.map((end) => end.kind).sort().join(' ');
+      return [...ended(system), ...(kinds === 'agreed conflict' ? [] : [`ended ${kinds}`]), ...(repeated[0]?.kind === 'agreed' ? [] : ['the repeated call was not agreed'])];
+    });
+    expect(wrong).toEqual([]);
+  });
+
+  it('reach every edge that reaches a core with a majority, though the coordinator is cut off from it', () => {
+    const system = opened(1);
+    const leader = leaderOf(system);
+    const { name } = system.edges[0] as Station;
+    system.cut('edge from coordinator', (from, to) => (from === name && to === leader.name) || (from === leader.name && to === name));
+    system.time.runUntil(9000);
+    system.put(5, sampleDocument(8, MODELS, 'later'));
+    system.time.runUntil(11_500);
+    expect(system.edges.map((edge) => edge.running?.follower?.state.revision)).toEqual([8, 8]);
+  });
+
+  it('five cores bear the loss of two, and their electors are five', () => {
+    const five: SystemSize = { ...SMALL, cores: 5, lossesBorne: 2 };
+    const system = opened(3, five);
+    const electors = system.electors();
+    for (const core of [leaderOf(system), system.cores[4] as Station]) system.kill(core);
+    system.time.runUntil(9000);
+    const ends: CallEnd[] = [];
+    system.put(5, sampleDocument(8, MODELS, 'with three'), (end) => ends.push(end));
+    system.time.runUntil(12_000);
+    restore(system);
+    system.time.runUntil(20_000);
+    expect([electors, ends.map((end) => end.kind), ended(system)]).toEqual([5, ['agreed'], []]);
+  });
+});
