The stocker's orders: room, places, the store's rate, evacuated zones, the duty

Cause: the stocker had no test. Tested: what is waited for is loaded; room and adapter places hold, also with many asked for at once or an order unanswered; nothing without the duty, on uncertain holdings, on workers that leave or are evacuated; the store's rate in any 5 s; rest.

--- /dev/null
+++ b/packages/yaw/src/stocker.test.ts
@@ -0,0 +1,201 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { WorkerBook, type BookRow, type ListedWorker } from './book.js';
+import { Stocker, type StockEngine, type StockOrder, type StockReply, type StockWant } from './stocker.js';
+
+const BEAT_MS = 20;
+const LOAD_MS = 600;
+
+interface Sent {
+  readonly atMs: number;
+  readonly worker: string;
+  readonly order: StockOrder;
+}
+
+function engineOf(models: number, change: Partial<StockEngine> = {}): StockEngine {
+  const names = Array.from({ length: models }, (_, place) => `m${place}`);
+  return {
+    service: 'assist',
+    slots: 8,
+    roomMb: 100,
+    adapterPlaces: 3,
+    loadsPerS: 6,
+    models: new Map(names.map((name) => [name, { name, sizeMb: 33, loadMs: LOAD_MS, adapterMb: 0.2 }])),
+    ...change,
+  };
+}
+
+function listed(id: string, models: readonly string[] = [], change: Partial<ListedWorker> = {}): ListedWorker {
+  return { id, service: 'assist', address: `${id}:80`, zone: 'north', slots: 8, leaving: false, coldMs: 0, models: new Map(models.map((model) => [model, new Set<string>()])), ...change };
+}
+
+function want(model: string, waiting: number, inFlight = 0, adapter = ''): StockWant {
+  return { service: 'assist', model, adapter, waiting, inFlight, perS: 1 };
+}
+
+/** Workers that take orders as the rules say, one at a time, and a stocker that orders them. */
+class Bench {
+  nowMs = 1000;
+  fence: number | undefined = 7;
+  evacuated: string[] = [];
+  readonly sent: Sent[] = [];
+  readonly wrong: string[] = [];
+  readonly book = new WorkerBook();
+  readonly stocker: Stocker;
+  /** What is there: adapters by model, by worker. */
+  readonly held = new Map<string, Map<string, Set<string>>>();
+  /** A reply in place of the worker's own. */
+  reply: ((id: string, order: StockOrder) => StockReply | undefined) | undefined;
+  #engine: StockEngine;
+  #doing = new Map<string, { untilMs: number; done: () => void }>();
+
+  constructor(engine: StockEngine, workers: readonly ListedWorker[]) {
+    this.#engine = engine;
+    this.stocker = new Stocker(this.book, {
+      fence: () => this.fence,
+      order: (row, order, done) => {
+        this.sent.push({ atMs: this.nowMs, worker: row.id, order });
+        done(this.reply?.(row.id, order) ?? this.#take(row, order));
+      },
+      nowMs: () => this.nowMs,
+      decided: () => undefined,
+    });
+    this.book.learn(workers, this.nowMs);
+    for (const row of this.book.rows) {
+      this.held.set(row.id, new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])));
+      this.stocker.settle(row, row.listed);
+    }
+  }
+
+  /** Beats for a while; `wants` says what is asked for at each beat. */
+  run(forMs: number, wants: () => readonly StockWant[]): void {
+    for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += BEAT_MS) {
+      for (const [id, doing] of this.#doing) {
+        if (this.nowMs < doing.untilMs) continue;
+        this.#doing.delete(id);
+        doing.done();
+      }
+      this.stocker.want('edge', wants(), this.nowMs);
+      this.stocker.beat(new Map([['assist', this.#engine]]), this.evacuated, this.nowMs);
+    }
+  }
+
+  holders(model: string, adapter = ''): string[] {
+    return [...this.held].filter(([, models]) => (adapter === '' ? models.has(model) : models.get(model)?.has(adapter) === true)).map(([id]) => id);
+  }
+
+  loads(): Sent[] {
+    return this.sent.filter(({ order }) => order.action === 'load');
+  }
+
+  #take(row: BookRow, { action, model, adapter }: StockOrder): StockReply {
+    const models = this.held.get(row.id);
+    if (models === undefined) return 'wrong-worker';
+    if (this.#doing.has(row.id)) return 'busy';
+    const adapters = models.get(model);
+    if (action === 'unload') {
+      if (adapters === undefined || (adapter !== '' && !adapters.has(adapter))) return 'held';
+      if (adapter === '') models.delete(model);
+      else adapters.delete(adapter);
+      return 'begun';
+    }
+    if (adapter === '' ? adapters !== undefined : adapters?.has(adapter) === true) return 'held';
+    if (adapter !== '' && adapters === undefined) return 'refused';
+    if (adapter === '') this.#doing.set(row.id, { untilMs: this.nowMs + LOAD_MS, done: () => models.set(model, new Set()) });
+    else adapters?.add(adapter);
+    this.#check(row.id, adapter === '' ? 33 : 0);
+    return 'begun';
+  }
+
+  #check(id: string, comingMb: number): void {
+    const models = [...(this.held.get(id) ?? new Map<string, Set<string>>())];
+    const count = models.reduce((sum, [, adapters]) => sum + adapters.size, 0);
+    const usedMb = comingMb + models.length * 33 + count * 0.2;
+    if (usedMb > this.#engine.roomMb) this.wrong.push(`${id} holds ${usedMb} MB`);
+    if (count > this.#engine.adapterPlaces) this.wrong.push(`${id} holds ${count} adapters`);
+  }
+}
+
+/** Requests wait for what stands nowhere and run where it stands. */
+function steady(bench: Bench, models: readonly string[], count: number): () => StockWant[] {
+  return () => models.map((model) => (bench.holders(model).length > 0 ? want(model, 0, count) : want(model, count)));
+}
+
+describe('the placement of models on demand', () => {
+  it('loads what is waited for and stands nowhere', () => {
+    const bench = new Bench(engineOf(4), [listed('w1'), listed('w2')]);
+    bench.run(3000, steady(bench, ['m2'], 1));
+    expect([bench.holders('m2').length > 0, bench.loads()[0]?.order]).toEqual([true, { action: 'load', model: 'm2', adapter: '', fence: 7 }]);
+  });
+
+  it('makes room first, and never goes beyond it', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1', 'm2'])]);
+    bench.run(3000, steady(bench, ['m5'], 1));
+    bench.run(3000, steady(bench, ['m6', 'm7'], 1));
+    expect([bench.wrong, bench.holders('m6').length, bench.holders('m7').length]).toEqual([[], 1, 1]);
+  });
+
+  it('holds no more adapters than there are places, also when many are asked for at once', () => {
+    const bench = new Bench(engineOf(3), [listed('w1', ['m0', 'm1', 'm2'])]);
+    const adapters = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6'];
+    bench.run(4000, () => ['m0', 'm1'].flatMap((model) => [want(model, 0, 1), ...adapters.map((adapter) => (bench.holders(model, adapter).length > 0 ? want(model, 0, 1, adapter) : want(model, 1, 0, adapter)))]));
+    expect(bench.wrong).toEqual([]);
+  });
+
+  it('counts a load that got no answer as one that may have been taken', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1'])]);
+    bench.reply = (_id, order) => (order.model === 'm5' ? 'no-answer' : undefined);
+    bench.run(3000, () => [want('m0', 0, 1), want('m1', 0, 1), want('m5', 1), want('m6', 1)]);
+    expect(bench.sent.filter(({ order }) => order.model === 'm6')).toEqual([]);
+  });
+
+  it('orders nothing without the duty', () => {
+    const bench = new Bench(engineOf(4), [listed('w1')]);
+    bench.fence = undefined;
+    bench.run(2000, () => [want('m1', 3)]);
+    expect(bench.sent).toEqual([]);
+  });
+
+  it('orders nothing on workers whose holdings are not certain', () => {
+    const bench = new Bench(engineOf(4), [listed('w1')]);
+    bench.book.learn([listed('w1', ['m0']), listed('w2')], bench.nowMs);
+    bench.run(2000, () => [want('m1', 3)]);
+    expect(bench.sent.filter(({ worker }) => worker === 'w2')).toEqual([]);
+  });
+
+  it('loads nothing new where it is evacuated or where a worker leaves', () => {
+    const bench = new Bench(engineOf(6), [listed('w1'), listed('w2', [], { zone: 'east' }), listed('w3', [], { zone: 'west' })]);
+    bench.evacuated = ['north'];
+    bench.book.learn([listed('w1'), listed('w2', [], { zone: 'east', leaving: true }), listed('w3', [], { zone: 'west' })], bench.nowMs);
+    bench.run(4000, () => ['m0', 'm1', 'm2', 'm3'].map((model) => want(model, 2)));
+    expect([...new Set(bench.sent.map(({ worker }) => worker))]).toEqual(['w3']);
+  });
+
+  it('keeps within the loads of the store in any window', () => {
+    const workers = Array.from({ length: 12 }, (_, place) => listed(`w${place}`));
+    const bench = new Bench(engineOf(60), workers);
+    let turn = 0;
+    bench.run(20_000, () => {
+      turn += 1;
+      return Array.from({ length: 8 }, (_, place) => want(`m${(Math.floor(turn / 20) * 3 + place * 7) % 60}`, 2));
+    });
+    const begun = bench.loads().filter((load, place, all) => load.order.adapter === '' && all.findIndex((one) => one.worker === load.worker && one.order.model === load.order.model) === place);
+    const most = Math.max(...begun.map(({ atMs }) => begun.filter((one) => one.atMs >= atMs && one.atMs < atMs + 5000).length));
+    expect([begun.length > 40, most <= 6 * 5 * 1.1 + 3]).toEqual([true, true]);
+  });
+
+  it('comes to rest while demand is steady', () => {
+    const wrong: string[] = [];
+    for (const [models, count] of [[4, 2], [4, 6], [6, 4]] as const) {
+      const names = Array.from({ length: models }, (_, place) => `m${place}`);
+      const bench = new Bench(engineOf(12), [listed('w1', ['m8']), listed('w2', ['m9']), listed('w3', ['m10']), listed('w4', ['m11'])]);
+      bench.run(12_000, steady(bench, names, count));
+      const before = bench.sent.length;
+      bench.run(5000, steady(bench, names, count));
+      const nowhere = names.filter((model) => bench.holders(model).length === 0);
+      if (bench.sent.length > before) wrong.push(`${models} models, ${count} requests each: ${bench.sent.length - before} orders in 5 s of rest`);
+      if (nowhere.length > 0) wrong.push(`${models} models, ${count} requests each: ${nowhere.join(', ')} stand nowhere`);
+    }
+    expect(wrong).toEqual([]);
+  });
+});
