RED: an acknowledged withdrawal of an evacuation is undone by an old call

Cause: Keeper.forgetAnswer leaves the operation in Group's waiting; a core that was cut off submits it when it rejoins, after the zone was taken back. Tested: the old call must not come into force.

--- a/packages/park/src/system.test.ts
+++ b/packages/park/src/system.test.ts
@@ -92,6 +92,26 @@
     });
     expect(wrong).toEqual([]);
   });
+
+  it('stays when a call that the operator has given up on is still carried by a core that was cut off', () => {
+    const wrong = [1, 2, 3, 4].flatMap((seed) => {
+      const system = opened(seed);
+      const [far] = system.cores.filter((core) => core !== leaderOf(system)) as [Station];
+      const heal = system.cut('off', (from, to) => (from === far.name) !== (to === far.name));
+      const keeper = far.running?.keeper;
+      const sent = keeper?.submit('zone.evacuate', { zone: 'north' }, () => undefined);
+      system.time.after(900, () => keeper?.forgetAnswer(sent?.isOk === true ? sent.value : ''));
+      system.time.runUntil(7000);
+      system.zone('north', true);
+      system.time.runUntil(9000);
+      system.zone('north', false);
+      system.time.runUntil(11_000);
+      heal();
+      system.time.runUntil(20_000);
+      return ended(system);
+    });
+    expect(wrong).toEqual([]);
+  });
 });
 
 describe('changes', () => {
