--- a/packages/park/src/system.test.ts
+++ b/packages/park/src/system.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { runSystemDay, SPANS, SYSTEMS } from './system-trial.js';
 import { sampleDocument, SMALL_SYSTEM, System, type CallEnd, type Station, type SystemSize } from './system.js';
 
 const SMALL: SystemSize = { ...SMALL_SYSTEM, edges: 2, workers: 2, models: 4, beatMs: 40 };
@@ -161,3 +162,11 @@
     expect([electors, ends.map((end) => end.kind), ended(system)]).toEqual([5, ['agreed'], []]);
   });
 });
+
+it('days of troubles break no rule', () => {
+  const wrong: string[] = [];
+  for (let seed = 1; seed <= 16; seed += 1) {
+    for (const { rule, detail, atMs } of runSystemDay(seed, SYSTEMS.least, SPANS.short).breaches) wrong.push(`seed ${seed} at ${atMs.toFixed(0)}: ${rule}: ${detail}`);
+  }
+  expect(wrong).toEqual([]);
+});
--- a/packages/yaw/src/stocker.test.ts
+++ b/packages/yaw/src/stocker.test.ts
@@ -186,7 +186,7 @@
 
   it('comes to rest while demand is steady', () => {
     const wrong: string[] = [];
-    for (const [models, count] of [[4, 2], [4, 6], [6, 4]] as const) {
+    for (const [models, count] of [[4, 2], [4, 6], [6, 4], [5, 8], [7, 8]] as const) {
       const names = Array.from({ length: models }, (_, place) => `m${place}`);
       const bench = new Bench(engineOf(12), [listed('w1', ['m8']), listed('w2', ['m9']), listed('w3', ['m10']), listed('w4', ['m11'])]);
       bench.run(12_000, steady(bench, names, count));
