--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -376,6 +376,45 @@
     const seen = arrivals(bench, 0, 10, () => true);
     expect(seen.filter((one) => one.further).length <= 2 + 10 * 0.2).toEqual(true);
   });
+
+  it('is not lost by clients that leave while their further send waits', () => {
+    const bench = new Bench([worker('w1')], { ratio: 1, extra: 5 });
+    bench.earn(20);
+    for (let turn = 0; turn < 10; turn += 1) {
+      const { leave } = bench.ask('/often/x');
+      bench.last().start();
+      bench.last().handler.failed(true, 'reset');
+      leave();
+      bench.later(10_000);
+    }
+    bench.put(worker('w2'), worker('w3'));
+    const { port } = bench.ask('/often/x');
+    bench.last().start();
+    bench.last().handler.failed(true, 'reset');
+    bench.last().start();
+    bench.last().answer(200, 'ok');
+    expect(port.seen).toEqual(['answer 200 ok']);
+  });
+
+  it('is not lost by requests whose time passes while their further send waits', () => {
+    const bench = new Bench([worker('w1')], { ratio: 1, extra: 5 });
+    bench.earn(20);
+    for (let turn = 0; turn < 10; turn += 1) {
+      bench.ask('/often/x');
+      bench.last().start();
+      bench.last().handler.failed(true, 'reset');
+      bench.workers.delete('w1');
+      bench.later(10_000);
+      bench.put(worker('w1'));
+    }
+    bench.put(worker('w2'), worker('w3'));
+    const { port } = bench.ask('/often/x');
+    bench.last().start();
+    bench.last().handler.failed(true, 'reset');
+    bench.last().start();
+    bench.last().answer(200, 'ok');
+    expect(port.seen).toEqual(['answer 200 ok']);
+  });
 });
 
 describe('a stream', () => {
