--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -312,6 +312,26 @@
     expect([addresses.length, new Set(addresses).size, port.seen]).toEqual([3, 3, ['refuse 502']]);
   });
 
+  it('is never refused with a promise after a worker may have run it', () => {
+    const wrong: string[] = [];
+    for (const end of ['declined', 'budget gone', 'no worker'] as const) {
+      const bench = new Bench([worker('w1'), worker('w2')]);
+      bench.earn(end === 'budget gone' ? 1 : 5);
+      const { port } = bench.ask('/often/x');
+      bench.last().start();
+      if (end === 'no worker') bench.workers.delete('w1');
+      if (end === 'no worker') bench.workers.delete('w2');
+      bench.last().handler.failed(true, 'reset');
+      for (let turn = 0; turn < 4; turn += 1) {
+        const flown = bench.last();
+        if (flown.start()) flown.decline(503);
+        bench.later(600);
+      }
+      if (port.status === 503 || port.status === 429) wrong.push(`${end}: ${port.seen.join(', ')}`);
+    }
+    expect(wrong).toEqual([]);
+  });
+
   it('is not answered with what belongs to another request, but sent again', () => {
     const bench = new Bench([worker('w1'), worker('w2')]);
     bench.earn(5);
