--- a/packages/park/src/system.ts
+++ b/packages/park/src/system.ts
@@ -10,7 +10,7 @@
 import { SimDisk, VirtualTime, type Cut } from './world.js';
 
 /** Times of the cores as the program sets them. */
-const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500 };
+const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500, suspectMs: 900, grantMs: 600 };
 const CORE_BEAT_MS = 20;
 const EDGE_BEAT_MS = 25;
 const LIST_MS = 500;
