--- a/packages/hub/src/keeper.ts
+++ b/packages/hub/src/keeper.ts
@@ -30,8 +30,8 @@
 
 /** A follower that was not heard for so long is forgotten. */
 const FOLLOWER_MS = 2500;
-/** Changes of the table are gathered for so long before followers are told. */
-const GATHER_MS = 8;
+/** Changes of the table are gathered the longer, the more are to be told. */
+const GATHER_MS_EACH = 0.1;
 /** A worker's report is so old at most. */
 const REPORT_LAG_MS = 300;
 /** An order is done after so long, also where many load at once. */
@@ -246,6 +246,7 @@
       this.#stock(nowMs);
     }
     this.#tell(follower, nowMs);
+    this.#tellChanges(nowMs);
   }
 
   #tellChanges(nowMs: number): void {
@@ -256,7 +257,7 @@
       return;
     }
     this.#dirtyMs ??= nowMs;
-    if (nowMs - this.#dirtyMs < GATHER_MS) return;
+    if (nowMs - this.#dirtyMs < Math.floor(this.#followers.size * GATHER_MS_EACH)) return;
     this.#dirtyMs = undefined;
     for (const follower of this.#followers.values()) if (this.#isBehind(follower)) this.#tell(follower, nowMs);
   }
--- a/packages/yaw/src/stocker.test.ts
+++ b/packages/yaw/src/stocker.test.ts
@@ -30,7 +30,7 @@
 }
 
 function want(model: string, waiting: number, inFlight = 0, adapter = ''): StockWant {
-  return { service: 'assist', model, adapter, waiting, inFlight, perS: 1 };
+  return { service: 'assist', model, adapter, waiting, inFlight, perS: 1, pressure: 0 };
 }
 
 /** Workers that take orders as the rules say, one at a time, and a stocker that orders them. */
--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -106,7 +106,9 @@
 }
 
 const WANT_MS = 2000;
-const SETTLE_MS = 12;
+/** So long edges are given to learn that they may send no more for what is to go; longer where they do send. */
+const SETTLE_MS = 15;
+const SETTLE_USED_MS = 50;
 const AGAIN_MS = 35;
 /** A load from a worker's own disk takes about this part of one from the store. */
 const DISK_PART = 0.68;
@@ -133,6 +135,8 @@
 const RESIDE_MS = 800;
 /** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
 const GIVES_WAY = 0.7;
+/** Copies that carry so many times their set point are helped before others' idle ones. */
+const HEAVY = 1.6;
 /** A request that no worker can take counts for more than one that a busy copy takes late. */
 const ALONE = 1.5;
 /** What it is worth that a model comes from a worker's own disk: sooner, and without the store. */
@@ -259,7 +263,7 @@
       desired.set(model, Math.ceil(height / each));
       const have = copies.get(model) ?? 0;
       if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, helped: ALONE * demand.waiting, load: Infinity });
-      else if (have > 0 && have < wanted) needs.push({ model, worth: 4 + (wanted - have) / wanted, helped: recent - have * each, load: recent / have });
+      else if (have > 0 && have < wanted) needs.push({ model, worth: recent > HEAVY * have * each ? 7.6 : 4 + (wanted - have) / wanted, helped: recent - have * each, load: recent / have });
     }
     needs.sort((one, other) => other.helped - one.helped);
     let running = 0;
@@ -313,7 +317,8 @@
     if (copies > 1) {
       if (!active) return 2;
       const after = (this.#smooth.get(key)?.recent ?? 0) / (copies - 1);
-      return after < need.load * GIVES_WAY ? 3.5 : 6;
+      if (need.load === Infinity) return 6;
+      return after < need.load * GIVES_WAY ? 3.5 : 9;
     }
     if (active) return 12;
     const idleMs = nowMs - (this.#usedMs.get(key) ?? -60_000);
@@ -352,7 +357,8 @@
     for (const victim of victims) {
       row.models.delete(victim);
       counts.copies.set(victim, (counts.copies.get(victim) ?? 1) - 1);
-      work.steps.push(step('unload', victim, '', nowMs + SETTLE_MS));
+      const inUse = (counts.demands.get(victim)?.inFlight ?? 0) > 0;
+      work.steps.push(step('unload', victim, '', nowMs + (inUse ? SETTLE_USED_MS : SETTLE_MS)));
     }
     if (victims.length > 0) this.#book.changed(row);
     work.steps.push(step('load', need.model, '', nowMs));
