Quicker back after a loss of everything; early requests wait a moment

Cause: after a closing fault it took 0.7 s from the cores' start to a view (hello 0.25 s, grace 0.25 s) and up to 0.25 s more to an edge, which refused meanwhile. Mends of faults shown by tests: the number of edges comes from the coordinator alone; a request never begun is refused with a promise; operations of a life that is in no view are not taken; a zone's call names the edition it has seen.

--- a/packages/farm/src/group.ts
+++ b/packages/farm/src/group.ts
@@ -787,7 +787,7 @@
         for (const version of body.value.versions) this.#takeVersion(from, version);
         return;
       case 'submit': {
-        const seat = from === this.#seat.life ? this.#seat : this.#seats.get(from);
+        const seat = from === this.#seat.life ? this.#seat : this.view?.members.find((member) => member.life === from);
         if (body.value.operation !== undefined && seat !== undefined) this.#coordinator?.submit(body.value.operation, seat);
         return;
       }
--- a/packages/hub/src/follower.ts
+++ b/packages/hub/src/follower.ts
@@ -35,11 +35,15 @@
 }
 
 const FOLLOW_MS = 250;
+/** A node that cannot serve yet asks this often. */
+const EAGER_MS = 80;
 const SELDOM_MS = 750;
 const HASTE_MS = 6;
 const CORE_MS = 10_000;
 const CORES_MOST = 3;
 const FRESH_MS = 1500;
+/** So long a new coordinator may not have heard every edge. */
+const COUNTING_MS = 2500;
 
 interface Core {
   readonly seat: Seat | undefined;
@@ -68,6 +72,8 @@
   #row = 0;
   #workers = new Map<string, KnownWorker>();
   #edges = 1;
+  /** Whose count of the edges is taken, and since when. */
+  #counted = { table: '', sinceMs: -Infinity };
   #hasteMs: number | undefined;
   #knewMs: number | undefined;
 
@@ -122,7 +128,7 @@
     const hasty = this.#hasteMs !== undefined && nowMs - this.#hasteMs >= HASTE_MS;
     for (const core of this.#followed(nowMs)) {
       const leads = core.address === this.#leader?.address;
-      const everyMs = leads || this.#leader === undefined ? FOLLOW_MS : SELDOM_MS;
+      const everyMs = !this.ready ? EAGER_MS : leads || this.#leader === undefined ? FOLLOW_MS : SELDOM_MS;
       if (nowMs - core.askedMs >= everyMs || (hasty && leads)) this.#follow(core, nowMs, leads);
     }
     if (hasty) this.#hasteMs = undefined;
@@ -183,12 +189,20 @@
       }
     }
     if (tell.granted && tell.leader !== undefined) this.#leader = tell.leader;
-    if (tell.granted) this.#edges = Math.max(1, tell.followers);
+    this.#countEdges(tell, nowMs);
     this.#takeState(tell);
     this.#takeRows(tell, nowMs);
     if (tell.granted && this.#configuration !== undefined && this.#workers.size > 0) this.#knewMs ??= nowMs;
   }
 
+  /** Only the coordinator hears every edge; one that is new to it counts too few at first. */
+  #countEdges(tell: Tell, nowMs: number): void {
+    if (tell.table === '' || epochOf(tell.table) < epochOf(this.#counted.table)) return;
+    if (tell.table !== this.#counted.table) this.#counted = { table: tell.table, sinceMs: nowMs };
+    const least = nowMs - this.#counted.sinceMs < COUNTING_MS ? this.#edges : 1;
+    this.#edges = Math.max(least, tell.followers);
+  }
+
   #takeState(tell: Tell): void {
     if (tell.edition <= this.#state.edition || tell.state.length === 0) return;
     const state = decodeDeployment(tell.state);
--- a/packages/marquee/src/configuration.ts
+++ b/packages/marquee/src/configuration.ts
@@ -126,11 +126,13 @@
   readonly document: Readonly<Record<string, unknown>> | undefined;
   readonly revision: number;
   readonly evacuated: readonly string[];
+  /** In which edition each zone was last evacuated or taken back. */
+  readonly zones: Readonly<Record<string, number>>;
   readonly taken: readonly Taken[];
 }
 
 /** The state before anything was agreed. */
-export const EMPTY_DEPLOYMENT: Deployment = { edition: 0, document: undefined, revision: 0, evacuated: [], taken: [] };
+export const EMPTY_DEPLOYMENT: Deployment = { edition: 0, document: undefined, revision: 0, evacuated: [], zones: {}, taken: [] };
 
 const TAKEN_KEPT = 256;
 
@@ -139,6 +141,7 @@
   document: v.optional(v.record(v.string(), v.unknown())),
   revision: v.number(),
   evacuated: v.array(v.string()),
+  zones: v.optional(v.record(v.string(), v.number()), {}),
   taken: v.array(v.object({ revision: v.number(), digest: v.string() })),
 });
 
@@ -152,7 +155,8 @@
     drop: v.optional(v.nullable(v.record(v.string(), v.array(v.string()))), {}),
   }),
 });
-const ZoneSchema = v.object({ zone: v.pipe(v.string(), v.minLength(1), v.maxLength(200)) });
+/** `seen` is the edition that the caller's node held: a call that was held up does not undo a later one. */
+const ZoneSchema = v.object({ zone: v.pipe(v.string(), v.minLength(1), v.maxLength(200)), seen: v.optional(v.number()) });
 
 interface Applied {
   readonly state: Deployment;
@@ -207,11 +211,15 @@
   };
 }
 
-function setZone(state: Deployment, zone: string, evacuate: boolean): Applied {
+function setZone(state: Deployment, zone: string, seen: number | undefined, evacuate: boolean): Applied {
   const agreed = { kind: 'agreed', detail: `zone ${zone} ${evacuate ? 'evacuated' : 'taken back'}` } as const;
   if (state.evacuated.includes(zone) === evacuate) return { state, outcome: agreed };
+  if (seen !== undefined && (state.zones[zone] ?? 0) > seen) {
+    return refuse(state, 'operation-unknown', `zone ${zone} was changed in edition ${state.zones[zone] ?? 0}, after edition ${seen}; send it again if it is still meant`);
+  }
   const others = state.evacuated.filter((known) => known !== zone);
-  return { state: { ...state, edition: state.edition + 1, evacuated: evacuate ? [...others, zone].sort() : others }, outcome: agreed };
+  const edition = state.edition + 1;
+  return { state: { ...state, edition, zones: { ...state.zones, [zone]: edition }, evacuated: evacuate ? [...others, zone].sort() : others }, outcome: agreed };
 }
 
 function digestOf(text: string): string {
@@ -247,8 +255,8 @@
     }));
   }
   const zone = v.safeParse(ZoneSchema, data.value);
-  if (zone.success && kind === 'zone.evacuate') return setZone(state, zone.output.zone, true);
-  if (zone.success && kind === 'zone.return') return setZone(state, zone.output.zone, false);
+  if (zone.success && kind === 'zone.evacuate') return setZone(state, zone.output.zone, zone.output.seen, true);
+  if (zone.success && kind === 'zone.return') return setZone(state, zone.output.zone, zone.output.seen, false);
   return refuse(state, 'bad-request', `no operation "${kind}" with this payload`);
 }
 
--- a/packages/mast/src/core-node.ts
+++ b/packages/mast/src/core-node.ts
@@ -23,7 +23,7 @@
 const BODY_MOST = 16 * 1024 * 1024;
 
 /** A lost core is replaced before it counts as lost no more. */
-const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500, suspectMs: 900, grantMs: 600 };
+const TIMES: GroupTimes = { ...GROUP_TIMES, replaceMs: 1500, suspectMs: 900, grantMs: 600, helloMs: 100, graceMs: 100 };
 
 const CLOCK: Clock = { nowMs: () => performance.now() };
 const CHANCE: Chance = { next: () => Math.random() };
@@ -254,9 +254,9 @@
       case 'patch':
         return this.#submit('configuration.patch', { base: call.base, patch: call.patch });
       case 'evacuate':
-        return this.#submit('zone.evacuate', { zone: call.zone });
+        return this.#submit('zone.evacuate', { zone: call.zone, seen: this.#keeper.state.edition });
       case 'return':
-        return this.#submit('zone.return', { zone: call.zone });
+        return this.#submit('zone.return', { zone: call.zone, seen: this.#keeper.state.edition });
       case 'read':
         return this.#readBack();
       case 'none':
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -41,8 +41,18 @@
 const PRESSURE_PART = 0.15;
 const AGAIN_MS = 25;
 const HELD_AGAIN_S = 0.2;
+const EARLY_MS = 1500;
 const CROWD_MOST = 2000;
 
+/** A request that came before any configuration. */
+interface Early {
+  readonly ask: Ask;
+  readonly port: ClientPort;
+  readonly bornMs: number;
+  readonly endMs: number;
+  leave: (() => void) | undefined;
+}
+
 interface Rate {
   perS: number;
   pressure: number;
@@ -64,6 +74,7 @@
   #table: { readonly configuration: Configuration; readonly routes: RouteTable } | undefined;
   #waiting = new Set<Passage>();
   #runs = new Set<Run>();
+  #early = new Set<Early>();
   #budgets = new Map<string, RetryBudget>();
   #rates = new Map<string, Rate>();
   #inFlight = new Map<string, number>();
@@ -106,7 +117,7 @@
   take(ask: Ask, port: ClientPort): () => void {
     this.#count('taken');
     const configuration = this.#gear.configuration();
-    if (configuration === undefined) return this.#turnAway(port, fault('not-admitting', 'no configuration is known here yet'));
+    if (configuration === undefined) return this.#hold(ask, port);
     if (this.#table?.configuration !== configuration) this.#table = { configuration, routes: new RouteTable(configuration) };
     const route = this.#table.routes.find(ask.host, ask.target);
     const target = route === undefined ? undefined : this.#table.routes.target(route, ask.id);
@@ -143,10 +154,34 @@
     return () => this.#left(passage);
   }
 
+  /** Nothing is known yet, as just after a start: the request waits a moment for it. */
+  #hold(ask: Ask, port: ClientPort): () => void {
+    const nowMs = this.#gear.clock.nowMs();
+    const early: Early = { ask, port, bornMs: nowMs, endMs: nowMs + Math.min(EARLY_MS, ask.deadlineMs ?? EARLY_MS), leave: undefined };
+    if (this.#early.size >= CROWD_MOST) return this.#turnAway(port, fault('not-admitting', 'no configuration is known here yet'));
+    this.#early.add(early);
+    return () => {
+      this.#early.delete(early);
+      early.leave?.();
+    };
+  }
+
+  #takeEarly(nowMs: number): void {
+    const known = this.#gear.configuration() !== undefined;
+    for (const early of this.#early) {
+      const { ask, port, bornMs, endMs } = early;
+      if (!known && nowMs < endMs) continue;
+      this.#early.delete(early);
+      if (known) early.leave = this.take({ ...ask, deadlineMs: ask.deadlineMs === undefined ? undefined : Math.max(0, ask.deadlineMs - (nowMs - bornMs)) }, port);
+      else this.#turnAway(port, fault('not-admitting', 'no configuration is known here yet'));
+    }
+  }
+
   /** Gives up what has waited too long, and sends what can be sent now. */
   beat(): void {
     const nowMs = this.#gear.clock.nowMs();
     this.#balancer.keepOnly(this.#gear.workers());
+    if (this.#early.size > 0) this.#takeEarly(nowMs);
     const order = [...this.#waiting].sort((one, other) => one.route.priority - other.route.priority || one.bornMs - other.bornMs);
     const nowhere = new Set<string>();
     for (const passage of order) {
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -214,7 +214,8 @@
   }
 
   #abandon(why: string): void {
-    this.#fail(why);
+    if (this.#started) this.#fail(why);
+    else this.#finish({ how: 'not-sent', why });
     this.#send?.abort();
   }
 
