Copies retire before they go; an adapter is told of when it is there

A copy beyond need now gets no more requests first, and comes back without a load when it is wanted again.

--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -61,6 +61,8 @@
   begun: boolean;
   posted: boolean;
   notBeforeMs: number;
+  /** When it will be done without another word. */
+  doneMs: number;
 }
 
 interface Work {
@@ -69,6 +71,8 @@
   readonly held: Set<string>;
   /** All that may be there: what is held, and what an order may have brought. */
   readonly present: Map<string, Set<string>>;
+  /** Models that are there and get no more requests: the first to give way, and back at once when wanted. */
+  readonly retired: Set<string>;
   /** Since when it holds a model. */
   readonly sinceMs: Map<string, number>;
 }
@@ -112,6 +116,8 @@
 const AGAIN_MS = 35;
 /** A load from a worker's own disk takes about this part of one from the store. */
 const DISK_PART = 0.68;
+/** An adapter is there so soon. */
+const ADAPTER_MS = 14;
 /** So long a worker takes to let a model go that nobody uses. */
 const UNLOAD_MS = 35;
 const SILENT_MS = 1000;
@@ -133,6 +139,7 @@
 const REST_MS = 400;
 /** A copy stays so long once it is loaded. */
 const RESIDE_MS = 800;
+const RETIRE_MS = 400;
 /** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
 const GIVES_WAY = 0.7;
 /** Copies that carry so many times their set point are helped before others' idle ones. */
@@ -158,6 +165,8 @@
   #works = new Map<string, Work>();
   #wants = new Map<string, { atMs: number; wants: readonly StockWant[] }>();
   #usedMs = new Map<string, number>();
+  /** When a copy of a model was last taken out of use. */
+  #retiredMs = new Map<string, number>();
   #smooth = new Map<string, Concurrency>();
   #loops = new Map<string, { readonly loop: Loop; atMs: number }>();
   /** Loads from the store that may begin now, by service; a new holder begins with none. */
@@ -195,7 +204,7 @@
   #work(row: BookRow): Work {
     let work = this.#works.get(row.id);
     if (work === undefined) {
-      work = { steps: [], held: new Set(row.models.keys()), present: new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])), sinceMs: new Map() };
+      work = { steps: [], held: new Set(row.models.keys()), present: new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])), sinceMs: new Map(), retired: new Set() };
       this.#works.set(row.id, work);
     }
     return work;
@@ -265,6 +274,7 @@
       if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, helped: ALONE * demand.waiting, load: Infinity });
       else if (have > 0 && have < wanted) needs.push({ model, worth: recent > HEAVY * have * each ? 7.6 : 4 + (wanted - have) / wanted, helped: recent - have * each, load: recent / have });
     }
+    this.#retire(engine, usable, copies, desired, nowMs);
     needs.sort((one, other) => other.helped - one.helped);
     let running = 0;
     for (const row of rows) {
@@ -272,6 +282,7 @@
       if (work.steps.some((known) => known.action === 'load' && known.adapter === '' && !work.held.has(known.model))) running += 1;
     }
     for (const need of needs) {
+      if (this.#revive(usable, need.model, copies)) continue;
       const placed = this.#place(engine, usable, need, { demands, copies, desired }, running < this.#atOnce(engine), nowMs);
       if (placed === 'from-store') running += 1;
     }
@@ -312,6 +323,7 @@
     const demand = counts.demands.get(model);
     const copies = counts.copies.get(model) ?? 0;
     const active = demand !== undefined && demand.inFlight + demand.waiting > 0;
+    if (this.#work(row).retired.has(model)) return 0.5;
     if (nowMs - (this.#work(row).sinceMs.get(model) ?? -Infinity) < RESIDE_MS) return 9;
     if (copies > Math.max(1, counts.desired.get(model) ?? 0)) return 1 + (active ? 0.5 : 0);
     if (copies > 1) {
@@ -326,6 +338,37 @@
     return 2 + 2 / (1 + idleMs / 1000);
   }
 
+  /** Copies beyond what a model needs get no more requests, one at a time, so that nothing runs there when the room is wanted. */
+  #retire(engine: StockEngine, rows: readonly BookRow[], copies: Map<string, number>, desired: ReadonlyMap<string, number>, nowMs: number): void {
+    for (const [model, count] of copies) {
+      if (count <= Math.max(1, desired.get(model) ?? 1) || !engine.models.has(model)) continue;
+      const key = `${engine.service}/${model}`;
+      if (nowMs - (this.#retiredMs.get(key) ?? -Infinity) < RETIRE_MS) continue;
+      const holders = rows.filter((row) => row.models.has(model) && this.#work(row).steps.length === 0 && nowMs - (this.#work(row).sinceMs.get(model) ?? -Infinity) > RESIDE_MS);
+      const most = holders.sort((one, other) => other.models.size - one.models.size)[0];
+      if (most === undefined || holders.length < 2) continue;
+      this.#retiredMs.set(key, nowMs);
+      most.models.delete(model);
+      this.#work(most).retired.add(model);
+      this.#book.changed(most);
+      copies.set(model, count - 1);
+    }
+  }
+
+  /** A retired copy is taken back into use; nothing is loaded for it. */
+  #revive(rows: readonly BookRow[], model: string, copies: Map<string, number>): boolean {
+    for (const row of rows) {
+      const work = this.#work(row);
+      if (!work.retired.has(model) || !work.present.has(model) || work.steps.some((known) => known.model === model)) continue;
+      work.retired.delete(model);
+      row.models.set(model, new Set(work.present.get(model) ?? []));
+      this.#book.changed(row);
+      copies.set(model, (copies.get(model) ?? 0) + 1);
+      return true;
+    }
+    return false;
+  }
+
   #place(engine: StockEngine, rows: readonly BookRow[], need: Need, counts: Counts, storeFree: boolean, nowMs: number): 'no' | 'from-disk' | 'from-store' {
     const model = engine.models.get(need.model);
     if (model === undefined || model.sizeMb > engine.roomMb) return 'no';
@@ -355,6 +398,10 @@
     const { row, victims } = best;
     const work = this.#work(row);
     for (const victim of victims) {
+      if (work.retired.delete(victim)) {
+        work.steps.push(step('unload', victim, '', nowMs));
+        continue;
+      }
       row.models.delete(victim);
       counts.copies.set(victim, (counts.copies.get(victim) ?? 1) - 1);
       const inUse = (counts.demands.get(victim)?.inFlight ?? 0) > 0;
@@ -439,6 +486,7 @@
     const work = this.#work(row);
     const first = work.steps[0];
     if (first === undefined) return;
+    if (nowMs >= first.doneMs) return this.#finish(row, work, first);
     if (row.leaving) {
       work.steps = [];
       return;
@@ -467,7 +515,10 @@
     switch (reply) {
       case 'begun': {
         if (done.action === 'unload') return this.#finish(row, work, done);
-        if (done.adapter !== '') return this.#finish(row, work, done);
+        if (done.adapter !== '') {
+          done.doneMs = nowMs + ADAPTER_MS;
+          return;
+        }
         const loadMs = engine.models.get(done.model)?.loadMs ?? 1000;
         if (done.begun) return again(AGAIN_MS);
         done.begun = true;
@@ -514,5 +565,5 @@
 }
 
 function step(action: 'load' | 'unload', model: string, adapter: string, notBeforeMs: number): Step {
-  return { action, model, adapter, begun: false, posted: false, notBeforeMs };
+  return { action, model, adapter, begun: false, posted: false, notBeforeMs, doneMs: Infinity };
 }
