--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**', '**/gen/**', 'run/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', '**/gen/**', 'run/**', 'target/**', 'journal/**', 'scripts/**'] },
   ...tseslint.configs.strictTypeChecked,
   {
     languageOptions: { parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] }, tsconfigRootDir: import.meta.dirname } },
--- a/packages/mast/src/core-node.ts
+++ b/packages/mast/src/core-node.ts
@@ -13,7 +13,9 @@
 import type { Log } from './log.js';
 import { splitAddress, Wire } from './wire.js';
 
-const BEAT_MS = 20;
+const BEAT_MS = 25;
+/** A core that does not coordinate beats at every second one. */
+const SELDOM = 2;
 const LIST_MS = 500;
 const LIST_WAIT_MS = 900;
 const ORDER_WAIT_MS = 800;
@@ -55,6 +57,7 @@
   #listedMs = -Infinity;
   #stopping = false;
   #led = false;
+  #beats = 0;
 
   private constructor(settings: SystemSettings, dialect: Dialect, log: Log, acceptor: Acceptor) {
     this.#settings = settings;
@@ -126,8 +129,10 @@
   }
 
   #beat(): void {
-    this.#keeper.beat();
+    this.#beats += 1;
     const { leading } = this.#keeper.group;
+    if (!leading && this.#beats % SELDOM !== 0) return;
+    this.#keeper.beat();
     if (leading !== this.#led) {
       this.#led = leading;
       this.#listedMs = -Infinity;
--- a/packages/mast/src/edge-node.ts
+++ b/packages/mast/src/edge-node.ts
@@ -10,7 +10,9 @@
 import type { Log } from './log.js';
 import { splitAddress, Wire } from './wire.js';
 
-const BEAT_MS = 25;
+const BEAT_MS = 50;
+/** A model that stands nowhere is asked for after this, with what else came meanwhile. */
+const HASTE_MS = 7;
 const COUNTERS_MS = 10_000;
 /** The platform asks every second and believes the second miss: so long new connections still come. */
 const STILL_COMING_MS = 3000;
@@ -38,6 +40,7 @@
   #timers: NodeJS.Timeout[] = [];
   #stopping = false;
   #wasReady = false;
+  #haste: NodeJS.Timeout | undefined;
 
   constructor(settings: SystemSettings, dialect: Dialect, log: Log) {
     this.#settings = settings;
@@ -67,7 +70,7 @@
       edges: () => this.#follower.edges,
       life: () => this.#follower.life,
       region: (zone) => settings.regions[zone] ?? '',
-      missing: () => this.#follower.haste(),
+      missing: () => this.#hasten(),
     });
     this.#front = new FrontDoor({
       words: dialect.doorWords,
@@ -116,6 +119,14 @@
     for (const timer of this.#timers) clearInterval(timer);
   }
 
+  #hasten(): void {
+    this.#follower.haste();
+    this.#haste ??= setTimeout(() => {
+      this.#haste = undefined;
+      this.#follower.beat();
+    }, HASTE_MS);
+  }
+
   #noteReady(): void {
     if (this.#follower.ready === this.#wasReady) return;
     this.#wasReady = this.#follower.ready;
--- a/packages/router/src/balance.ts
+++ b/packages/router/src/balance.ts
@@ -4,6 +4,8 @@
 /** What the balancer knows beyond the workers themselves. */
 export interface BalanceGear {
   readonly zone: string;
+  /** Different at every edge. */
+  readonly salt: string;
   nowMs(): number;
   evacuated(): readonly string[];
   /** How many edges share the workers. */
@@ -104,7 +106,7 @@
     if (nowMs >= worker.coldUntilMs || perS <= 0) return true;
     const standing = this.#standing(worker.id);
     const rate = (perS * COLD_PART) / Math.max(1, this.#gear.edges());
-    const cold = (standing.cold ??= { places: 1, atMs: nowMs });
+    const cold = (standing.cold ??= { places: spread(`${worker.id} ${this.#gear.salt}`) / 2 ** 32, atMs: nowMs });
     cold.places = Math.min(1, cold.places + (rate * (nowMs - cold.atMs)) / 1000);
     cold.atMs = nowMs;
     if (cold.places < 1) return false;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -85,6 +85,7 @@
     this.#gear = gear;
     this.#balancer = new Balancer({
       zone: gear.zone,
+      salt: gear.life(),
       nowMs: () => gear.clock.nowMs(),
       evacuated: () => gear.evacuated(),
       edges: () => gear.edges(),
