Models that stand nowhere gain worth while they are waited for

Cause: where the workers in use cannot hold all models asked for (a zone evacuated), a sole copy in use was never given up, so the last model starved.

--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -139,6 +139,9 @@
 const REST_MS = 400;
 /** A copy stays so long once it is loaded. */
 const RESIDE_MS = 800;
+/** What stands nowhere and is waited for gains worth, until it takes the place even of what is in use: so none starves. */
+const IMPATIENT_PER_S = 3;
+const IMPATIENT_MOST = 6;
 const RETIRE_MS = 400;
 /** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
 const GIVES_WAY = 0.7;
@@ -165,6 +168,8 @@
   #works = new Map<string, Work>();
   #wants = new Map<string, { atMs: number; wants: readonly StockWant[] }>();
   #usedMs = new Map<string, number>();
+  /** Since when a model that stands nowhere is waited for. */
+  #waitingMs = new Map<string, number>();
   /** When a copy of a model was last taken out of use. */
   #retiredMs = new Map<string, number>();
   #smooth = new Map<string, Concurrency>();
@@ -271,8 +276,14 @@
       const wanted = Math.min(usable.length, Math.ceil(recent / each - DEAD_BAND));
       desired.set(model, Math.ceil(height / each));
       const have = copies.get(model) ?? 0;
-      if (have === 0 && demand.waiting > 0) needs.push({ model, worth: 8, helped: ALONE * demand.waiting, load: Infinity });
-      else if (have > 0 && have < wanted) needs.push({ model, worth: recent > HEAVY * have * each ? 7.6 : 4 + (wanted - have) / wanted, helped: recent - have * each, load: recent / have });
+      if (have > 0 || demand.waiting === 0) this.#waitingMs.delete(key);
+      if (have === 0 && demand.waiting > 0) {
+        const sinceMs = this.#waitingMs.get(key) ?? nowMs;
+        this.#waitingMs.set(key, sinceMs);
+        const worth = 8 + Math.min(IMPATIENT_MOST, ((nowMs - sinceMs) / 1000) * IMPATIENT_PER_S);
+        needs.push({ model, worth, helped: ALONE * demand.waiting, load: Infinity });
+      }
+      if (have > 0 && have < wanted) needs.push({ model, worth: recent > HEAVY * have * each ? 7.6 : 4 + (wanted - have) / wanted, helped: recent - have * each, load: recent / have });
     }
     this.#retire(engine, usable, copies, desired, nowMs);
     needs.sort((one, other) => other.helped - one.helped);
@@ -324,7 +335,7 @@
     const copies = counts.copies.get(model) ?? 0;
     const active = demand !== undefined && demand.inFlight + demand.waiting > 0;
     if (this.#work(row).retired.has(model)) return 0.5;
-    if (nowMs - (this.#work(row).sinceMs.get(model) ?? -Infinity) < RESIDE_MS) return 9;
+    if (nowMs - (this.#work(row).sinceMs.get(model) ?? -Infinity) < RESIDE_MS) return copies > 1 ? 9 : 15;
     if (copies > Math.max(1, counts.desired.get(model) ?? 0)) return 1 + (active ? 0.5 : 0);
     if (copies > 1) {
       if (!active) return 2;
@@ -332,7 +343,7 @@
       if (need.load === Infinity) return 6;
       return after < need.load * GIVES_WAY ? 3.5 : 9;
     }
-    if (active) return 12;
+    if (active) return 12 + Math.min(1, demand.inFlight / 100);
     const idleMs = nowMs - (this.#usedMs.get(key) ?? -60_000);
     if (idleMs < REST_MS) return 7.5;
     return 2 + 2 / (1 + idleMs / 1000);
