--- a/packages/park/src/system.test.ts
+++ b/packages/park/src/system.test.ts
@@ -163,6 +163,34 @@
   });
 });
 
+describe('what all edges share', () => {
+  /** The fewest edges that one of them believed in, while all were at work. */
+  function fewest(system: System, forMs: number): number {
+    let least = Infinity;
+    for (const endMs = system.time.nowMs() + forMs; system.time.nowMs() < endMs; ) {
+      system.time.runUntil(system.time.nowMs() + 20);
+      for (const edge of system.edges) least = Math.min(least, edge.running?.follower?.edges ?? 0);
+    }
+    return least;
+  }
+  const edges = 4;
+
+  it('is divided by as many as there are, in a calm system of five cores', () => {
+    const system = opened(2, { ...SMALL, cores: 5, lossesBorne: 2, edges });
+    expect(fewest(system, 4000)).toEqual(edges);
+  });
+
+  it('is divided by as many as there are, when a core is replaced or starts again', () => {
+    const replaced = opened(2, { ...SMALL, edges });
+    replaced.remove(replaced.cores.find((core) => core !== leaderOf(replaced)) as Station);
+    replaced.boot(replaced.addCore());
+    const again = opened(3, { ...SMALL, edges });
+    again.kill(leaderOf(again));
+    again.time.after(500, () => restore(again));
+    expect([fewest(replaced, 6000), fewest(again, 6000)]).toEqual([edges, edges]);
+  });
+});
+
 it('days of troubles break no rule', () => {
   const wrong: string[] = [];
   for (let seed = 1; seed <= 16; seed += 1) {
--- a/packages/park/src/system.ts
+++ b/packages/park/src/system.ts
@@ -656,6 +656,7 @@
       if (!settled || nowMs - running.touchMs <= BOUNDS.contactMs) continue;
       this.#probeEdge(edge, running.follower, nowMs);
     }
+    this.#probeShares(nowMs);
     const holders = this.cores.filter((core) => core.running?.frozen === false && core.running.keeper?.group.dutyEpoch() !== undefined);
     if (holders.length > 1) this.breach('one holder', `${holders.map((core) => core.name).join(' and ')} both have the duty`);
     for (const call of this.#calls) {
@@ -664,6 +665,15 @@
     }
   }
 
+  /** What all edges share, such as further sends, each divides by no fewer edges than there are. */
+  #probeShares(nowMs: number): void {
+    const steady = this.edges.filter(({ running }) => running !== undefined && !running.frozen && nowMs - running.touchMs > BOUNDS.contactMs);
+    for (const { name, running } of steady) {
+      const edges = running?.follower?.edges ?? 0;
+      if (edges < steady.length) this.breach('share', `${name} divides by ${edges} where ${steady.length} edges are at work`);
+    }
+  }
+
   #probeEdge(edge: Station, follower: Follower, nowMs: number): void {
     const lack = this.lacks(follower.state, nowMs - BOUNDS.applyMs);
     if (lack !== undefined) this.breach('applied in time', `${edge.name}: ${lack}`);
