--- a/packages/park/src/system.test.ts
+++ b/packages/park/src/system.test.ts
@@ -95,22 +95,22 @@
   });
 
   it('stays when a call that the operator has given up on is still carried by a core that was cut off', () => {
-    const wrong = [1, 2, 3, 4].flatMap((seed) => {
-      const system = opened(seed);
-      const [far] = system.cores.filter((core) => core !== leaderOf(system)) as [Station];
-      const heal = system.cut('off', (from, to) => (from === far.name) !== (to === far.name));
-      const keeper = far.running?.keeper;
-      const sent = keeper?.submit('zone.evacuate', { zone: 'north' }, () => undefined);
-      system.time.after(900, () => keeper?.forgetAnswer(sent?.isOk === true ? sent.value : ''));
-      system.time.runUntil(7000);
-      system.zone('north', true);
-      system.time.runUntil(9000);
-      system.zone('north', false);
-      system.time.runUntil(11_000);
-      heal();
-      system.time.runUntil(20_000);
-      return ended(system);
-    });
+    const wrong = [1, 2, 3, 4, 5, 6].flatMap((seed) =>
+      [1500, 6000].flatMap((cutMs) => {
+        const system = opened(seed);
+        const [far] = system.cores.filter((core) => core !== leaderOf(system)) as [Station];
+        const heal = system.cut('off', (from, to) => (from === far.name) !== (to === far.name));
+        const keeper = far.running?.keeper;
+        const sent = keeper?.submit('zone.evacuate', { zone: 'north' }, () => undefined);
+        system.time.after(900, () => keeper?.forgetAnswer(sent?.isOk === true ? sent.value : ''));
+        system.time.runUntil(5950);
+        system.zone('north', true, () => system.zone('north', false));
+        system.time.runUntil(5000 + cutMs);
+        heal();
+        system.time.runUntil(18_000);
+        return ended(system).map((text) => `seed ${seed}, cut for ${cutMs}: ${text}`);
+      }),
+    );
     expect(wrong).toEqual([]);
   });
 });
@@ -163,6 +163,101 @@
   });
 });
 
+describe('the group of cores', () => {
+  it('goes on while its machines are stopped and started in turn', () => {
+    const wrong = [1, 2].flatMap((seed) => {
+      const system = opened(seed);
+      const ends: string[] = [];
+      let revision = 5;
+      for (const station of system.stations) {
+        system.stop(station);
+        system.time.after(700, () => system.boot(station));
+        system.time.runUntil(system.time.nowMs() + 2500);
+        revision += 2;
+        system.put(system.acked.revision, sampleDocument(revision, MODELS, 'in turn'), (end) => ends.push(end.kind));
+        system.time.runUntil(system.time.nowMs() + 3000);
+      }
+      system.time.runUntil(system.time.nowMs() + 5000);
+      const kinds = ends.join(' ');
+      return [...ended(system), ...(kinds === 'agreed agreed agreed agreed agreed' ? [] : [`answered ${kinds}`])];
+    });
+    expect(wrong).toEqual([]);
+  });
+
+  it('agrees on nothing while no majority meets, and goes on soon after', () => {
+    const wrong = [1, 2, 3].flatMap((seed) => {
+      const system = opened(seed);
+      const apart = system.cut('cores from each other', (from, to) => from.startsWith('core') && to.startsWith('core'));
+      system.time.runUntil(8000);
+      const ends: CallEnd[] = [];
+      system.put(5, sampleDocument(8, MODELS, 'apart'), (end) => ends.push(end));
+      system.time.runUntil(14_000);
+      const early = ends.length;
+      const holders = system.cores.filter((core) => core.running?.keeper?.group.dutyEpoch() !== undefined).length;
+      const informed = system.edges.filter((edge) => edge.running?.follower?.informed === true).length;
+      apart();
+      system.time.runUntil(18_000);
+      const late = ends.map((end) => end.kind).join(' ');
+      system.time.runUntil(24_000);
+      return [...ended(system), ...(early === 0 && holders === 0 && informed === 0 ? [] : [`${early} answers, ${holders} holders, ${informed} informed while apart`]), ...(late === 'agreed' ? [] : [`answered "${late}" 4 s after`])];
+    });
+    expect(wrong).toEqual([]);
+  });
+
+  it('goes on without the cores of one side, and those take over what was agreed when they are back', () => {
+    const wrong = [1, 2, 3].flatMap((seed) => {
+      const system = opened(seed);
+      const leader = leaderOf(system);
+      const heal = system.cut('coordinator', (from, to) => (from === leader.name) !== (to === leader.name));
+      const ends: CallEnd[] = [];
+      system.time.runUntil(5300);
+      system.put(5, sampleDocument(8, MODELS, 'without'), (end) => ends.push(end));
+      system.time.runUntil(12_000);
+      const stale = leader.running?.keeper;
+      const alone = stale?.group.granted() === true || stale?.group.dutyEpoch() !== undefined;
+      heal();
+      system.time.runUntil(20_000);
+      return [...ended(system), ...(ends[0]?.kind === 'agreed' ? [] : ['not agreed']), ...(alone ? ['the one cut off still acts'] : [])];
+    });
+    expect(wrong).toEqual([]);
+  });
+
+  it('gives back its duty before another takes it, also when the coordinator froze', () => {
+    const wrong = [1, 2, 3, 4].flatMap((seed) => {
+      const system = opened(seed, { ...SMALL, workers: 4, models: 8 });
+      system.needs = ['m0', 'm5', 'm6', 'm7'].map((model) => ({ model, adapter: '', count: 2 }));
+      for (let turn = 0; turn < 4; turn += 1) {
+        system.freeze(leaderOf(system), 700 + 900 * turn);
+        system.needs = [0, 1, 2, 3].map((place) => ({ model: `m${(turn * 3 + place) % 8}`, adapter: '', count: 2 }));
+        system.time.runUntil(system.time.nowMs() + 6000);
+      }
+      system.time.runUntil(system.time.nowMs() + 6000);
+      return ended(system);
+    });
+    expect(wrong).toEqual([]);
+  });
+
+  it('loses a whole zone, edges and workers with it, and the others serve on', () => {
+    const system = opened(4, { ...SMALL, edges: 3, workers: 3, models: 4 });
+    system.needs = ['m0', 'm1'].map((model) => ({ model, adapter: '', count: 2 }));
+    const zone = leaderOf(system).zone;
+    for (const station of system.stations) if (station.zone === zone) system.kill(station);
+    for (const stall of system.yard.stalls) if (stall.zone === zone) stall.away = true;
+    system.time.runUntil(9000);
+    const ends: CallEnd[] = [];
+    system.put(5, sampleDocument(8, 4, 'without a zone'), (end) => ends.push(end));
+    system.time.runUntil(12_000);
+    const revisions = system.edges.map((edge) => edge.running?.follower?.state.revision ?? 0).filter((revision) => revision > 0);
+    for (const stall of system.yard.stalls) {
+      if (stall.away) stall.restart();
+      stall.away = false;
+    }
+    restore(system);
+    system.time.runUntil(22_000);
+    expect([ends.map((end) => end.kind), revisions, ended(system)]).toEqual([['agreed'], [8, 8], []]);
+  });
+});
+
 describe('what all edges share', () => {
   /** The fewest edges that one of them believed in, while all were at work. */
   function fewest(system: System, forMs: number): number {
