What was acknowledged outlives a wiped disk when a bare majority carries it

Cause: the closing faults of the test left every disk time to sync. Tested: one or two disks hang while a change is made; all lose power as it is answered, and the coordinator's or the other disk is wiped.

--- a/packages/park/src/system.test.ts
+++ b/packages/park/src/system.test.ts
@@ -28,8 +28,18 @@
   return system.leader() ?? (system.cores[0] as Station);
 }
 
+/** Whose disks hang: of all cores but the coordinator one, so that a bare majority carries a change; or the other one for a while as well. */
+type StalledDisks = 'one' | 'both';
+
+function stall(system: System, leader: Station, stalled: StalledDisks): void {
+  const [other, third] = system.cores.filter((core) => core !== leader);
+  const nowMs = system.time.nowMs();
+  if (third?.disk !== undefined) third.disk.stallUntilMs = nowMs + 2000;
+  if (stalled === 'both' && other?.disk !== undefined) other.disk.stallUntilMs = nowMs + 500;
+}
+
 /** As soon as an operator is told of a change, something happens; all come back and the end is looked at. */
-function closed(seed: number, size: SystemSize, strike: (system: System, leader: Station) => void): string[] {
+function closed(seed: number, size: SystemSize, strike: (system: System, leader: Station) => void, stalled?: StalledDisks): string[] {
   const system = opened(seed, size);
   const leader = leaderOf(system);
   const struck: string[] = [];
@@ -39,6 +49,7 @@
     strike(system, leader);
     system.time.after(700, () => restore(system));
   };
+  if (stalled !== undefined) stall(system, leader, stalled);
   system.put(5, sampleDocument(8, size.models, 'last'));
   system.zone('east', true);
   system.time.runUntil(20_000);
@@ -69,6 +80,26 @@
     expect(wrong).toEqual([]);
   });
 
+  it('outlives it also when a bare majority of disks carries it', () => {
+    const wrong = [1, 2].flatMap((seed) =>
+      (['one', 'both'] as const).flatMap((stalled) =>
+        [true, false].flatMap((leads) =>
+          closed(
+            seed,
+            SMALL,
+            (system, leader) => {
+              powerOff(system);
+              const victim = leads ? leader : system.cores.find((core) => core !== leader);
+              victim?.disk?.wipe();
+            },
+            stalled,
+          ).map((text) => `${stalled} stalled, ${leads ? 'coordinator' : 'other core'} wiped: ${text}`),
+        ),
+      ),
+    );
+    expect(wrong).toEqual([]);
+  });
+
   it('outlives the kill of the coordinator', () => {
     expect([1, 2].flatMap((seed) => closed(seed, SMALL, (system, leader) => system.kill(leader)))).toEqual([]);
   });
