--- a/packages/park/src/system-trial.ts
+++ b/packages/park/src/system-trial.ts
@@ -275,6 +275,15 @@
     });
   }
 
+  /** Without a zone the workers that are left have room for two models each, and no more is asked for. */
+  #fitNeeds(): void {
+    const { system } = this;
+    if (![...system.zones.values()].some(({ evacuated }) => evacuated)) return;
+    const places = 2 * system.yard.stalls.filter((stall) => system.zones.get(stall.zone)?.evacuated !== true).length;
+    const models = [...new Set(system.needs.map((need) => need.model))].slice(0, places);
+    system.needs = system.needs.filter((need) => models.includes(need.model));
+  }
+
   #restore(): void {
     for (const station of this.system.stations) this.system.boot(station);
   }
@@ -282,6 +291,7 @@
   /** What may close a day, right after something was acknowledged. */
   #close(): void {
     const { system } = this;
+    this.#fitNeeds();
     const kind = this.#one(['calm', 'power', 'wipe', 'race'] as const) ?? 'calm';
     this.troubles.push(`closing ${kind}`);
     system.note('', `closing ${kind}`);
