--- a/packages/router/src/balance.ts
+++ b/packages/router/src/balance.ts
@@ -36,6 +36,8 @@
 /** A worker that kept the prompt may have so many requests more than the least loaded. */
 const PREFIX_SLACK = 4;
 const LONG_TOKENS = 1500;
+/** The parts of a long prompt are kept at so many workers: edges choose alike among them without a word between them. */
+const KEPT_AT = 2;
 
 /**
  * Chooses a worker for a request: one that holds its model, takes more, and is
@@ -166,15 +168,13 @@
     function load(worker: WorkerView): number {
       return loads.get(worker.id) ?? 0;
     }
-    if (long) {
-      const key = `${ask.model}/${ask.adapter}/${shared}`;
-      const near = able.filter((worker) => load(worker) <= least + ZONE_SLACK + PREFIX_SLACK);
-      const rest = able.filter((worker) => !near.includes(worker)).sort((one, other) => load(one) - load(other));
-      near.sort((one, other) => spread(`${key} ${other.id}`) - spread(`${key} ${one.id}`));
-      return [...near, ...rest];
-    }
-    const salt = shared ?? ask.id;
-    return able.sort((one, other) => load(one) - load(other) || spread(`${salt} ${other.id}`) - spread(`${salt} ${one.id}`));
+    // Ties are broken anew for each request: by its shared parts every edge would choose the same worker.
+    able.sort((one, other) => load(one) - load(other) || spread(`${ask.id} ${other.id}`) - spread(`${ask.id} ${one.id}`));
+    if (!long) return able;
+    const key = `${ask.model}/${ask.adapter}/${shared}`;
+    const kept = [...able].sort((one, other) => spread(`${key} ${other.id}`) - spread(`${key} ${one.id}`)).slice(0, KEPT_AT);
+    const near = able.filter((worker) => kept.includes(worker) && load(worker) <= least + ZONE_SLACK + PREFIX_SLACK);
+    return [...near, ...able.filter((worker) => !near.includes(worker))];
   }
 
   #standing(id: string): Standing {
