--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -126,7 +126,7 @@
   readonly router: Router;
   #asked = 0;
 
-  constructor(workers: readonly WorkerView[], retries = { ratio: 1, extra: 20 }) {
+  constructor(workers: readonly WorkerView[], retries = { ratio: 1, extra: 20 }, life = 'life-1') {
     const configuration = configurationOf();
     this.put(...workers);
     this.router = new Router({
@@ -139,7 +139,7 @@
       evacuated: () => this.evacuated,
       workers: () => this.workers,
       edges: () => this.edges,
-      life: () => 'life-1',
+      life: () => life,
       region: (zone) => (zone === 'south-a' ? 'south' : 'elsewhere'),
       missing: () => {
         this.missed += 1;
@@ -614,6 +614,45 @@
     }
   });
 
+  it('keeps what all edges together send a cold worker in any second within its bound, also in a later spell', () => {
+    const PER_S = 10;
+    const wrong: string[] = [];
+    for (const count of [3, 9, 80]) {
+      const edges = Array.from({ length: count }, (_, place) => new Bench([worker('w1', { slots: 100 })], undefined, `life-${place}`));
+      const atMs: number[] = [];
+      const beatMs = 25;
+      for (let nowMs = 1000; nowMs < 41_000; nowMs += beatMs) {
+        const cold = (nowMs >= 2000 && nowMs < 12_000) || nowMs >= 22_000;
+        const busy = nowMs < 26_000 || nowMs >= 32_000;
+        for (const edge of edges) {
+          edge.edges = count;
+          edge.nowMs = nowMs;
+          if (nowMs === 2000 || nowMs === 22_000) edge.put(worker('w1', { slots: 100, coldUntilMs: nowMs + (nowMs === 2000 ? 10_000 : 30_000), number: nowMs }));
+          const before = edge.link.flown.length;
+          if (busy && edge.router.waiting < 2) edge.ask('/often/x');
+          edge.router.beat();
+          for (const flown of edge.link.flown.slice(before)) {
+            if (!flown.start()) continue;
+            if (cold) atMs.push(nowMs);
+            flown.answer(200, 'ok');
+          }
+        }
+      }
+      let most = 0;
+      let mostMs = 0;
+      for (const [place, fromMs] of atMs.entries()) {
+        let end = place;
+        while (end < atMs.length && (atMs[end] ?? 0) < fromMs + 1000) end += 1;
+        if (end - place <= most) continue;
+        most = end - place;
+        mostMs = fromMs;
+      }
+      if (most > PER_S * 1.5 + 5) wrong.push(`${count} edges: ${most} from ${mostMs}, the bound is ${PER_S * 1.5 + 5}`);
+      if (atMs.length < 20 * PER_S * 0.5) wrong.push(`${count} edges: only ${atMs.length} in all`);
+    }
+    expect(wrong).toEqual([]);
+  });
+
   it('falls on a worker that holds the model and the adapter, and asks for them where none does', () => {
     const bench = new Bench([
       worker('w1', { service: 'assist', models: new Map([['m1', new Set<string>()]]) }),
