Cold workers get no saved-up places; a line acknowledges sound frames only

Cause: with 80 edges a worker that was cold a second time could get 80 requests in one second (bound 20), each edge having saved one place; the line's byte of acknowledgement to an oversized frame held the peer's close up, so mast's test hung.

--- a/packages/mast/src/wire.ts
+++ b/packages/mast/src/wire.ts
@@ -127,9 +127,10 @@
     socket.on('error', () => undefined);
     socket.on('close', () => this.#guests.delete(socket));
     socket.on('data', (chunk: Buffer) => {
-      socket.write(ACK);
       rest = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+      let taken = false;
       for (;;) {
+        if (taken && rest.length < 4) socket.write(ACK);
         if (rest.length < 4) return;
         const length = rest.readUInt32BE();
         if (length > FRAME_MAX_BYTES) {
@@ -137,10 +138,14 @@
           socket.destroy();
           return;
         }
-        if (rest.length < 4 + length) return;
+        if (rest.length < 4 + length) {
+          socket.write(ACK);
+          return;
+        }
         const bytes = rest.subarray(4, 4 + length);
         rest = rest.subarray(4 + length);
         this.#frame(bytes);
+        taken = true;
       }
     });
   }
--- a/packages/router/src/balance.ts
+++ b/packages/router/src/balance.ts
@@ -31,6 +31,7 @@
 const SHUN_MS = 400;
 const SHUN_MOST_MS = 6000;
 const COLD_PART = 0.8;
+const COLD_STEP_MS = 200;
 /** A worker of another zone must be so many requests better. */
 const ZONE_SLACK = 2;
 /** A worker that kept the prompt may have so many requests more than the least loaded. */
@@ -109,7 +110,8 @@
     const standing = this.#standing(worker.id);
     const rate = (perS * COLD_PART) / Math.max(1, this.#gear.edges());
     const cold = (standing.cold ??= { places: spread(`${worker.id} ${this.#gear.salt}`) / 2 ** 32, atMs: nowMs });
-    cold.places = Math.min(1, cold.places + (rate * (nowMs - cold.atMs)) / 1000);
+    // Places are not saved up while none is asked for: all edges would come with theirs at once.
+    cold.places = Math.min(1, cold.places + (rate * Math.min(COLD_STEP_MS, nowMs - cold.atMs)) / 1000);
     cold.atMs = nowMs;
     if (cold.places < 1) return false;
     cold.places -= 1;
