--- /dev/null
+++ b/packages/mast/src/front.test.ts
@@ -0,0 +1,130 @@
+import { Agent, request, type IncomingMessage } from 'node:http';
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { USUAL_LIMITS } from '@rainrun/marquee';
+import { fault } from '@rainrun/nacelle';
+import type { Ask, ClientPort } from '@rainrun/router';
+import { expect } from 'earl';
+import { FrontDoor } from './front.js';
+
+const WORDS = { requestId: 'x-id', deadlineMs: 'x-deadline', model: 'x-model', prefix: 'x-prefix', tokens: 'x-tokens', lastEventId: 'last-event-id' };
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  readonly whole: boolean;
+}
+
+/** A port of this machine that is free now. */
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1', () => {
+      const { port } = server.address() as AddressInfo;
+      server.close(() => resolve(port));
+    });
+  });
+}
+
+class Bench {
+  readonly taken: { ask: Ask; port: ClientPort }[] = [];
+  left = 0;
+  leaving = false;
+  /** Called for each request that is taken. */
+  onTake: (ask: Ask, port: ClientPort) => void = (_, port) => port.answer(200, [['x-mark', 'm']], Buffer.from('well'));
+  readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  readonly front = new FrontDoor({
+    words: WORDS,
+    limits: () => ({ ...USUAL_LIMITS, headerBytes: 2000, bodyBytes: 100 }),
+    leaving: () => this.leaving,
+    take: (ask, port) => {
+      this.taken.push({ ask, port });
+      this.onTake(ask, port);
+      return () => {
+        this.left += 1;
+      };
+    },
+  });
+  #port = 0;
+
+  async open(): Promise<this> {
+    this.#port = await freePort();
+    await this.front.listen(`127.0.0.1:${this.#port}`);
+    return this;
+  }
+
+  close(): void {
+    this.agent.destroy();
+    this.front.close();
+  }
+
+  ask(headers: Record<string, string>, body = ''): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      const req = request({ host: '127.0.0.1', port: this.#port, method: 'POST', path: '/a/1?b=2', headers, agent: this.agent }, (res) => {
+        const parts: Buffer[] = [];
+        res.on('data', (part: Buffer) => parts.push(part));
+        res.on('error', () => undefined);
+        res.on('close', () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: Buffer.concat(parts).toString(), whole: res.complete }));
+      });
+      req.on('error', reject);
+      req.end(body);
+    });
+  }
+}
+
+describe('the front door', () => {
+  let bench: Bench | undefined;
+  afterEach(() => bench?.close());
+
+  it('hands on method, path, body and headers as they came, without those of the connection', async () => {
+    bench = await new Bench().open();
+    const answer = await bench.ask({ 'x-id': '7', 'x-model': 'big/a2', 'x-prefix': 'aa:10,bb:20,cc:30', 'x-tokens': '60,8', 'x-deadline': '900', host: 'h.example:80' }, 'work');
+    const ask = bench.taken[0]?.ask;
+    expect([answer.status, answer.body, answer.headers['x-mark']]).toEqual([200, 'well', 'm']);
+    expect([ask?.id, ask?.method, ask?.target, ask?.host, ask?.body.toString(), ask?.deadlineMs]).toEqual(['7', 'POST', '/a/1?b=2', 'h.example', 'work', 900]);
+    expect([ask?.model, ask?.adapter, ask?.prefix, ask?.promptTokens]).toEqual(['big', 'a2', ['aa', 'bb'], 60]);
+    expect(ask?.headers.some(([name]) => name.toLowerCase() === 'connection')).toEqual(false);
+  });
+
+  it('refuses what has no id, too long headers or too large a body, and hands none of it on', async () => {
+    bench = await new Bench().open();
+    const anonymous = await bench.ask({});
+    const endless = await bench.ask({ 'x-id': '1', 'x-long': 'y'.repeat(3000) });
+    const large = await bench.ask({ 'x-id': '2' }, 'z'.repeat(101));
+    expect([anonymous.status, endless.status, large.status, bench.taken.length]).toEqual([400, 431, 413, 0]);
+  });
+
+  it('says with a promise when to come back', async () => {
+    bench = await new Bench().open();
+    bench.onTake = (_, port) => port.refuse({ ...fault('no-worker', 'none is free'), returnS: 0.2 });
+    const answer = await bench.ask({ 'x-id': '1' });
+    expect([answer.status, answer.headers['retry-after']]).toEqual([503, '0.2']);
+  });
+
+  it('lets a client see that a stream is cut, and that another is whole', async () => {
+    bench = await new Bench().open();
+    bench.onTake = (ask, port) => {
+      port.open(200, [['content-type', 'text/event-stream']]);
+      port.piece(Buffer.from('id: 1\n\n'), () => undefined);
+      if (ask.id === 'cut') port.cut();
+      else port.close();
+    };
+    const whole = await bench.ask({ 'x-id': 'whole' });
+    const cut = await bench.ask({ 'x-id': 'cut' }).catch(() => undefined);
+    expect([whole.whole, whole.body, cut?.whole ?? false]).toEqual([true, 'id: 1\n\n', false]);
+  });
+
+  it('answers what is under way when it closes, and tells the client to come on another connection', async () => {
+    bench = await new Bench().open();
+    const { front } = bench;
+    bench.onTake = (_, port) => {
+      if (bench !== undefined) bench.leaving = true;
+      front.close();
+      setImmediate(() => port.answer(200, [], Buffer.from('late')));
+    };
+    const answer = await bench.ask({ 'x-id': '1' });
+    expect([answer.status, answer.body, answer.headers.connection, front.open]).toEqual([200, 'late', 'close', 0]);
+  });
+});
