A scale run: real cores, hollow edges, what each role costs by size

tools/scale starts three cores and one edge by runSystem, the other edges as real Followers with a wire each in one process, all workers behind one stand-in, and plays joins, quiet, loads, changes, restarts, a parted region, a killed edge, a lost zone and a killed coordinator.

--- /dev/null
+++ b/tools/scale/src/dialect.ts
@@ -0,0 +1,76 @@
+import type { Dialect, ListPage, OperatorCall, SystemSettings } from '@rainrun/mast/system';
+import { fault, type Fault } from '@rainrun/nacelle';
+import type { StockOrder, StockReply } from '@rainrun/yaw';
+import { Result } from 'true-myth';
+import { tryOrElse } from 'true-myth/result';
+import * as v from 'valibot';
+
+export const PATHS = { list: '/list', order: '/order', configuration: '/configuration', readiness: '/ready' } as const;
+export const EXPECT_INSTANCE = 'x-instance';
+
+const ListSchema = v.object({
+  workers: v.array(
+    v.object({
+      id: v.string(),
+      service: v.string(),
+      address: v.string(),
+      zone: v.string(),
+      slots: v.number(),
+      leaving: v.boolean(),
+      coldMs: v.number(),
+      models: v.array(v.tuple([v.string(), v.array(v.string())])),
+    }),
+  ),
+});
+
+/** What an order says on the stand-in's wire. */
+export const OrderSchema = v.object({ action: v.picklist(['load', 'unload']), model: v.string(), adapter: v.string(), fence: v.number(), holder: v.string() });
+
+function readJson(text: string): Result<unknown, Fault> {
+  return tryOrElse(
+    (thrown) => fault('bad-request', `not JSON: ${String(thrown)}`),
+    () => JSON.parse(text) as unknown,
+  );
+}
+
+function readPage(text: string): Result<ListPage, Fault> {
+  return readJson(text).andThen((data) => {
+    const parsed = v.safeParse(ListSchema, data);
+    if (!parsed.success) return Result.err<ListPage, Fault>(fault('wire', parsed.issues[0].message));
+    return Result.ok<ListPage, Fault>({
+      next: undefined,
+      workers: parsed.output.workers.map((entry) => ({ ...entry, models: new Map(entry.models.map(([model, adapters]) => [model, new Set(adapters)])) })),
+    });
+  });
+}
+
+function readCall(method: string, path: string, _headers: unknown, body: string): Result<OperatorCall, Fault> {
+  if (path !== PATHS.configuration || method === 'DELETE') return Result.ok({ kind: 'none' });
+  if (method === 'GET') return Result.ok({ kind: 'read' });
+  return readJson(body).map((data): OperatorCall => {
+    const record = data as Record<string, unknown>;
+    return method === 'PUT' ? { kind: 'put', base: undefined, document: record } : { kind: 'patch', base: undefined, patch: record };
+  });
+}
+
+function readOrderReply(status: number): StockReply {
+  if (status === 200) return 'held';
+  if (status === 202) return 'begun';
+  return status === 409 ? 'busy' : 'refused';
+}
+
+/** The words of the stand-in: the project's own, as no platform is met here. */
+export const DIALECT: Dialect = {
+  doorWords: { requestId: 'x-request', deadlineMs: 'x-deadline', model: 'x-model', prefix: 'x-prefix', tokens: 'x-tokens', lastEventId: 'last-event-id' },
+  wireWords: { requestId: 'x-request', deadlineMs: 'x-deadline', lastEventId: 'last-event-id', signature: 'x-signature', expectInstance: EXPECT_INSTANCE, notRun: 'x-not-run', priority: 'x-priority' },
+  readinessPath: PATHS.readiness,
+  orderPath: PATHS.order,
+  readSettings: (text) => readJson(text).mapErr((why) => [why]).map((data) => data as SystemSettings),
+  readCall,
+  writeDocument: (document) => JSON.stringify(document),
+  statusOf: () => undefined,
+  listPath: () => PATHS.list,
+  readPage,
+  writeOrder: (order: StockOrder, holder: string) => JSON.stringify({ ...order, holder }),
+  readOrderReply,
+};
--- /dev/null
+++ b/tools/scale/src/hollow.ts
@@ -0,0 +1,263 @@
+import { create } from '@bufbuild/protobuf';
+import { WantSchema, type Frame, type Want, type WorkerRow } from '@rainrun/courier';
+import { Follower } from '@rainrun/hub';
+import { Wire } from '@rainrun/mast';
+import { sharedMs } from './ipc.js';
+import { adapterName, heldModels, modelName, SERVICE, zoneOf, type Size } from './site.js';
+
+/** Frames and bytes between followers and one kind of core. */
+export interface Traffic {
+  follows: number;
+  followBytes: number;
+  tells: number;
+  tellBytes: number;
+  /** Tells that brought a state, and the bytes of these states. */
+  states: number;
+  stateBytes: number;
+  /** Tells that brought a whole table, and their bytes but for a state that came along. */
+  wholes: number;
+  wholeBytes: number;
+  /** Tells that brought changed rows, the rows, and the bytes of these tells. */
+  changes: number;
+  rows: number;
+  changeBytes: number;
+}
+
+/** How many followers hold something, when the first had it, and the last so far. */
+export interface Held {
+  count: number;
+  firstMs: number;
+  lastMs: number;
+}
+
+export function noTraffic(): Traffic {
+  return { follows: 0, followBytes: 0, tells: 0, tellBytes: 0, states: 0, stateBytes: 0, wholes: 0, wholeBytes: 0, changes: 0, rows: 0, changeBytes: 0 };
+}
+
+/** What all followers of one process have seen since the last mark. */
+export class Notes {
+  readonly leader = noTraffic();
+  readonly other = noTraffic();
+  readonly revisions = new Map<number, Held>();
+  /** By table: followers that hold it whole. */
+  readonly tables = new Map<string, Held>();
+  /** By life of a coordinator: followers that know it for the leader. */
+  readonly leaders = new Map<string, Held>();
+  /** By number of edges that a follower is told of. */
+  readonly edges = new Map<number, Held>();
+  /** By number of rows gone. */
+  readonly gone = new Map<number, Held>();
+  readonly joinsMs: number[] = [];
+  readonly placedMs: number[] = [];
+
+  note<K>(held: Map<K, Held>, key: K): void {
+    const nowMs = sharedMs();
+    const known = held.get(key) ?? { count: 0, firstMs: nowMs, lastMs: nowMs };
+    known.count += 1;
+    known.lastMs = nowMs;
+    held.set(key, known);
+  }
+}
+
+const WANT_AGAIN_MS = 8000;
+
+/** A wire that listens already, and who takes its frames: known only once the port is. */
+interface Door {
+  readonly wire: Wire;
+  take: (frame: Frame) => void;
+}
+
+interface Ask {
+  readonly model: string;
+  readonly adapter: string;
+  readonly sinceMs: number;
+}
+
+/**
+ * A follower without clients: a real one, with a wire and connections of its
+ * own, that says what an edge with so many models in use would say.
+ */
+export class HollowEdge {
+  #wire: Wire;
+  #follower: Follower;
+  #notes: () => Notes;
+  #leader = '';
+  #leaderLife = '';
+  #table = '';
+  #row = 0;
+  #edges = 0;
+  #gone = 0;
+  #revision = 0;
+  #bytesIn = 0;
+  #joinedMs: number | undefined;
+  #usual: Want[];
+  #asks: Ask[] = [];
+  #cut = false;
+
+  private constructor(place: number, size: Size, host: string, seeds: readonly string[], door: Door, notes: () => Notes) {
+    const bornMs = sharedMs();
+    this.#wire = door.wire;
+    this.#notes = notes;
+    this.#usual = usualWants(place, size);
+    this.#follower = new Follower({
+      name: `hollow-${place}`,
+      zone: zoneOf(place),
+      address: `${host}:${door.wire.port}`,
+      deployment: 'system',
+      seeds,
+      clock: { nowMs: () => performance.now() },
+      chance: { next: () => Math.random() },
+      post: (address, frame) => this.#post(address, frame),
+      wants: () => this.#wants(),
+      changed: (what) => this.#changed(what, bornMs),
+    });
+    door.take = (frame) => this.#take(frame);
+  }
+
+  /** Opens a wire at a free port and follows. */
+  static async open(place: number, size: Size, host: string, seeds: readonly string[], notes: () => Notes): Promise<HollowEdge> {
+    const door: Door = { wire: new Wire('system', (frame) => door.take(frame)), take: () => undefined };
+    await door.wire.listen(`${host}:0`);
+    return new HollowEdge(place, size, host, seeds, door, notes);
+  }
+
+  get follower(): Follower {
+    return this.#follower;
+  }
+
+  get row(): number {
+    return this.#row;
+  }
+
+  get table(): string {
+    return this.#table;
+  }
+
+  get asking(): number {
+    return this.#asks.length;
+  }
+
+  /** Nothing comes or goes while it is cut off. */
+  cut(cut: boolean): void {
+    this.#cut = cut;
+  }
+
+  ask(model: string, adapter: string): void {
+    this.#asks.push({ model, adapter, sinceMs: sharedMs() });
+    this.#follower.haste();
+  }
+
+  beat(): void {
+    this.#follower.beat();
+    if (this.#follower.edges !== this.#edges) {
+      this.#edges = this.#follower.edges;
+      this.#notes().note(this.#notes().edges, this.#edges);
+    }
+  }
+
+  /** Ends as a killed process does: without a word. */
+  close(): void {
+    this.#wire.close();
+  }
+
+  leave(): void {
+    this.#follower.leave();
+    setTimeout(() => this.#wire.close(), 50);
+  }
+
+  #wants(): Want[] {
+    const nowMs = sharedMs();
+    this.#asks = this.#asks.filter((ask) => nowMs - ask.sinceMs < WANT_AGAIN_MS);
+    return [...this.#usual, ...this.#asks.map(({ model, adapter }) => create(WantSchema, { service: SERVICE, model, adapter, waiting: 1, perS: 0.2 }))];
+  }
+
+  #post(address: string, frame: Frame): void {
+    if (this.#cut) return;
+    const before = this.#wire.counts.bytesOut;
+    this.#wire.post(address, frame);
+    const traffic = this.#traffic(address === this.#leader);
+    traffic.follows += 1;
+    traffic.followBytes += this.#wire.counts.bytesOut - before;
+  }
+
+  #traffic(leads: boolean): Traffic {
+    const notes = this.#notes();
+    return leads ? notes.leader : notes.other;
+  }
+
+  #take(frame: Frame): void {
+    const bytes = this.#wire.counts.bytesIn - this.#bytesIn;
+    this.#bytesIn = this.#wire.counts.bytesIn;
+    if (this.#cut || frame.body.case !== 'tell') return;
+    const tell = frame.body.value;
+    const notes = this.#notes();
+    if (tell.granted && tell.leader !== undefined && tell.leader.life !== this.#leaderLife) {
+      this.#leaderLife = tell.leader.life;
+      this.#leader = tell.leader.address;
+      notes.note(notes.leaders, tell.leader.life);
+    }
+    const traffic = this.#traffic(frame.from === this.#leaderLife);
+    traffic.tells += 1;
+    traffic.tellBytes += bytes;
+    if (tell.state.length > 0) {
+      traffic.states += 1;
+      traffic.stateBytes += tell.state.length;
+    }
+    if (tell.whole) {
+      traffic.wholes += 1;
+      traffic.wholeBytes += bytes - tell.state.length;
+    } else if (tell.rows.length > 0) {
+      traffic.changes += 1;
+      traffic.rows += tell.rows.length;
+      traffic.changeBytes += bytes - tell.state.length;
+    }
+    if (tell.table !== '') {
+      if (tell.table !== this.#table) {
+        this.#table = tell.table;
+        this.#gone = 0;
+        notes.note(notes.tables, tell.table);
+      }
+      this.#row = tell.row;
+    }
+    this.#follower.receive(frame);
+    this.#noteRows(tell.rows);
+  }
+
+  #noteRows(rows: readonly WorkerRow[]): void {
+    const notes = this.#notes();
+    const gone = rows.filter((row) => row.gone).length;
+    if (gone > 0) {
+      this.#gone += gone;
+      notes.note(notes.gone, this.#gone);
+    }
+    if (this.#asks.length === 0) return;
+    const nowMs = sharedMs();
+    this.#asks = this.#asks.filter(({ model, adapter, sinceMs }) => {
+      const held = rows.some((row) => row.holdings.some((holding) => holding.model === model && (adapter === '' || holding.adapters.includes(adapter))));
+      if (held) notes.placedMs.push(nowMs - sinceMs);
+      return !held;
+    });
+  }
+
+  #changed(what: 'state' | 'workers', bornMs: number): void {
+    const notes = this.#notes();
+    if (what === 'state') {
+      const { revision } = this.#follower.state;
+      for (let passed = Math.max(this.#revision, revision - 64) + 1; passed <= revision; passed += 1) notes.note(notes.revisions, passed);
+      this.#revision = revision;
+    }
+    if (this.#joinedMs === undefined && this.#follower.configuration !== undefined && this.#follower.workers.size > 0) {
+      this.#joinedMs = sharedMs();
+      notes.joinsMs.push(this.#joinedMs - bornMs);
+    }
+  }
+}
+
+/** What an edge asks for all the time: models and adapters that stand already, one request of each under way. */
+function usualWants(place: number, size: Size): Want[] {
+  const held = heldModels(size);
+  return Array.from({ length: size.asked }, (_, nth) => {
+    const model = (place * 7 + nth) % held;
+    return create(WantSchema, { service: SERVICE, model: modelName(model), adapter: adapterName(model), inFlight: 1, perS: 1.234 });
+  });
+}
--- /dev/null
+++ b/tools/scale/src/stand-in.ts
@@ -0,0 +1,96 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import * as v from 'valibot';
+import { EXPECT_INSTANCE, OrderSchema, PATHS } from './dialect.js';
+import { answerParent } from './ipc.js';
+import { ADDRESSES, worker, type Size } from './site.js';
+
+const LOAD_MS = 600;
+
+/**
+ * The platform's list and all its workers in one process: answers orders as
+ * workers do, a model held after its load time.
+ */
+class StandIn {
+  #size: Size;
+  #port: number;
+  #list = '';
+  #rows = new Map<string, Map<string, { readyMs: number; adapters: Set<string> }>>();
+  readonly counts = { lists: 0, orders: 0, modelLoads: 0, adapterLoads: 0, unloads: 0, strange: 0 };
+
+  constructor(size: Size, port: number) {
+    this.#size = size;
+    this.#port = port;
+    this.lose('');
+  }
+
+  /** Bytes of the list. */
+  get listBytes(): number {
+    return Buffer.byteLength(this.#list);
+  }
+
+  /** Lists all workers but those of one zone, and says how many are left out. */
+  lose(zone: string): number {
+    const all = Array.from({ length: this.#size.rows }, (_, place) => worker(place, this.#size, this.#port));
+    const workers = all.filter((entry) => entry.zone !== zone);
+    this.#list = JSON.stringify({ workers });
+    for (const { id, models } of workers) {
+      if (!this.#rows.has(id)) this.#rows.set(id, new Map(models.map(([model, adapters]) => [model, { readyMs: 0, adapters: new Set(adapters) }])));
+    }
+    return all.length - workers.length;
+  }
+
+  answer(req: IncomingMessage, res: ServerResponse): void {
+    if (req.url === PATHS.list) {
+      this.counts.lists += 1;
+      res.end(this.#list);
+      return;
+    }
+    const parts: Buffer[] = [];
+    req.on('data', (part: Buffer) => parts.push(part));
+    req.on('end', () => {
+      res.writeHead(this.#order(String(req.headers[EXPECT_INSTANCE]), Buffer.concat(parts).toString('utf8')), { 'content-length': '0' });
+      res.end();
+    });
+  }
+
+  #order(id: string, body: string): number {
+    const order = v.safeParse(OrderSchema, JSON.parse(body));
+    const row = this.#rows.get(id);
+    if (!order.success || row === undefined) {
+      this.counts.strange += 1;
+      return 400;
+    }
+    this.counts.orders += 1;
+    const { action, model, adapter } = order.output;
+    const known = row.get(model);
+    if (action === 'unload') {
+      this.counts.unloads += 1;
+      if (adapter === '') row.delete(model);
+      else known?.adapters.delete(adapter);
+      return 200;
+    }
+    if (adapter !== '') {
+      this.counts.adapterLoads += 1;
+      known?.adapters.add(adapter);
+      return 202;
+    }
+    const nowMs = performance.now();
+    if (known !== undefined) return nowMs >= known.readyMs ? 200 : 409;
+    this.counts.modelLoads += 1;
+    row.set(model, { readyMs: nowMs + LOAD_MS, adapters: new Set() });
+    return 202;
+  }
+}
+
+const [, , text = '{}', port = '0'] = process.argv;
+const standIn = new StandIn(JSON.parse(text) as Size, Number(port));
+await Promise.all(
+  Array.from({ length: ADDRESSES }, (_, place) => {
+    const server = createServer((req, res) => standIn.answer(req, res));
+    server.keepAliveTimeout = 60_000;
+    return new Promise<void>((resolve) => {
+      server.listen(Number(port), `127.77.2.${1 + place}`, resolve);
+    });
+  }),
+);
+answerParent({ counts: () => ({ ...standIn.counts, listBytes: standIn.listBytes }), lose: (zone: string) => standIn.lose(zone) });
--- /dev/null
+++ b/tools/scale/src/system-child.ts
@@ -0,0 +1,6 @@
+import { runSystem } from '@rainrun/mast/system';
+import { DIALECT } from './dialect.js';
+
+const [, , role, path = ''] = process.argv;
+process.on('disconnect', () => process.exit(0));
+await runSystem(role === 'core' ? 'core' : 'edge', DIALECT, path);
