--- a/tools/scale/src/ipc.ts
+++ b/tools/scale/src/ipc.ts
@@ -65,12 +65,12 @@
   #gone = false;
   #exited: Promise<void>;
 
-  constructor(name: string, script: string, args: readonly string[], logPath: string, heapMb?: number) {
+  constructor(name: string, script: string, args: readonly string[], logPath: string, execArgv: readonly string[] = []) {
     this.name = name;
     const log = openSync(logPath, 'a');
     this.#process = fork(fileURLToPath(new URL(script, import.meta.url)), [...args], {
       stdio: ['ignore', log, log, 'ipc'],
-      execArgv: heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`],
+      execArgv: [...execArgv],
     });
     closeSync(log);
     this.#process.on('message', (message) => {
@@ -110,8 +110,8 @@
     });
   }
 
-  async kill(): Promise<void> {
-    if (!this.#gone) this.#process.kill('SIGKILL');
+  async kill(signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    if (!this.#gone) this.#process.kill(signal);
     await this.#exited;
   }
 }
--- a/tools/scale/src/main.ts
+++ b/tools/scale/src/main.ts
@@ -5,7 +5,7 @@
 import meow from 'meow';
 import { faultsOf } from './check.js';
 import { Run } from './run.js';
-import type { Point } from './point.js';
+import type { Point, Unsettled } from './point.js';
 import { readSizes } from './sizes.js';
 import { plots } from './plot.js';
 import { tableOf } from './table.js';
@@ -31,6 +31,7 @@
     --port       first of six ports on 127.77.0.0/16 (23100)
     --out        file for the points, as JSON
     --plots      folder for one plot a slope, as SVG
+    --profile    instead: where the coordinator's time goes while edges join, rest and ask
     --check      fail when a count is off
     --keep       keep the folder with logs and disks, and say where it is
 
@@ -53,6 +54,7 @@
       port: { type: 'number', default: 23_100 },
       out: { type: 'string', default: '' },
       plots: { type: 'string', default: '' },
+      profile: { type: 'boolean', default: false },
       check: { type: 'boolean', default: false },
       keep: { type: 'boolean', default: false },
     },
@@ -67,21 +69,33 @@
 }
 const folder = mkdtempSync(join(tmpdir(), 'scale-'));
 const points: Point[] = [];
+const unsettled: Unsettled[] = [];
+/** Functions below this part of the whole are not listed. */
+const LISTED = 0.02;
 for (const [nth, size] of sizes.entries()) {
   console.error(`${size.nodes} edges, ${size.rows} workers`);
   const run = new Run(size, { port, folder: join(folder, String(nth)), seconds, changesFactor: changes, restartsFactor: restarts, mostMb, note: (text) => console.error(text) });
   try {
-    points.push(await run.play());
+    if (cli.flags.profile) {
+      for (const { name, alone, whole } of await run.profile()) if (whole >= LISTED) console.log(`${(100 * whole).toFixed(1).padStart(6)} % whole ${(100 * alone).toFixed(1).padStart(6)} % alone  ${name}`);
+      continue;
+    }
+    const played = await run.play();
+    if ('quiet' in played) points.push(played);
+    else unsettled.push(played);
   } catch (thrown) {
     console.error(`scale: ${size.nodes}x${size.rows} was not played to its end: ${String(thrown)}`);
     process.exitCode = 1;
   }
-  if (out !== '') writeFileSync(out, `${JSON.stringify(points, undefined, 1)}\n`);
+  if (out !== '') writeFileSync(out, `${JSON.stringify({ points, unsettled }, undefined, 1)}\n`);
 }
 if (cli.flags.plots !== '') for (const [name, svg] of plots(points)) writeFileSync(join(cli.flags.plots, `${name}.svg`), svg);
-console.log(tableOf(points));
+if (!cli.flags.profile) console.log(tableOf(points));
+for (const { size, join: { times, phase } } of unsettled) {
+  console.log(`${size.nodes}x${size.rows}: not settled; ${times.count} of ${size.nodes - 1} followers ready, coordinator ${phase.coordinator.cpuMsPerS.toFixed(0)} ms/s`);
+}
 if (cli.flags.check) {
-  for (const fault of faultsOf(points)) {
+  for (const fault of [...faultsOf(points), ...unsettled.map(({ size }) => `${size.nodes}x${size.rows}: not settled`)]) {
     console.error(`scale: ${fault}`);
     process.exitCode = 1;
   }
--- a/tools/scale/src/point.ts
+++ b/tools/scale/src/point.ts
@@ -56,6 +56,9 @@
   readonly mostRssMb: number;
 }
 
+/** A size at which not every follower came to hold what the cores hold, within a minute after the last one started. */
+export type Unsettled = Pick<Point, 'size' | 'join' | 'mostRssMb'>;
+
 /**
  * Middle and largest of some times.
  * @example
--- /dev/null
+++ b/tools/scale/src/profile.ts
@@ -0,0 +1,43 @@
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import * as v from 'valibot';
+
+const ProfileSchema = v.object({
+  nodes: v.array(v.object({ id: v.number(), callFrame: v.object({ functionName: v.string(), url: v.string() }), children: v.optional(v.array(v.number()), []) })),
+  samples: v.array(v.number()),
+  timeDeltas: v.array(v.number()),
+});
+
+/** One function's part of a process's time. */
+export interface Part {
+  readonly name: string;
+  /** Of all that was not idle: in it alone, and with all that it called. */
+  readonly alone: number;
+  readonly whole: number;
+}
+
+/**
+ * The functions that a process spent its time in, the longest first.
+ * @example
+ * partsOf('run/profiles')[0]?.name;
+ */
+export function partsOf(folder: string): Part[] {
+  const [file] = readdirSync(folder).filter((name) => name.endsWith('.cpuprofile'));
+  if (file === undefined) return [];
+  const { nodes, samples, timeDeltas } = v.parse(ProfileSchema, JSON.parse(readFileSync(join(folder, file), 'utf8')));
+  const parents = new Map(nodes.flatMap((node) => node.children.map((child) => [child, node.id] as const)));
+  const names = new Map(nodes.map(({ id, callFrame: { functionName, url } }) => [id, `${functionName === '' ? '(nameless)' : functionName} ${url.split('/').slice(-2).join('/')}`.trim()]));
+  const [alone, whole] = [new Map<string, number>(), new Map<string, number>()];
+  let busy = 0;
+  for (const [nth, sample] of samples.entries()) {
+    const name = names.get(sample) ?? '';
+    const us = timeDeltas[nth] ?? 0;
+    if (name === '(idle)' || name === '(program)') continue;
+    busy += us;
+    alone.set(name, (alone.get(name) ?? 0) + us);
+    const stack = new Set<string>();
+    for (let at: number | undefined = sample; at !== undefined; at = parents.get(at)) stack.add(names.get(at) ?? '');
+    for (const caller of stack) whole.set(caller, (whole.get(caller) ?? 0) + us);
+  }
+  return [...whole].map(([name, us]) => ({ name, alone: (alone.get(name) ?? 0) / busy, whole: us / busy })).sort((one, other) => other.whole - one.whole);
+}
--- a/tools/scale/src/run.ts
+++ b/tools/scale/src/run.ts
@@ -5,7 +5,8 @@
 import { PATHS } from './dialect.js';
 import { noTraffic, type Held, type Traffic } from './hollow.js';
 import { Child, sharedMs } from './ipc.js';
-import { LETTER, timesOf, type FollowerTraffic, type Phase, type Point, type RoleUse } from './point.js';
+import { LETTER, timesOf, type FollowerTraffic, type Phase, type Point, type RoleUse, type Unsettled } from './point.js';
+import { partsOf, type Part } from './profile.js';
 import { configuration, regions, route, zoneOf, type Size } from './site.js';
 
 /** How a run is played. */
@@ -60,6 +61,8 @@
 const WATCH_MS = 500;
 const S_PER_DAY = 86_400;
 const COUNTERS_MS = 10_000;
+/** The quiet phase is longer, so that counters of the cores fall into it twice. */
+const QUIET_PHASES = 2.1;
 
 /**
  * One size played through: cores and one edge as the real programs, the other
@@ -78,27 +81,47 @@
   #revision = 1;
   #mostRssMb = 0;
   #tooMuch = false;
+  #profiled = false;
 
   constructor(size: Size, plan: Plan) {
     this.#size = size;
     this.#plan = plan;
   }
 
-  async play(): Promise<Point> {
+  play(): Promise<Point | Unsettled> {
+    return this.#watched(() => this.#play());
+  }
+
+  /** Plays joins, quiet and loads, and says where the coordinator's time went. */
+  profile(): Promise<Part[]> {
+    this.#profiled = true;
+    return this.#watched(async () => {
+      await this.#startCores();
+      await this.#join();
+      await this.#quiet();
+      await this.#loads();
+      const place = Math.max(0, this.#leading());
+      await this.#cores[place]?.kill('SIGTERM');
+      return partsOf(join(this.#plan.folder, `core-${place}.profile`));
+    });
+  }
+
+  async #watched<T>(play: () => Promise<T>): Promise<T> {
     mkdirSync(this.#plan.folder, { recursive: true });
     const watch = setInterval(() => this.#watch(), WATCH_MS);
     try {
-      return await this.#play();
+      return await play();
     } finally {
       clearInterval(watch);
       await Promise.all(this.#children.map((child) => child.kill()));
     }
   }
 
-  async #play(): Promise<Point> {
+  async #play(): Promise<Point | Unsettled> {
     const { size } = this;
     await this.#startCores();
     const join = await this.#join();
+    if (!join.settled) return { size, join, mostRssMb: this.#mostRssMb };
     const quiet = await this.#quiet();
     const chooseUs = await (this.#hollow[0] as Child).ask<number>('choose');
     const loads = await this.#loads();
@@ -119,8 +142,8 @@
 
   // Processes.
 
-  #start(name: string, script: string, args: readonly string[], heapMb?: number): Child {
-    const child = new Child(name, script, args, join(this.#plan.folder, `${name}.log`), heapMb);
+  #start(name: string, script: string, args: readonly string[], execArgv: readonly string[] = []): Child {
+    const child = new Child(name, script, args, join(this.#plan.folder, `${name}.log`), execArgv);
     this.#children.push(child);
     return child;
   }
@@ -167,7 +190,7 @@
     await this.#standIn.ask('counts');
     for (const [place, host] of this.#coreHosts().entries()) {
       const name = `core-${place}`;
-      this.#cores.push(this.#start(name, './system-child.js', ['core', this.#settings(name, place, host)]));
+      this.#cores.push(this.#start(name, './system-child.js', ['core', this.#settings(name, place, host)], this.#profiled ? ['--cpu-prof', `--cpu-prof-dir=${join(this.#plan.folder, `${name}.profile`)}`] : []));
     }
     await this.#until(30_000, async () => (await this.#call('PUT', configuration(this.#size))) === 200);
   }
@@ -299,7 +322,7 @@
     const processes = Math.ceil(hollow / PER_PROCESS);
     for (let nth = 0; nth < processes; nth += 1) {
       const args = [JSON.stringify(this.#size), `127.77.1.${1 + nth}`, this.#coreHosts().map((host) => `${host}:${port}`).join(','), String(nth * 100_000)];
-      this.#hollow.push(this.#start(`hollow-${nth}`, './hollow-child.js', args, HOLLOW_HEAP_MB));
+      this.#hollow.push(this.#start(`hollow-${nth}`, './hollow-child.js', args, [`--max-old-space-size=${HOLLOW_HEAP_MB}`]));
     }
     await this.#notesOfNone();
     const { phase, notes, value } = await this.#phase('join', async () => {
@@ -325,7 +348,7 @@
 
   async #quiet(): Promise<Point['quiet']> {
     const began = Date.now();
-    const { phase } = await this.#phase('quiet', () => pause(this.#plan.seconds * 1000));
+    const { phase } = await this.#phase('quiet', () => pause(this.#plan.seconds * QUIET_PHASES * 1000));
     const others = this.#cores.flatMap((_, place) => (place === this.#leading() ? [] : [this.#framesIn(`core-${place}`, began)]));
     const rates = others.filter((rate) => rate !== undefined);
     const groupFrames = rates.length === 0 ? undefined : rates.reduce((sum, rate) => sum + rate, 0) / rates.length - phase.withOthers.framesOut * (this.#size.nodes / (CORES - 1));
