--- a/tools/scale/src/dialect.ts
+++ b/tools/scale/src/dialect.ts
@@ -5,9 +5,11 @@
 import { tryOrElse } from 'true-myth/result';
 import * as v from 'valibot';
 
-export const PATHS = { list: '/list', order: '/order', configuration: '/configuration', readiness: '/ready' } as const;
+export const PATHS = { list: '/list', order: '/order', report: '/report', configuration: '/configuration', readiness: '/ready' } as const;
 export const EXPECT_INSTANCE = 'x-instance';
 
+const HoldingsSchema = v.array(v.tuple([v.string(), v.array(v.string())]));
+
 const ListSchema = v.object({
   workers: v.array(
     v.object({
@@ -18,7 +20,7 @@
       slots: v.number(),
       leaving: v.boolean(),
       coldMs: v.number(),
-      models: v.array(v.tuple([v.string(), v.array(v.string())])),
+      models: HoldingsSchema,
     }),
   ),
 });
@@ -33,13 +35,23 @@
   );
 }
 
+function holdingsOf(models: v.InferOutput<typeof HoldingsSchema>): ReadonlyMap<string, ReadonlySet<string>> {
+  return new Map(models.map(([model, adapters]) => [model, new Set(adapters)]));
+}
+
+/** A stand-in's worker that is at an order says nothing. */
+function readReport(text: string): ReadonlyMap<string, ReadonlySet<string>> | undefined {
+  const parsed = readJson(text).map((data) => v.safeParse(HoldingsSchema, data));
+  return parsed.isOk && parsed.value.success ? holdingsOf(parsed.value.output) : undefined;
+}
+
 function readPage(text: string): Result<ListPage, Fault> {
   return readJson(text).andThen((data) => {
     const parsed = v.safeParse(ListSchema, data);
     if (!parsed.success) return Result.err<ListPage, Fault>(fault('wire', parsed.issues[0].message));
     return Result.ok<ListPage, Fault>({
       next: undefined,
-      workers: parsed.output.workers.map((entry) => ({ ...entry, models: new Map(entry.models.map(([model, adapters]) => [model, new Set(adapters)])) })),
+      workers: parsed.output.workers.map((entry) => ({ ...entry, models: holdingsOf(entry.models) })),
     });
   });
 }
@@ -65,12 +77,14 @@
   wireWords: { requestId: 'x-request', deadlineMs: 'x-deadline', lastEventId: 'last-event-id', signature: 'x-signature', expectInstance: EXPECT_INSTANCE, notRun: 'x-not-run', priority: 'x-priority' },
   readinessPath: PATHS.readiness,
   orderPath: PATHS.order,
+  reportPath: PATHS.report,
   readSettings: (text) => readJson(text).mapErr((why) => [why]).map((data) => data as SystemSettings),
   readCall,
   writeDocument: (document) => JSON.stringify(document),
   statusOf: () => undefined,
   listPath: () => PATHS.list,
   readPage,
+  readReport,
   writeOrder: (order: StockOrder, holder: string) => JSON.stringify({ ...order, holder }),
   readOrderReply,
 };
--- a/tools/scale/src/point.ts
+++ b/tools/scale/src/point.ts
@@ -46,7 +46,7 @@
   readonly chooseUs: number;
   readonly join: { readonly settled: boolean; readonly times: Times; readonly tableBytes: number; readonly coordinatorCpuMs: number; readonly phase: Phase };
   readonly quiet: Phase & { readonly groupFramesInPerS: number | undefined };
-  readonly loads: Phase & { readonly askedPerS: number; readonly orders: number; readonly placed: Times; readonly tellsWithRows: number; readonly tellBytes: number; readonly rows: number };
+  readonly loads: Phase & { readonly askedPerS: number; readonly orders: number; readonly reports: number; readonly placed: Times; readonly tellsWithRows: number; readonly tellBytes: number; readonly rows: number };
   readonly changes: Phase & { readonly factor: number; readonly made: number; readonly agreed: Times; readonly held: Times; readonly heldByAll: boolean; readonly stateTells: number; readonly stateBytes: number };
   readonly restarts: Phase & { readonly factor: number; readonly made: number; readonly join: Times; readonly wholes: number };
   readonly zone: { readonly settled: boolean; readonly rows: number; readonly heldMs: number; readonly bytes: number };
--- a/tools/scale/src/run.ts
+++ b/tools/scale/src/run.ts
@@ -61,6 +61,8 @@
 const WATCH_MS = 500;
 const S_PER_DAY = 86_400;
 const COUNTERS_MS = 10_000;
+/** So long after it took over, a coordinator takes what the list says for certain, and tells every row once more. */
+const SURE_MS = 5000;
 /** The quiet phase is longer, so that counters of the cores fall into it twice. */
 const QUIET_PHASES = 2.1;
 
@@ -331,7 +333,8 @@
       return this.#settled(60_000);
     });
     this.#edge = this.#start('edge', './system-child.js', ['edge', this.#settings('edge', 1, '127.77.3.1')]);
-    await pause(1500);
+    await pause(SURE_MS);
+    await this.#settled(20_000);
     const joined = Math.max(1, notes.joinsMs.length);
     return {
       settled: value,
@@ -367,16 +370,16 @@
   async #loads(): Promise<Point['loads']> {
     const askedPerS = LETTER.loadsPerH / 3600;
     const standIn = this.#standIn as Child;
-    const before = await standIn.ask<{ orders: number }>('counts');
+    const before = await standIn.ask<{ orders: number; reports: number }>('counts');
     const { phase, notes } = await this.#phase('loads', async () => {
       await Promise.all(this.#hollow.map((child) => child.ask('loads', askedPerS / this.#hollow.length)));
       await pause(this.#plan.seconds * 1000);
       await Promise.all(this.#hollow.map((child) => child.ask('loads', 0)));
       await this.#until(5000, async () => (await this.#notes()).asking === 0);
     });
-    const after = await standIn.ask<{ orders: number }>('counts');
+    const after = await standIn.ask<{ orders: number; reports: number }>('counts');
     const { changes, changeBytes, rows } = notes.leader;
-    return { ...phase, askedPerS, orders: after.orders - before.orders, placed: timesOf(notes.placedMs), tellsWithRows: changes, tellBytes: changeBytes, rows };
+    return { ...phase, askedPerS, orders: after.orders - before.orders, reports: after.reports - before.reports, placed: timesOf(notes.placedMs), tellsWithRows: changes, tellBytes: changeBytes, rows };
   }
 
   async #changes(): Promise<Point['changes']> {
--- a/tools/scale/src/stand-in.ts
+++ b/tools/scale/src/stand-in.ts
@@ -15,7 +15,7 @@
   #port: number;
   #list = '';
   #rows = new Map<string, Map<string, { readyMs: number; adapters: Set<string> }>>();
-  readonly counts = { lists: 0, orders: 0, modelLoads: 0, adapterLoads: 0, unloads: 0, strange: 0 };
+  readonly counts = { lists: 0, reports: 0, orders: 0, modelLoads: 0, adapterLoads: 0, unloads: 0, strange: 0 };
 
   constructor(size: Size, port: number) {
     this.#size = size;
@@ -45,6 +45,11 @@
       res.end(this.#list);
       return;
     }
+    if (req.url === PATHS.report) {
+      this.counts.reports += 1;
+      res.end(this.#report(String(req.headers[EXPECT_INSTANCE])));
+      return;
+    }
     const parts: Buffer[] = [];
     req.on('data', (part: Buffer) => parts.push(part));
     req.on('end', () => {
@@ -53,6 +58,14 @@
     });
   }
 
+  /** What a worker holds; null while a model of it is loading. */
+  #report(id: string): string {
+    const models = [...(this.#rows.get(id) ?? [])];
+    const nowMs = performance.now();
+    if (models.some(([, { readyMs }]) => readyMs > nowMs)) return 'null';
+    return JSON.stringify(models.map(([model, { adapters }]) => [model, [...adapters]]));
+  }
+
   #order(id: string, body: string): number {
     const order = v.safeParse(OrderSchema, JSON.parse(body));
     const row = this.#rows.get(id);
