--- a/tools/scale/src/hollow.ts
+++ b/tools/scale/src/hollow.ts
@@ -3,7 +3,7 @@
 import { Follower } from '@rainrun/hub';
 import { Wire } from '@rainrun/mast';
 import { sharedMs } from './ipc.js';
-import { adapterName, heldModels, modelName, SERVICE, zoneOf, type Size } from './site.js';
+import { adapterName, heldModels, modelName, SERVICE, SLOTS, zoneOf, type Size } from './site.js';
 
 /** Frames and bytes between followers and one kind of core. */
 export interface Traffic {
@@ -253,11 +253,17 @@
   }
 }
 
-/** What an edge asks for all the time: models and adapters that stand already, one request of each under way. */
+/** Part of all places of all workers that is in use in the whole fleet. */
+const IN_USE = 0.1;
+
+/** What an edge asks for all the time: models and adapters that stand already, so much under way that the workers bear it. */
 function usualWants(place: number, size: Size): Want[] {
   const held = heldModels(size);
+  const part = Math.min(1, (IN_USE * SLOTS * size.rows) / (size.nodes * Math.max(1, size.asked)));
   return Array.from({ length: size.asked }, (_, nth) => {
     const model = (place * 7 + nth) % held;
-    return create(WantSchema, { service: SERVICE, model: modelName(model), adapter: adapterName(model), inFlight: 1, perS: 1.234 });
+    const turn = place * size.asked + nth;
+    const inFlight = Math.floor((turn + 1) * part) - Math.floor(turn * part);
+    return create(WantSchema, { service: SERVICE, model: modelName(model), adapter: adapterName(model), inFlight, perS: 1.234 });
   });
 }
--- a/tools/scale/src/site.ts
+++ b/tools/scale/src/site.ts
@@ -25,6 +25,8 @@
 
 export const SERVICE = 'findings-llm';
 export const HOST = 'findings.example';
+/** Requests that a worker takes at once. */
+export const SLOTS = 24;
 /** Models that a worker holds when it is first listed, and adapters of each of them. */
 const MODELS_HELD = 2;
 const ADAPTERS_HELD = 2;
@@ -83,7 +85,7 @@
     service: SERVICE,
     address: `127.77.2.${1 + (place % ADDRESSES)}:${port}`,
     zone: zoneOf(place),
-    slots: 24,
+    slots: SLOTS,
     leaving: false,
     coldMs: 0,
     models: [...new Map(models)],
@@ -123,7 +125,7 @@
         connections: 640,
         warmupS: 0,
         engine: {
-          slots: 24,
+          slots: SLOTS,
           roomMb: 220_000,
           adapterPlaces: 8,
           loadsPerS: 40,
