--- a/tools/scale/src/hollow-child.ts
+++ b/tools/scale/src/hollow-child.ts
@@ -6,6 +6,8 @@
 const SLICE_MS = 5;
 const SLICES = 5;
 const JOIN_EVERY_MS = 20;
+/** Where tables are long, edges join no faster than one process can read them. */
+const ROWS_PER_MS = 50;
 
 const [, , text = '{}', host = '', seedText = '', firstText = '0'] = process.argv;
 const size = JSON.parse(text) as Size;
@@ -27,7 +29,7 @@
   for (let nth = 0; nth < count; nth += 1) {
     edges.push(await HollowEdge.open(nextPlace, size, host, seeds, () => notes));
     nextPlace += 1;
-    await new Promise((resolve) => setTimeout(resolve, JOIN_EVERY_MS));
+    await new Promise((resolve) => setTimeout(resolve, Math.max(JOIN_EVERY_MS, size.rows / ROWS_PER_MS)));
   }
 }
 
