--- a/tools/scale/src/hollow-child.ts
+++ b/tools/scale/src/hollow-child.ts
@@ -9,9 +9,11 @@
 /** Where tables are long, edges join no faster than one process can read them. */
 const ROWS_PER_MS = 50;
 
-const [, , text = '{}', host = '', seedText = '', firstText = '0'] = process.argv;
+const [, , text = '{}', host = '', seedText = '', firstText = '0', keptText = '1'] = process.argv;
 const size = JSON.parse(text) as Size;
 const seeds = seedText.split(',');
+/** Every so many edges, one keeps the rows of its table. */
+const kept = Number(keptText);
 const edges: HollowEdge[] = [];
 let notes = new Notes();
 let nextPlace = Number(firstText);
@@ -27,7 +29,7 @@
 
 async function grow(count: number): Promise<void> {
   for (let nth = 0; nth < count; nth += 1) {
-    edges.push(await HollowEdge.open(nextPlace, size, host, seeds, () => notes));
+    edges.push(await HollowEdge.open(nextPlace, size, host, seeds, nextPlace % kept === 0, () => notes));
     nextPlace += 1;
     await new Promise((resolve) => setTimeout(resolve, Math.max(JOIN_EVERY_MS, size.rows / ROWS_PER_MS)));
   }
--- a/tools/scale/src/hollow.ts
+++ b/tools/scale/src/hollow.ts
@@ -93,10 +93,13 @@
   #usual: Want[];
   #asks: Ask[] = [];
   #cut = false;
+  /** Whether it keeps the rows that it is told; otherwise one stands for all. */
+  #whole: boolean;
 
-  private constructor(place: number, size: Size, host: string, seeds: readonly string[], door: Door, notes: () => Notes) {
+  private constructor(place: number, size: Size, host: string, seeds: readonly string[], whole: boolean, door: Door, notes: () => Notes) {
     const bornMs = sharedMs();
     this.#wire = door.wire;
+    this.#whole = whole;
     this.#notes = notes;
     this.#usual = usualWants(place, size);
     this.#follower = new Follower({
@@ -115,10 +118,10 @@
   }
 
   /** Opens a wire at a free port and follows. */
-  static async open(place: number, size: Size, host: string, seeds: readonly string[], notes: () => Notes): Promise<HollowEdge> {
+  static async open(place: number, size: Size, host: string, seeds: readonly string[], whole: boolean, notes: () => Notes): Promise<HollowEdge> {
     const door: Door = { wire: new Wire('system', (frame) => door.take(frame)), take: () => undefined };
     await door.wire.listen(`${host}:0`);
-    return new HollowEdge(place, size, host, seeds, door, notes);
+    return new HollowEdge(place, size, host, seeds, whole, door, notes);
   }
 
   get follower(): Follower {
@@ -219,8 +222,10 @@
       }
       this.#row = tell.row;
     }
+    const { rows } = tell;
+    if (!this.#whole) tell.rows = rows.slice(0, 1);
     this.#follower.receive(frame);
-    this.#noteRows(tell.rows);
+    this.#noteRows(rows);
   }
 
   #noteRows(rows: readonly WorkerRow[]): void {
--- a/tools/scale/src/main.ts
+++ b/tools/scale/src/main.ts
@@ -28,6 +28,7 @@
     --changes    by so much changes come faster than 10,000 a day (10)
     --restarts   by so much restarts come faster than 845 a day (100)
     --most-mb    a run ends when its processes hold more (10000)
+    --kept-by    one in so many hollow edges keeps the table's rows, the others only are told them (1)
     --port       first of six ports on 127.77.0.0/16 (23100)
     --out        file for the points, as JSON
     --plots      folder for one plot a slope, as SVG
@@ -51,6 +52,7 @@
       changes: { type: 'number', default: 10 },
       restarts: { type: 'number', default: 100 },
       mostMb: { type: 'number', default: 10_000 },
+      keptBy: { type: 'number', default: 1 },
       port: { type: 'number', default: 23_100 },
       out: { type: 'string', default: '' },
       plots: { type: 'string', default: '' },
@@ -61,7 +63,7 @@
   },
 );
 
-const { models, adapters, routes, asked, seconds, changes, restarts, mostMb, port, out, keep } = cli.flags;
+const { models, adapters, routes, asked, seconds, changes, restarts, mostMb, keptBy, port, out, keep } = cli.flags;
 const sizes = readSizes(cli.flags.sizes, { models, adapters, routes, asked });
 if (typeof sizes === 'string') {
   console.error(`scale: ${sizes}`);
@@ -74,7 +76,7 @@
 const LISTED = 0.02;
 for (const [nth, size] of sizes.entries()) {
   console.error(`${size.nodes} edges, ${size.rows} workers`);
-  const run = new Run(size, { port, folder: join(folder, String(nth)), seconds, changesFactor: changes, restartsFactor: restarts, mostMb, note: (text) => console.error(text) });
+  const run = new Run(size, { port, folder: join(folder, String(nth)), seconds, changesFactor: changes, restartsFactor: restarts, mostMb, keptBy, note: (text) => console.error(text) });
   try {
     if (cli.flags.profile) {
       for (const { name, alone, whole } of await run.profile()) if (whole >= LISTED) console.log(`${(100 * whole).toFixed(1).padStart(6)} % whole ${(100 * alone).toFixed(1).padStart(6)} % alone  ${name}`);
--- a/tools/scale/src/run.ts
+++ b/tools/scale/src/run.ts
@@ -21,6 +21,8 @@
   readonly restartsFactor: number;
   /** The run ends when all its processes hold more. */
   readonly mostMb: number;
+  /** One in so many hollow edges keeps the rows of its table; all are told them. */
+  readonly keptBy: number;
   note(text: string): void;
 }
 
@@ -323,7 +325,7 @@
     const hollow = nodes - 1;
     const processes = Math.ceil(hollow / PER_PROCESS);
     for (let nth = 0; nth < processes; nth += 1) {
-      const args = [JSON.stringify(this.#size), `127.77.1.${1 + nth}`, this.#coreHosts().map((host) => `${host}:${port}`).join(','), String(nth * 100_000)];
+      const args = [JSON.stringify(this.#size), `127.77.1.${1 + nth}`, this.#coreHosts().map((host) => `${host}:${port}`).join(','), String(nth * 100_000), String(this.#plan.keptBy)];
       this.#hollow.push(this.#start(`hollow-${nth}`, './hollow-child.js', args, [`--max-old-space-size=${HOLLOW_HEAP_MB}`]));
     }
     await this.#notesOfNone();
