--- a/tools/scale/src/main.ts
+++ b/tools/scale/src/main.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import meow from 'meow';
@@ -31,6 +31,7 @@
     --kept-by    one in so many hollow edges keeps the table's rows, the others only are told them (1)
     --port       first of six ports on 127.77.0.0/16 (23100)
     --out        file for the points, as JSON
+    --from       instead of a run: files of points, with commas between
     --plots      folder for one plot a slope, as SVG
     --profile    instead: where the coordinator's time goes while edges join, rest and ask
     --check      fail when a count is off
@@ -55,6 +56,7 @@
       keptBy: { type: 'number', default: 1 },
       port: { type: 'number', default: 23_100 },
       out: { type: 'string', default: '' },
+      from: { type: 'string', default: '' },
       plots: { type: 'string', default: '' },
       profile: { type: 'boolean', default: false },
       check: { type: 'boolean', default: false },
@@ -74,7 +76,12 @@
 const unsettled: Unsettled[] = [];
 /** Functions below this part of the whole are not listed. */
 const LISTED = 0.02;
-for (const [nth, size] of sizes.entries()) {
+for (const path of cli.flags.from === '' ? [] : cli.flags.from.split(',')) {
+  const found = JSON.parse(readFileSync(path, 'utf8')) as { points: Point[]; unsettled: Unsettled[] };
+  points.push(...found.points);
+  unsettled.push(...found.unsettled);
+}
+for (const [nth, size] of cli.flags.from === '' ? sizes.entries() : []) {
   console.error(`${size.nodes} edges, ${size.rows} workers`);
   const run = new Run(size, { port, folder: join(folder, String(nth)), seconds, changesFactor: changes, restartsFactor: restarts, mostMb, keptBy, note: (text) => console.error(text) });
   try {
@@ -91,6 +98,7 @@
   }
   if (out !== '') writeFileSync(out, `${JSON.stringify({ points, unsettled }, undefined, 1)}\n`);
 }
+if (cli.flags.plots !== '') mkdirSync(cli.flags.plots, { recursive: true });
 if (cli.flags.plots !== '') for (const [name, svg] of plots(points)) writeFileSync(join(cli.flags.plots, `${name}.svg`), svg);
 if (!cli.flags.profile) console.log(tableOf(points));
 for (const { size, join: { times, phase } } of unsettled) {
--- a/tools/scale/src/plot.ts
+++ b/tools/scale/src/plot.ts
@@ -1,7 +1,7 @@
 import { scaleLinear } from 'd3-scale';
 import { line } from 'd3-shape';
 import type { Point } from './point.js';
-import { FIGURES, placesOf, slopeOf, type Figure } from './slope.js';
+import { FIGURES, overOf, placesOf, slopeOf, type Figure } from './slope.js';
 
 const WIDE = 420;
 const HIGH = 240;
@@ -34,7 +34,7 @@
     ...places.map(([x, y]) => `<circle cx="${across(x).toFixed(1)}" cy="${up(y).toFixed(1)}" r="3" fill="#36c"/>`),
     ...(figure.budget === undefined ? [] : [`<path d="M${LEFT} ${up(figure.budget)}H${WIDE - RIGHT}" stroke="#c33" stroke-dasharray="4 3"/><text x="${WIDE - RIGHT}" y="${up(figure.budget) - 3}" text-anchor="end" fill="#c33">budget</text>`]),
     `<text x="${LEFT}" y="16" font-weight="bold">${figure.name}, ${figure.unit}</text>`,
-    `<text x="${WIDE - RIGHT}" y="${HIGH - 6}" text-anchor="end">${figure.over === 'nodes' ? 'edges' : 'workers'}</text>`,
+    `<text x="${WIDE - RIGHT}" y="${HIGH - 6}" text-anchor="end">${overOf(figure, points) === 'nodes' ? 'edges' : 'workers'}</text>`,
   ];
   return `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 ${WIDE} ${HIGH}" font-family="sans-serif" font-size="11">\n${parts.join('\n')}\n</svg>\n`;
 }
--- a/tools/scale/src/slope.ts
+++ b/tools/scale/src/slope.ts
@@ -39,27 +39,66 @@
   return one.framesIn + one.framesOut + other.framesIn + other.framesOut;
 }
 
-/** The figures that are drawn, each over the size. */
+function followersOf({ size }: Point): number {
+  return Math.max(1, size.nodes - 1);
+}
+
+/** What one order took of the coordinator beyond what it uses at rest. */
+function orderMs({ loads, quiet }: Point): number | undefined {
+  const perS = (loads.orders / loads.windowMs) * 1000;
+  return perS === 0 ? undefined : (loads.coordinator.cpuMsPerS - quiet.coordinator.cpuMsPerS) / perS;
+}
+
+/** The figures that are listed, each over the size, and drawn where they are named so. */
 export const FIGURES: readonly Figure[] = [
   { name: 'follower frames a second, quiet', unit: 'frames/s', over: 'nodes', of: framesOf },
   { name: 'follower bytes a second, quiet', unit: 'bytes/s', over: 'nodes', budget: 6000, of: bytesOf },
-  { name: 'coordinator processor time, quiet', unit: 'ms/s', over: 'nodes', budget: 10, of: (point) => point.quiet.coordinator.cpuMsPerS },
-  { name: 'other core processor time, quiet', unit: 'ms/s', over: 'nodes', budget: 10, of: (point) => point.quiet.otherCore.cpuMsPerS },
+  { name: 'follower processor time, quiet', unit: 'ms/s', over: 'rows', budget: 10, of: (point) => point.quiet.hollow.cpuMsPerS },
   { name: 'edge processor time, quiet', unit: 'ms/s', over: 'rows', budget: 10, of: (point) => point.quiet.edge.cpuMsPerS },
+  { name: 'edge processor time, loads', unit: 'ms/s', over: 'rows', budget: 10, of: (point) => point.loads.edge.cpuMsPerS },
   { name: 'edge memory', unit: 'MB', over: 'rows', budget: 32, of: (point) => point.quiet.edge.rssMb },
-  { name: 'coordinator memory', unit: 'MB', over: 'nodes', budget: 32, of: (point) => point.quiet.coordinator.rssMb },
+  { name: 'one choice of a worker at an edge', unit: 'us', over: 'rows', of: (point) => point.chooseUs },
+  { name: 'coordinator processor time, quiet', unit: 'ms/s', over: 'nodes', of: (point) => point.quiet.coordinator.cpuMsPerS },
+  { name: 'coordinator processor time, loads', unit: 'ms/s', over: 'nodes', of: (point) => point.loads.coordinator.cpuMsPerS },
+  { name: 'coordinator time for one order', unit: 'ms', over: 'nodes', of: orderMs },
+  { name: 'coordinator memory', unit: 'MB', over: 'nodes', of: (point) => point.quiet.coordinator.rssMb },
+  { name: 'other core processor time, quiet', unit: 'ms/s', over: 'nodes', of: (point) => point.quiet.otherCore.cpuMsPerS },
+  { name: 'other core memory', unit: 'MB', over: 'nodes', of: (point) => point.quiet.otherCore.rssMb },
   { name: 'whole table', unit: 'bytes', over: 'rows', of: (point) => point.join.tableBytes },
+  { name: 'platform list', unit: 'bytes', over: 'rows', of: (point) => point.listBytes },
+  { name: 'state', unit: 'bytes', over: 'nodes', of: (point) => point.stateBytes },
+  { name: 'disk of a core', unit: 'bytes', over: 'nodes', of: (point) => point.diskBytes },
+  { name: 'join, middle', unit: 'ms', over: 'nodes', of: (point) => point.join.times.middle },
   { name: 'coordinator time for one join', unit: 'ms', over: 'rows', of: (point) => point.join.coordinatorCpuMs },
-  { name: 'coordinator processor time, loads', unit: 'ms/s', over: 'nodes', budget: 10, of: (point) => point.loads.coordinator.cpuMsPerS },
+  { name: 'load held at the edge that asked, middle', unit: 'ms', over: 'nodes', of: (point) => point.loads.placed.middle },
+  { name: 'bytes to one follower for one order', unit: 'bytes', over: 'nodes', of: (point) => (point.loads.orders === 0 ? undefined : point.loads.tellBytes / point.loads.orders / followersOf(point)) },
   { name: 'change held by all', unit: 'ms', over: 'nodes', budget: 7000, of: (point) => (point.changes.heldByAll ? point.changes.held.most : undefined) },
-  { name: 'one choice of a worker at an edge', unit: 'us', over: 'rows', of: (point) => point.chooseUs },
+  { name: 'states told to one follower for one change', unit: 'times', over: 'nodes', of: (point) => point.changes.stateTells / point.changes.made / followersOf(point) },
+  { name: 'whole tables for one restart', unit: 'times', over: 'nodes', of: (point) => point.restarts.wholes / point.restarts.made },
+  { name: 'restart, ready again, middle', unit: 'ms', over: 'nodes', of: (point) => point.restarts.join.middle },
+  { name: 'lost zone known to all', unit: 'ms', over: 'nodes', of: (point) => (point.zone.settled ? point.zone.heldMs : undefined) },
+  { name: 'killed edge known to all', unit: 'ms', over: 'nodes', of: (point) => (point.killedEdge.settled ? point.killedEdge.knownMs : undefined) },
+  { name: 'parted region caught up', unit: 'ms', over: 'nodes', of: (point) => (point.parted.settled ? point.parted.currentMs : undefined) },
   { name: 'new coordinator after a kill', unit: 'ms', over: 'nodes', of: (point) => point.killedCoordinator.leadsMs },
   { name: 'all hold the table of a new coordinator', unit: 'ms', over: 'nodes', of: (point) => (point.killedCoordinator.settled ? point.killedCoordinator.tableMs : undefined) },
+  { name: 'whole tables to one follower after a kill', unit: 'times', over: 'nodes', of: (point) => point.killedCoordinator.wholes / followersOf(point) },
+  { name: 'processors of the whole run, quiet', unit: 'processors', over: 'nodes', of: (point) => point.quiet.processors },
 ];
 
+function differs(over: 'nodes' | 'rows', points: readonly Point[]): boolean {
+  return new Set(points.map(({ size }) => size[over])).size > 1;
+}
+
+/** By what a figure is fitted: by what it is over, unless only the other differs between the points. */
+export function overOf(figure: Figure, points: readonly Point[]): 'nodes' | 'rows' {
+  const other = figure.over === 'nodes' ? 'rows' : 'nodes';
+  return !differs(figure.over, points) && differs(other, points) ? other : figure.over;
+}
+
 export function placesOf(figure: Figure, points: readonly Point[]): (readonly [number, number])[] {
+  const over = overOf(figure, points);
   return points.flatMap((point) => {
     const y = figure.of(point);
-    return y === undefined ? [] : [[point.size[figure.over], y] as const];
+    return y === undefined ? [] : [[point.size[over], y] as const];
   });
 }
