--- a/tools/scale/src/hollow-child.ts
+++ b/tools/scale/src/hollow-child.ts
@@ -4,7 +4,7 @@
 import { adapterName, heldModels, modelName, regionOf, SERVICE, type Size } from './site.js';
 
 const SLICE_MS = 5;
-const SLICES = 5;
+const SLICES = 10;
 const JOIN_EVERY_MS = 20;
 /** Where tables are long, edges join no faster than one process can read them. */
 const ROWS_PER_MS = 50;
@@ -21,7 +21,7 @@
 let asked = 0;
 let pace: NodeJS.Timeout | undefined;
 
-/** A fifth of the followers at a time, each every 25 ms, as an edge beats. */
+/** A tenth of the followers at a time, each every 50 ms, as an edge beats. */
 function beat(): void {
   slice = (slice + 1) % SLICES;
   for (let place = slice; place < edges.length; place += SLICES) edges[place]?.beat();
@@ -71,7 +71,7 @@
 function choose(): number {
   const workers = edges[0]?.follower.workers;
   if (workers === undefined || workers.size === 0) return 0;
-  const balancer = new Balancer({ zone: 'zone-00', nowMs: () => performance.now(), evacuated: () => [], edges: () => edges.length, region: regionOf });
+  const balancer = new Balancer({ zone: 'zone-00', nowMs: () => performance.now(), evacuated: () => [], edges: () => edges.length, region: regionOf, salt: 'hollow' });
   const held = heldModels(size);
   const rounds = 300;
   const began = process.cpuUsage();
--- a/tools/scale/src/hollow.ts
+++ b/tools/scale/src/hollow.ts
@@ -59,6 +59,8 @@
   }
 }
 
+/** As an edge does: soon, with what else came meanwhile. */
+const HASTE_MS = 7;
 const WANT_AGAIN_MS = 8000;
 
 /** A wire that listens already, and who takes its frames: known only once the port is. */
@@ -148,6 +150,7 @@
   ask(model: string, adapter: string): void {
     this.#asks.push({ model, adapter, sinceMs: sharedMs() });
     this.#follower.haste();
+    setTimeout(() => this.#follower.beat(), HASTE_MS);
   }
 
   beat(): void {
