Points of the scale run on, and slopes only through sizes that rest

At 55x461, 110x923, 160x46 and 320x46 the fleet did not rest: changes not held by all, or 6 to 149 whole tables for one restart.

--- a/tools/scale/src/main.ts
+++ b/tools/scale/src/main.ts
@@ -96,7 +96,7 @@
     console.error(`scale: ${size.nodes}x${size.rows} was not played to its end: ${String(thrown)}`);
     process.exitCode = 1;
   }
-  if (out !== '') writeFileSync(out, `${JSON.stringify({ points, unsettled }, undefined, 1)}\n`);
+  if (out !== '') writeFileSync(out, `{"points":[\n${points.map((point) => JSON.stringify(point)).join(',\n')}\n],"unsettled":${JSON.stringify(unsettled)}}\n`);
 }
 if (cli.flags.plots !== '') mkdirSync(cli.flags.plots, { recursive: true });
 if (cli.flags.plots !== '') for (const [name, svg] of plots(points)) writeFileSync(join(cli.flags.plots, `${name}.svg`), svg);
--- a/tools/scale/src/plot.ts
+++ b/tools/scale/src/plot.ts
@@ -1,7 +1,7 @@
 import { scaleLinear } from 'd3-scale';
 import { line } from 'd3-shape';
 import type { Point } from './point.js';
-import { FIGURES, overOf, placesOf, slopeOf, type Figure } from './slope.js';
+import { FIGURES, overOf, placesOf, slopeIn, type Figure } from './slope.js';
 
 const WIDE = 420;
 const HIGH = 240;
@@ -17,7 +17,7 @@
  */
 export function plot(figure: Figure, points: readonly Point[]): string {
   const places = placesOf(figure, points);
-  const { base, each } = slopeOf(places);
+  const { base, each } = slopeIn(figure, points);
   const mostX = Math.max(1, ...places.map(([x]) => x));
   const mostY = Math.max(1e-9, figure.budget ?? 0, ...places.map(([, y]) => y));
   const across = scaleLinear([0, mostX], [LEFT, WIDE - RIGHT]).nice();
--- a/tools/scale/src/slope.ts
+++ b/tools/scale/src/slope.ts
@@ -66,14 +66,14 @@
   { name: 'other core memory', unit: 'MB', over: 'nodes', of: (point) => point.quiet.otherCore.rssMb },
   { name: 'whole table', unit: 'bytes', over: 'rows', of: (point) => point.join.tableBytes },
   { name: 'platform list', unit: 'bytes', over: 'rows', of: (point) => point.listBytes },
-  { name: 'state', unit: 'bytes', over: 'nodes', of: (point) => point.stateBytes },
+  { name: 'state', unit: 'bytes', over: 'nodes', of: (point) => (point.stateBytes === 0 ? undefined : point.stateBytes) },
   { name: 'disk of a core', unit: 'bytes', over: 'nodes', of: (point) => point.diskBytes },
   { name: 'join, middle', unit: 'ms', over: 'nodes', of: (point) => point.join.times.middle },
   { name: 'coordinator time for one join', unit: 'ms', over: 'rows', of: (point) => point.join.coordinatorCpuMs },
-  { name: 'load held at the edge that asked, middle', unit: 'ms', over: 'nodes', of: (point) => point.loads.placed.middle },
+  { name: 'load held at the edge that asked, middle', unit: 'ms', over: 'nodes', of: (point) => (point.loads.placed.count === 0 ? undefined : point.loads.placed.middle) },
   { name: 'bytes to one follower for one order', unit: 'bytes', over: 'nodes', of: (point) => (point.loads.orders === 0 ? undefined : point.loads.tellBytes / point.loads.orders / followersOf(point)) },
   { name: 'change held by all', unit: 'ms', over: 'nodes', budget: 7000, of: (point) => (point.changes.heldByAll ? point.changes.held.most : undefined) },
-  { name: 'states told to one follower for one change', unit: 'times', over: 'nodes', of: (point) => point.changes.stateTells / point.changes.made / followersOf(point) },
+  { name: 'states told to one follower for one change', unit: 'times', over: 'nodes', of: (point) => (point.changes.heldByAll ? point.changes.stateTells / point.changes.made / followersOf(point) : undefined) },
   { name: 'whole tables for one restart', unit: 'times', over: 'nodes', of: (point) => point.restarts.wholes / point.restarts.made },
   { name: 'restart, ready again, middle', unit: 'ms', over: 'nodes', of: (point) => point.restarts.join.middle },
   { name: 'lost zone known to all', unit: 'ms', over: 'nodes', of: (point) => (point.zone.settled ? point.zone.heldMs : undefined) },
@@ -95,6 +95,16 @@
   return !differs(figure.over, points) && differs(other, points) ? other : figure.over;
 }
 
+/** Whether the fleet rested at this size: a slope through sizes at which it did not leads nowhere. */
+export function rests({ changes, restarts }: Point): boolean {
+  return changes.heldByAll && restarts.wholes <= 2 * restarts.made;
+}
+
+/** The line of a figure through the sizes at which the fleet rested. */
+export function slopeIn(figure: Figure, points: readonly Point[]): Slope {
+  return slopeOf(placesOf(figure, points.filter(rests)));
+}
+
 export function placesOf(figure: Figure, points: readonly Point[]): (readonly [number, number])[] {
   const over = overOf(figure, points);
   return points.flatMap((point) => {
