--- a/tools/scale/src/main.ts
+++ b/tools/scale/src/main.ts
@@ -100,7 +100,7 @@
 }
 if (cli.flags.plots !== '') mkdirSync(cli.flags.plots, { recursive: true });
 if (cli.flags.plots !== '') for (const [name, svg] of plots(points)) writeFileSync(join(cli.flags.plots, `${name}.svg`), svg);
-if (!cli.flags.profile) console.log(tableOf(points));
+if (points.length > 0) console.log(tableOf(points));
 for (const { size, join: { times, phase } } of unsettled) {
   console.log(`${size.nodes}x${size.rows}: not settled; ${times.count} of ${size.nodes - 1} followers ready, coordinator ${phase.coordinator.cpuMsPerS.toFixed(0)} ms/s`);
 }
--- a/tools/scale/src/slope.ts
+++ b/tools/scale/src/slope.ts
@@ -95,9 +95,13 @@
   return !differs(figure.over, points) && differs(other, points) ? other : figure.over;
 }
 
+/** By design a follower says and hears 13.3 frames a second; far fewer come where cores or lines are late. */
+const FRAMES_LEAST = 11;
+
 /** Whether the fleet rested at this size: a slope through sizes at which it did not leads nowhere. */
-export function rests({ changes, restarts }: Point): boolean {
-  return changes.heldByAll && restarts.wholes <= 2 * restarts.made;
+export function rests(point: Point): boolean {
+  const { changes, restarts } = point;
+  return framesOf(point) >= FRAMES_LEAST && changes.heldByAll && restarts.wholes <= 2 * restarts.made;
 }
 
 /** The line of a figure through the sizes at which the fleet rested. */
--- a/tools/scale/src/table.ts
+++ b/tools/scale/src/table.ts
@@ -19,6 +19,6 @@
     return [`${figure.name}, ${figure.unit}`, ...points.map((point) => shown(figure.of(point))), shown(base), shown(each), over, shown(base + each * LETTER[over])];
   });
   const widths = head.map((_, column) => Math.max(...[head, ...rows].map((row) => (row[column] ?? '').length)));
-  const note = points.every(rests) ? [] : ['* the fleet did not rest at this size: not every change was held by all, or tables went out again and again; no slope goes through it'];
+  const note = points.every(rests) ? [] : ['* the fleet did not rest at this size: not every change was held by all, frames were late, or tables went out again and again; no slope goes through it'];
   return [...[head, ...rows].map((row) => row.map((cell, column) => (column === 0 ? cell.padEnd(widths[column] ?? 0) : cell.padStart(widths[column] ?? 0))).join('  ')), ...note].join('\n');
 }
