One link to workers for both data planes; dead code of the new parts is gone

Cause: router/link.ts wrote gate/sender.ts's connections, resets and flights again. PoolLink now stands in gate, told its times; UndiciSender sends through it and keeps its own. Also gone, as nothing read it: the router's drain, tries and worker of a passage, a follower's toldMs and leader, a core's seat, the keeper's kept configuration, the stocker's pending. Ruled out: joining KnownWorker and WorkerView, Asked and StockWant, which would tie packages that know nothing of each other.

--- a/packages/gate/src/index.ts
+++ b/packages/gate/src/index.ts
@@ -11,3 +11,4 @@
 export * from './sender.js';
 export * from './stream.js';
 export * from './visit.js';
+export * from './link.js';
--- a/packages/router/src/link.ts
+++ b/packages/gate/src/link.ts
@@ -1,5 +1,7 @@
 import { buildConnector, Pool, type Dispatcher } from 'undici';
-import type { Header } from './request.js';
+
+/** A header as it stands on the wire. */
+export type Header = readonly [name: string, value: string];
 
 /** What a send reports. */
 export interface LinkHandler {
@@ -25,7 +27,7 @@
   readonly method: string;
   readonly target: string;
   readonly headers: readonly Header[];
-  readonly body: Buffer;
+  readonly body: Uint8Array;
   readonly stallMs: number;
 }
 
@@ -34,20 +36,28 @@
   send(request: LinkRequest, handler: LinkHandler): LinkSend;
 }
 
-const CONNECT_MS = 600;
-const IDLE_MS = 30_000;
-const EARLY_MS = 1000;
-
-const connectPlain = buildConnector({ timeout: CONNECT_MS });
+/** How long connections may take to come up, and how long they are kept without use; see undici's pools. */
+export interface LinkTimes {
+  readonly connectMs: number;
+  readonly keepAliveTimeout: number;
+  readonly keepAliveMaxTimeout?: number;
+  readonly keepAliveTimeoutThreshold?: number;
+}
 
-/** A connection that ends in an error is reset, so that what the system still holds of it cannot arrive late. */
-function connectReset(options: buildConnector.Options, callback: buildConnector.Callback): void {
-  connectPlain(options, (...[thrown, socket]: Parameters<buildConnector.Callback>) => {
-    if (thrown !== null) return callback(thrown, null);
-    const destroy = socket.destroy.bind(socket);
-    socket.destroy = (why?: Error) => (why === undefined ? destroy() : socket.resetAndDestroy());
-    callback(null, socket);
-  });
+/**
+ * Connections whose end is an error are reset: what the system still held of a
+ * request that was given up is dropped, and cannot arrive after a cut has healed.
+ */
+function resetting(connectMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: connectMs });
+  return (options, callback) => {
+    connect(options, (...[thrown, socket]: Parameters<buildConnector.Callback>) => {
+      if (thrown !== null) return callback(thrown, null);
+      const destroy = socket.destroy.bind(socket);
+      socket.destroy = (why?: Error) => (why === undefined ? destroy() : socket.resetAndDestroy());
+      callback(null, socket);
+    });
+  };
 }
 
 class Flight implements Dispatcher.DispatchHandler, LinkSend {
@@ -112,20 +122,27 @@
 }
 
 /**
- * Sends through undici, one pool of kept connections a worker.
+ * Sends through undici, one pool of kept connections a worker. A request is
+ * written once: undici does not repeat it, and `mayStart` is asked just before
+ * its first byte.
  * @example
- * const link = new PoolLink();
+ * const link = new PoolLink({ connectMs: 600, keepAliveTimeout: 30_000 });
  * const send = link.send(request, handler);
  */
 export class PoolLink implements Link {
+  #options: Pool.Options;
   #pools = new Map<string, Pool>();
 
+  constructor({ connectMs, ...kept }: LinkTimes) {
+    this.#options = { ...kept, pipelining: 1, connect: resetting(connectMs) };
+  }
+
   send(request: LinkRequest, handler: LinkHandler): LinkSend {
     const { address, method, target, headers, body, stallMs } = request;
     const flight = new Flight(handler);
     this.#pool(address).dispatch(
       {
-        method: method,
+        method,
         path: target,
         headers: headers.flat(),
         body: body.length === 0 ? null : body,
@@ -156,13 +173,7 @@
   #pool(address: string): Pool {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
-      pool = new Pool(`http://${address}`, {
-        pipelining: 1,
-        connect: connectReset,
-        keepAliveTimeout: IDLE_MS,
-        keepAliveMaxTimeout: 10 * IDLE_MS,
-        keepAliveTimeoutThreshold: EARLY_MS,
-      });
+      pool = new Pool(`http://${address}`, this.#options);
       this.#pools.set(address, pool);
     }
     return pool;
--- a/packages/gate/src/sender.ts
+++ b/packages/gate/src/sender.ts
@@ -1,5 +1,5 @@
 import { createConnection } from 'node:net';
-import { buildConnector, Pool, type Dispatcher } from 'undici';
+import { PoolLink, type LinkSend } from './link.js';
 
 /** What a send reports; `sent` tells whether any byte may have left. */
 export interface SendHandler {
@@ -12,11 +12,7 @@
 }
 
 /** A send under way. */
-export interface Sending {
-  abort(): void;
-  pause(): void;
-  resume(): void;
-}
+export type Sending = LinkSend;
 
 /** One request to a worker. */
 export interface SendRequest {
@@ -36,104 +32,29 @@
 }
 
 const CONNECT_MS = 1000;
+const IDLE_MS = 2000;
 const PROBE_MS = 600;
-const connect = buildConnector({ timeout: CONNECT_MS });
 
 /**
- * Connections whose end is an error are reset: what the system still held of a
- * request that was given up is dropped, and cannot arrive after a cut has healed.
- */
-function connectReset(options: buildConnector.Options, callback: buildConnector.Callback): void {
-  connect(options, (...[thrown, socket]: Parameters<buildConnector.Callback>) => {
-    if (thrown !== null) return callback(thrown, null);
-    const destroy = socket.destroy.bind(socket);
-    socket.destroy = (why?: Error) => (why === undefined ? destroy() : socket.resetAndDestroy());
-    callback(null, socket);
-  });
-}
-
-class Flight implements Dispatcher.DispatchHandler, Sending {
-  #handler: SendHandler;
-  #controller: Dispatcher.DispatchController | undefined;
-  #sent = false;
-  #ended = false;
-  #aborted = false;
-
-  constructor(handler: SendHandler) {
-    this.#handler = handler;
-  }
-
-  abort(): void {
-    this.#aborted = true;
-    this.#controller?.abort(new Error('given up'));
-  }
-
-  pause(): void {
-    this.#controller?.pause();
-  }
-
-  resume(): void {
-    this.#controller?.resume();
-  }
-
-  onRequestStart(controller: Dispatcher.DispatchController): void {
-    this.#controller = controller;
-    if (this.#aborted || this.#sent || !this.#handler.mayStart()) {
-      controller.abort(new Error('not started'));
-      return;
-    }
-    this.#sent = true;
-  }
-
-  onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>): void {
-    const type = headers['content-type'];
-    this.#handler.start(status, typeof type === 'string' ? type : '');
-  }
-
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.#ended) this.#handler.chunk(chunk);
-  }
-
-  onResponseEnd(): void {
-    if (this.#ended) return;
-    this.#ended = true;
-    this.#handler.end();
-  }
-
-  onResponseError(_controller: Dispatcher.DispatchController, thrown: Error): void {
-    if (this.#ended) return;
-    this.#ended = true;
-    this.#handler.failed(this.#sent, thrown.message);
-  }
-}
-
-/**
- * Sends through undici, one pool a worker. A request is written once: undici
- * does not repeat it, and `mayStart` is asked just before its first byte.
+ * Sends through kept connections, one pool a worker.
  * @example
  * const sender = new UndiciSender();
  * const sending = sender.send(request, handler);
  */
 export class UndiciSender implements Sender {
-  #pools = new Map<string, Pool>();
+  #link = new PoolLink({ connectMs: CONNECT_MS, keepAliveTimeout: IDLE_MS });
 
-  send(request: SendRequest, handler: SendHandler): Sending {
-    const { address, method, path, headers, body, stallMs } = request;
-    const flight = new Flight(handler);
-    this.#pool(address).dispatch(
+  send({ address, method, path, headers, body, stallMs }: SendRequest, handler: SendHandler): Sending {
+    return this.#link.send(
+      { address, method, target: path, headers: Object.entries(headers), body: body ?? new Uint8Array(), stallMs },
       {
-        method,
-        path,
-        headers,
-        body: body ?? null,
-        idempotent: false,
-        blocking: true,
-        headersTimeout: stallMs,
-        bodyTimeout: stallMs,
+        mayStart: () => handler.mayStart(),
+        head: (status, answered) => handler.start(status, answered.find(([name]) => name.toLowerCase() === 'content-type')?.[1] ?? ''),
+        chunk: (bytes) => handler.chunk(bytes),
+        end: () => handler.end(),
+        failed: (sent, why) => handler.failed(sent, why),
       },
-      flight,
     );
-    return flight;
   }
 
   probe(address: string, done: (reached: boolean) => void): void {
@@ -153,24 +74,10 @@
 
   /** Closes the pools of workers that are gone. */
   keepOnly(addresses: ReadonlySet<string>): void {
-    for (const [address, pool] of this.#pools) {
-      if (addresses.has(address)) continue;
-      this.#pools.delete(address);
-      void pool.close();
-    }
-  }
-
-  async close(): Promise<void> {
-    await Promise.all([...this.#pools.values()].map((pool) => pool.destroy()));
-    this.#pools.clear();
+    this.#link.keepOnly(addresses);
   }
 
-  #pool(address: string): Pool {
-    let pool = this.#pools.get(address);
-    if (pool === undefined) {
-      pool = new Pool(`http://${address}`, { pipelining: 1, connect: connectReset, keepAliveTimeout: 2000 });
-      this.#pools.set(address, pool);
-    }
-    return pool;
+  close(): Promise<void> {
+    return this.#link.close();
   }
 }
--- a/packages/hub/src/follower.ts
+++ b/packages/hub/src/follower.ts
@@ -46,7 +46,6 @@
 const COUNTING_MS = 2500;
 
 interface Core {
-  readonly seat: Seat | undefined;
   readonly address: string;
   heardMs: number;
   granted: boolean;
@@ -103,10 +102,6 @@
     return this.#edges;
   }
 
-  get leader(): string | undefined {
-    return this.#leader?.name;
-  }
-
   /** Whether a core with a majority behind it was heard lately. */
   get informed(): boolean {
     const nowMs = this.#gear.clock.nowMs();
@@ -149,7 +144,7 @@
     for (const [address, core] of this.#cores) {
       if (nowMs - core.heardMs > CORE_MS && !this.#gear.seeds.includes(address)) this.#cores.delete(address);
     }
-    for (const address of this.#gear.seeds) this.#core(address, undefined);
+    for (const address of this.#gear.seeds) this.#core(address);
     const known = [...this.#cores.values()].filter((core) => core.address !== this.#seat.address);
     const fresh = known.filter((core) => nowMs - core.heardMs < FRESH_MS);
     const leader = known.filter((core) => core.address === this.#leader?.address);
@@ -158,10 +153,10 @@
     return [...chosen];
   }
 
-  #core(address: string, seat: Seat | undefined): Core {
+  #core(address: string): Core {
     let core = this.#cores.get(address);
     if (core === undefined) {
-      core = { seat, address, heardMs: this.#gear.clock.nowMs(), granted: false, askedMs: -Infinity };
+      core = { address, heardMs: this.#gear.clock.nowMs(), granted: false, askedMs: -Infinity };
       this.#cores.set(address, core);
     }
     return core;
@@ -182,7 +177,7 @@
   #onTell(tell: Tell, from: string): void {
     const nowMs = this.#gear.clock.nowMs();
     for (const seat of tell.cores) {
-      const core = this.#core(seat.address, seat);
+      const core = this.#core(seat.address);
       if (seat.life === from) {
         core.heardMs = nowMs;
         core.granted = tell.granted;
--- a/packages/hub/src/keeper.ts
+++ b/packages/hub/src/keeper.ts
@@ -59,7 +59,6 @@
   edition: number;
   table: string;
   row: number;
-  toldMs: number;
 }
 
 /**
@@ -84,7 +83,7 @@
   #dutySinceMs: number | undefined;
   /** When a worker was last asked what it holds. */
   #askedMs = new Map<string, number>();
-  #read: { readonly state: Deployment; readonly configuration: Configuration | undefined; readonly engines: ReadonlyMap<string, StockEngine> } | undefined;
+  #read: { readonly state: Deployment; readonly engines: ReadonlyMap<string, StockEngine> } | undefined;
   #encoded: { readonly state: Deployment; readonly bytes: Uint8Array } | undefined;
 
   constructor(gear: KeeperGear) {
@@ -191,7 +190,7 @@
     if (this.#read?.state !== state) {
       const checked = state.document === undefined ? undefined : checkConfiguration(state.document);
       const configuration = checked?.isOk === true ? checked.value : undefined;
-      this.#read = { state, configuration, engines: enginesOf(configuration) };
+      this.#read = { state, engines: enginesOf(configuration) };
     }
     return this.#read.engines;
   }
@@ -238,8 +237,7 @@
       this.#followers.delete(seat.life);
       return;
     }
-    const known = this.#followers.get(seat.life);
-    const follower: Follower = { seat, atMs: nowMs, edition, table, row, toldMs: known?.toldMs ?? -Infinity };
+    const follower: Follower = { seat, atMs: nowMs, edition, table, row };
     this.#followers.set(seat.life, follower);
     if (this.#group.leading) {
       this.#stocker.want(seat.life, wants, nowMs);
@@ -294,7 +292,6 @@
       follower.table = tell.table;
       follower.row = tell.row;
     }
-    follower.toldMs = nowMs;
     const frame = create(FrameSchema, { wire: WIRE, deployment: this.#gear.deployment, from: this.#group.seat.life, to: follower.seat.life });
     frame.body = { case: 'tell', value: tell };
     this.#gear.post(follower.seat.address, frame);
--- a/packages/mast/src/core-node.ts
+++ b/packages/mast/src/core-node.ts
@@ -2,15 +2,16 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { SPEAKS } from '@rainrun/courier';
 import { Acceptor, GROUP_TIMES, readRecords, type GroupTimes } from '@rainrun/farm';
+import { PoolLink, type Header } from '@rainrun/gate';
 import { Keeper } from '@rainrun/hub';
 import { Ledger } from '@rainrun/ledger';
 import { ANSWERS, fault, isFaultKind, word, type Chance, type Clock, type Fault } from '@rainrun/nacelle';
-import { PoolLink, type Header } from '@rainrun/router';
 import type { BookRow, ListedWorker, StockOrder, StockReply } from '@rainrun/yaw';
 import { Result } from 'true-myth';
 import { request } from 'undici';
 import type { Dialect, OperatorCall, SystemSettings } from './dialect.js';
 import type { Log } from './log.js';
+import { WORKER_LINK } from './links.js';
 import { splitAddress, Wire } from './wire.js';
 
 const BEAT_MS = 25;
@@ -49,7 +50,7 @@
   #log: Log;
   #wire: Wire;
   #keeper: Keeper;
-  #link = new PoolLink();
+  #link = new PoolLink(WORKER_LINK);
   #server: Server;
   #timers: NodeJS.Timeout[] = [];
   #listing = false;
--- a/packages/mast/src/edge-node.ts
+++ b/packages/mast/src/edge-node.ts
@@ -2,11 +2,13 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import { WantSchema, type Want } from '@rainrun/courier';
+import { PoolLink } from '@rainrun/gate';
 import { Follower } from '@rainrun/hub';
 import type { Chance, Clock } from '@rainrun/nacelle';
-import { PoolLink, Router } from '@rainrun/router';
+import { Router } from '@rainrun/router';
 import type { Dialect, SystemSettings } from './dialect.js';
 import { FrontDoor } from './front.js';
+import { WORKER_LINK } from './links.js';
 import type { Log } from './log.js';
 import { splitAddress, Wire } from './wire.js';
 
@@ -33,7 +35,7 @@
   #log: Log;
   #wire: Wire;
   #follower: Follower;
-  #link = new PoolLink();
+  #link = new PoolLink(WORKER_LINK);
   #router: Router;
   #front: FrontDoor;
   #readiness: Server;
--- a/packages/mast/src/front.ts
+++ b/packages/mast/src/front.ts
@@ -1,7 +1,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { USUAL_LIMITS, type Limits } from '@rainrun/marquee';
 import { ANSWERS, fault, type Fault } from '@rainrun/nacelle';
-import { isHop, type Ask, type ClientPort, type Header } from '@rainrun/router';
+import type { Header } from '@rainrun/gate';
+import { isHop, type Ask, type ClientPort } from '@rainrun/router';
 import type { DoorWords } from './dialect.js';
 import { splitAddress } from './wire.js';
 
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,5 @@
 export * from './routes.js';
 export * from './request.js';
-export * from './link.js';
 export * from './events.js';
 export * from './balance.js';
 export * from './run.js';
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -1,8 +1,6 @@
 import type { RouteEntry, ServiceEntry } from '@rainrun/marquee';
 import type { Fault } from '@rainrun/nacelle';
-
-/** A header as it stands on the wire. */
-export type Header = readonly [name: string, value: string];
+import type { Header } from '@rainrun/gate';
 
 /** A whole request, read and taken apart at the door. */
 export interface Ask {
@@ -67,8 +65,6 @@
   readonly streamed: boolean;
   /** Workers that were sent this request and had it. */
   arrivals: number;
-  /** Sends of any kind, those that never left included. */
-  tries: number;
   /** Workers that turned it away or failed it. */
   readonly avoided: Set<string>;
   /** Whether any byte of an answer went to the client. */
@@ -83,6 +79,5 @@
   /** A further send was promised, and its part of the budget is gone. */
   unpaid: boolean;
   notBeforeMs: number;
-  worker: string;
   cancel: (() => void) | undefined;
 }
--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -1,10 +1,10 @@
 import { describe, it } from 'node:test';
+import type { Header, Link, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gate';
 import { checkConfiguration, type Configuration } from '@rainrun/marquee';
 import { ANSWERS, type Fault } from '@rainrun/nacelle';
 import { expect } from 'earl';
-import type { Link, LinkHandler, LinkRequest, LinkSend } from './link.js';
 import { Router } from './router.js';
-import type { Ask, ClientPort, Header, WorkerView } from './request.js';
+import type { Ask, ClientPort, WorkerView } from './request.js';
 import { valueOf, type WireWords } from './run.js';
 
 const WORDS: WireWords = { requestId: 'call-id', deadlineMs: 'left-ms', lastEventId: 'after', signature: 'mark', expectInstance: 'only', notRun: 'unrun', priority: 'rank' };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,8 +1,7 @@
-import { RetryBudget } from '@rainrun/gate';
+import { RetryBudget, type Link } from '@rainrun/gate';
 import type { Configuration } from '@rainrun/marquee';
 import { fault, type Clock, type Fault } from '@rainrun/nacelle';
 import { Balancer, type NoWorker } from './balance.js';
-import type { Link } from './link.js';
 import type { Ask, ClientPort, Passage, WorkerView } from './request.js';
 import { RouteTable } from './routes.js';
 import { Run, type RunEnd, type WireWords } from './run.js';
@@ -78,7 +77,6 @@
   #budgets = new Map<string, RetryBudget>();
   #rates = new Map<string, Rate>();
   #inFlight = new Map<string, number>();
-  #draining = false;
   #counts = new Map<string, number>();
 
   constructor(gear: RouterGear) {
@@ -105,15 +103,6 @@
     return Object.fromEntries(this.#counts);
   }
 
-  /** What waits is refused, what runs goes on; new requests are still taken. */
-  drain(): void {
-    this.#draining = true;
-  }
-
-  get draining(): boolean {
-    return this.#draining;
-  }
-
   /** Takes a request; the returned function says that the client has left. */
   take(ask: Ask, port: ClientPort): () => void {
     this.#count('taken');
@@ -137,7 +126,6 @@
       repeatable: target.route.kind === 'idempotent' || (streamed && target.route.resumable),
       streamed,
       arrivals: 0,
-      tries: 0,
       avoided: new Set(),
       opened: false,
       lastEventId: ask.lastEventId,
@@ -146,7 +134,6 @@
       reserved: false,
       unpaid: false,
       notBeforeMs: nowMs,
-      worker: '',
       cancel: undefined,
     };
     if (this.#waiting.size >= CROWD_MOST) return this.#turnAway(port, { ...fault('over-share', 'too many requests wait here'), returnS: 1 });
@@ -268,8 +255,6 @@
 
   #send(passage: Passage, worker: WorkerView, nowMs: number): void {
     const { key } = passage;
-    passage.tries += 1;
-    passage.worker = worker.id;
     this.#balancer.begun(worker);
     this.#inFlight.set(key, (this.#inFlight.get(key) ?? 0) + 1);
     const run = new Run(passage, worker, this.#gear.words, {
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -1,6 +1,6 @@
+import type { Header, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gate';
 import { EventCutter } from './events.js';
-import type { LinkHandler, LinkRequest, LinkSend } from './link.js';
-import type { Header, Passage, WorkerView } from './request.js';
+import type { Passage, WorkerView } from './request.js';
 
 /** The names that stand on the wire between router and workers, lower case where they are compared. */
 export interface WireWords {
@@ -139,8 +139,8 @@
     const echoed = valueOf(headers, this.#words.requestId);
     const notRun = valueOf(headers, this.#words.notRun) !== undefined;
     if (echoed !== undefined && echoed !== this.#passage.ask.id) return this.#abandon('an answer to another request');
-    if (status === 421) return this.#drop({ how: 'misdirected', why: `${this.#worker.id} is not there` });
-    if (notRun) return this.#drop({ how: 'not-run', why: `${this.#worker.id} took no more (${status})` });
+    if (status === 421) return this.#finish({ how: 'misdirected', why: `${this.#worker.id} is not there` });
+    if (notRun) return this.#finish({ how: 'not-run', why: `${this.#worker.id} took no more (${status})` });
     if (status < 300 && (echoed === undefined || valueOf(headers, this.#words.signature) === undefined)) return this.#abandon('an answer without its marks');
     this.#desk.answered(this.#lifeMs - this.#bornMs);
     this.#status = status;
@@ -208,11 +208,6 @@
     if (!this.#passage.port.piece(bytes, () => this.#send?.resume())) this.#send?.pause();
   }
 
-  /** The answer is read no further, and the connection may be kept. */
-  #drop(end: RunEnd): void {
-    this.#finish(end);
-  }
-
   #abandon(why: string): void {
     if (this.#started) this.#fail(why);
     else this.#finish({ how: 'not-sent', why });
--- a/packages/yaw/src/stocker.ts
+++ b/packages/yaw/src/stocker.ts
@@ -199,13 +199,6 @@
     }
   }
 
-  /** The orders under way or waiting, for operators. */
-  get pending(): number {
-    let count = 0;
-    for (const work of this.#works.values()) count += work.steps.length;
-    return count;
-  }
-
   #work(row: BookRow): Work {
     let work = this.#works.get(row.id);
     if (work === undefined) {
