--- a/packages/cluster-node/src/core-replica.ts
+++ b/packages/cluster-node/src/core-replica.ts
@@ -28,6 +28,7 @@
   WorkerTable,
   type WorkerRecord,
   type ListedWorker,
+  type ReportReply,
   type StockEngine,
   type StockOrder,
   type StockReply,
@@ -50,22 +51,12 @@
   },
 };
 
-/** A worker's report is so old at most. */
-const REPORT_LAG_MS = 300;
-/** An order is done after so long, also where many load at once. */
-const ORDERS_MS = 2500;
-
 /** What a core is given by its program, or by the simulator. */
 export interface CoreReplicaDependencies extends Omit<GroupDependencies<Deployment>, 'play' | 'audience'> {
   /** Sends one order to a worker. */
   order(row: WorkerRecord, order: StockOrder, done: (reply: StockReply) => void): void;
-  /** Asks a worker what it holds; nothing comes while it is at an order, or if it does not answer. */
-  report(
-    row: WorkerRecord,
-    done: (models: ReadonlyMap<string, ReadonlySet<string>> | undefined) => void,
-  ): void;
-  /** How far the platform's list lags. */
-  readonly listLagMs: number;
+  /** Asks a worker what it holds. */
+  report(row: WorkerRecord, done: (reply: ReportReply) => void): void;
   /** Called when another edition came into force here. */
   changed(state: Deployment): void;
   reborn(incarnation: string): void;
@@ -92,10 +83,6 @@
   #subscribers = new Subscribers();
   #pacer = new PlanPacer();
   #waiting = new Map<string, (answer: Answer) => void>();
-  /** Since when this node may order, in this epoch. */
-  #dutySinceMs: number | undefined;
-  /** When a worker was last asked what it holds. */
-  #askedMs = new Map<string, number>();
   #read: { readonly state: Deployment; readonly engines: ReadonlyMap<string, StockEngine> } | undefined;
   #told: { readonly state: Deployment; readonly bytes: ToldState } | undefined;
 
@@ -186,6 +173,7 @@
     return new PlacementPlanner(this.#book, {
       fence: () => this.#group.dutyEpoch(),
       order: (row, order, done) => dependencies.order(row, order, done),
+      report: (row, done) => dependencies.report(row, done),
       nowMs: () => dependencies.clock.nowMs(),
       decided: (text) => dependencies.decided(text),
     });
@@ -199,8 +187,6 @@
     this.#table = epoch < 0 ? '' : `${epoch}-${this.#group.seat.incarnation}`;
     this.#book = new WorkerTable();
     this.#planner = this.#newPlanner();
-    this.#dutySinceMs = undefined;
-    this.#askedMs.clear();
   }
 
   #engines(): ReadonlyMap<string, StockEngine> {
@@ -213,35 +199,8 @@
     return this.#read.engines;
   }
 
-  /**
-   * What an earlier holder of the duty ordered last may not show yet. Workers
-   * that are waited for are asked; others are taken as listed once the list
-   * cannot be older than the duty.
-   */
-  #confirm(nowMs: number): void {
-    if (this.#group.dutyEpoch() === undefined) return;
-    this.#dutySinceMs ??= nowMs;
-    const heldMs = nowMs - this.#dutySinceMs;
-    const unsure = [...this.#book.rows].filter((row) => !row.sure && !row.gone);
-    if (unsure.length === 0) return;
-    const isListNewer = heldMs > this.#dependencies.listLagMs + ORDERS_MS;
-    if (isListNewer) return unsure.forEach((row) => this.#planner.settle(row, row.listed));
-    if (heldMs < REPORT_LAG_MS || !this.#planner.pressed) return;
-    for (const row of unsure) this.#askForReport(row, nowMs);
-  }
-
-  #askForReport(row: WorkerRecord, nowMs: number): void {
-    if (nowMs - (this.#askedMs.get(row.id) ?? -Infinity) < REPORT_LAG_MS) return;
-    this.#askedMs.set(row.id, nowMs);
-    const planner = this.#planner;
-    this.#dependencies.report(row, (models) => {
-      if (models !== undefined && planner === this.#planner && !row.sure) planner.settle(row, models);
-    });
-  }
-
   /** Plans where the pacer allows it, and sends the orders that are due. */
   #placeModels(nowMs: number): void {
-    this.#confirm(nowMs);
     const engines = this.#engines();
     if (this.#pacer.isDue(nowMs)) {
       this.#planner.plan(engines, this.state.evacuated, nowMs);
--- a/packages/cluster-node/src/older-disk.test.ts
+++ b/packages/cluster-node/src/older-disk.test.ts
@@ -98,7 +98,6 @@
       ...lone.dependencies(acceptor, 'system'),
       order: () => undefined,
       report: () => undefined,
-      listLagMs: 1000,
       decided: () => undefined,
     });
     lone.run(replica, START_MS);
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -2,5 +2,7 @@
 export * from './orderer.js';
 export * from './placer.js';
 export * from './worker-table.js';
+export * from './engine.js';
+export * from './orders.js';
 export * from './planner.js';
 export * from './demand-totals.js';
--- /dev/null
+++ b/packages/placement/src/order-sender.ts
@@ -0,0 +1,218 @@
+import type { StockEngine } from './engine.js';
+import type { ReportReply, StockOrder, StockReply, WorkerReport } from './orders.js';
+import type { WorkerRecord, WorkerTable } from './worker-table.js';
+import { copyOf, WorkerState, type Step } from './worker-state.js';
+
+/** What the sender of orders needs of its node. */
+export interface OrderDependencies {
+  /** The fence under which this node may order now, or undefined; asked just before each order. */
+  fence(): number | undefined;
+  order(row: WorkerRecord, order: StockOrder, done: (reply: StockReply) => void): void;
+  /** Asks a worker what it holds. */
+  report(row: WorkerRecord, done: (reply: ReportReply) => void): void;
+  nowMs(): number;
+}
+
+const AGAIN_MS = 35;
+/** A load from a worker's own disk takes about this part of one from the store. */
+const DISK_PART = 0.68;
+/** What a load is waited for beyond the time that the configuration gives. */
+const LOAD_SLACK_MS = 5;
+/** An adapter is there so soon. */
+const ADAPTER_MS = 14;
+/** So long a worker takes to let a model go that nobody uses. */
+const UNLOAD_MS = 35;
+const SILENT_MS = 1000;
+/** A worker that is busy so long after the last order that it took is asked what it holds. */
+const BUSY_LONG_MS = 500;
+/** By then a report tells of the last order that the worker took; one that tells of fewer before is older than it. */
+const REPORT_OLD_MS = 2000;
+/** Between two questions to one worker that is at an order; twice as long after each that had no answer. */
+const ASK_AGAIN_MS = 250;
+const ASK_AGAIN_MOST_MS = 2000;
+
+/** Questions to one worker what it holds. */
+interface Asking {
+  open: boolean;
+  notBeforeMs: number;
+  unanswered: number;
+}
+
+/**
+ * Sends what was decided for each worker, one order at a time, and keeps to
+ * what the worker itself says that it holds.
+ *
+ * An order names how many orders the worker had taken when it was decided. So
+ * it is taken in just the state that it was decided for or not at all, however
+ * late it arrives and whoever else ordered the worker meanwhile. Whenever a
+ * worker's answer leaves open what it holds, it is asked, and gets no order
+ * before it has answered.
+ * @example
+ * const sender = new OrderSender(table, dependencies);
+ * sender.state(row).add(newStep('load', 'model-1', '', nowMs));
+ * sender.pursue(engine, row, nowMs);
+ */
+export class OrderSender {
+  readonly counts = { loads: 0, unloads: 0, orders: 0, busy: 0, unanswered: 0, reports: 0, reread: 0 };
+  #table: WorkerTable;
+  #dependencies: OrderDependencies;
+  #states = new Map<string, WorkerState>();
+  #asking = new Map<string, Asking>();
+
+  constructor(table: WorkerTable, dependencies: OrderDependencies) {
+    this.#table = table;
+    this.#dependencies = dependencies;
+  }
+
+  state(row: WorkerRecord): WorkerState {
+    let state = this.#states.get(row.id);
+    if (state === undefined) {
+      state = new WorkerState(row.models);
+      this.#states.set(row.id, state);
+    }
+    return state;
+  }
+
+  /** Forgets workers that are no longer in the table. */
+  forgetGone(): void {
+    for (const id of this.#states.keys()) if (this.#table.row(id) === undefined) this.#states.delete(id);
+    for (const id of this.#asking.keys()) if (this.#table.row(id) === undefined) this.#asking.delete(id);
+  }
+
+  /** Takes a worker's own word on what it holds: from here on it may be ordered. */
+  settle(row: WorkerRecord, report: WorkerReport): void {
+    const state = this.state(row);
+    state.adopt(report);
+    row.models = copyOf(report.holdings);
+    row.sure = true;
+    this.#table.changed(row);
+  }
+
+  /** Sends what is due to one worker: its next order, or the question what it holds. */
+  pursue(engine: StockEngine, row: WorkerRecord, nowMs: number): void {
+    const state = this.state(row);
+    if (row.leaving) return state.clear();
+    if (!row.sure) return this.#reread(row, state);
+    const first = state.steps[0];
+    if (first === undefined) return;
+    if (nowMs >= first.doneMs) return this.#finish(row, state, first);
+    if (first.posted || nowMs < first.notBeforeMs) return;
+    const fence = this.#dependencies.fence();
+    if (fence === undefined) return;
+    if (!first.begun && !state.bears(engine, first)) return this.#doubt(row, state);
+    this.#send(engine, row, state, first, fence);
+  }
+
+  #send(engine: StockEngine, row: WorkerRecord, state: WorkerState, first: Step, fence: number): void {
+    const { action, model, adapter } = first;
+    const { sequence } = state;
+    first.posted = true;
+    this.counts.orders += 1;
+    this.#dependencies.order(row, { action, model, adapter, fence, sequence }, (reply) => {
+      if (row.sure && state.steps[0] === first) this.#replied(engine, row, state, first, reply);
+    });
+  }
+
+  #replied(engine: StockEngine, row: WorkerRecord, state: WorkerState, step: Step, reply: StockReply): void {
+    const nowMs = this.#dependencies.nowMs();
+    switch (reply) {
+      case 'begun':
+        state.accepted(nowMs);
+        return this.#begun(engine, row, state, step, nowMs);
+      case 'held':
+        return this.#finish(row, state, step);
+      case 'busy':
+        this.counts.busy += 1;
+        this.#sendAgain(step, nowMs + (step.adapter === '' ? AGAIN_MS : AGAIN_MS / 3));
+        if (nowMs - state.acceptedMs >= BUSY_LONG_MS) this.#compare(row, state);
+        return;
+      case 'no-answer':
+        this.counts.unanswered += 1;
+        return this.#sendAgain(step, nowMs + SILENT_MS);
+      case 'fenced':
+        return this.#sendAgain(step, nowMs + SILENT_MS);
+      case 'wrong-worker':
+      case 'refused':
+        state.refused(nowMs);
+        return this.#doubt(row, state);
+    }
+  }
+
+  #sendAgain(step: Step, notBeforeMs: number): void {
+    step.posted = false;
+    step.notBeforeMs = notBeforeMs;
+  }
+
+  #begun(engine: StockEngine, row: WorkerRecord, state: WorkerState, step: Step, nowMs: number): void {
+    // A worker does one order at a time: the next one is not taken before this is done.
+    if (step.action === 'unload') return this.#finish(row, state, step);
+    if (step.adapter !== '') {
+      step.doneMs = nowMs + ADAPTER_MS;
+      return;
+    }
+    if (step.begun) return this.#sendAgain(step, nowMs + AGAIN_MS);
+    step.begun = true;
+    this.counts.loads += 1;
+    const loadMs = engine.models.get(step.model)?.loadMs ?? 0;
+    const expectedMs = state.onDisk.has(step.model) ? loadMs * DISK_PART : loadMs + LOAD_SLACK_MS;
+    this.#sendAgain(step, nowMs + expectedMs);
+  }
+
+  #finish(row: WorkerRecord, state: WorkerState, step: Step): void {
+    const nowMs = this.#dependencies.nowMs();
+    state.finishFirst(nowMs);
+    const next = state.steps[0];
+    if (step.action === 'unload') {
+      this.counts.unloads += 1;
+      if (next !== undefined && step.adapter === '') next.notBeforeMs = nowMs + UNLOAD_MS;
+    } else if (step.adapter === '') row.models.set(step.model, new Set(state.holdings.get(step.model)));
+    else row.models.get(step.model)?.add(step.adapter);
+    this.#table.changed(row, step.model);
+  }
+
+  /** What the worker holds is no longer known for certain: nothing more is ordered until it has said it. */
+  #doubt(row: WorkerRecord, state: WorkerState): void {
+    this.counts.reread += 1;
+    state.clear();
+    row.sure = false;
+  }
+
+  #reread(row: WorkerRecord, state: WorkerState): void {
+    this.#ask(row, (report) => {
+      if (!row.sure && !this.#isOutdated(state, report)) this.settle(row, report);
+    });
+  }
+
+  /** A worker that stays busy may have taken an order that nobody here knows of. */
+  #compare(row: WorkerRecord, state: WorkerState): void {
+    const { acceptedMs } = state;
+    this.#ask(row, (report) => {
+      const isUnchanged = row.sure && state.acceptedMs === acceptedMs;
+      if (isUnchanged && report.sequence !== state.sequence && !this.#isOutdated(state, report))
+        this.settle(row, report);
+    });
+  }
+
+  /** Whether a report is older than the last order that is known to be taken. */
+  #isOutdated(state: WorkerState, report: WorkerReport): boolean {
+    const isRecent = this.#dependencies.nowMs() - state.acceptedMs < REPORT_OLD_MS;
+    return isRecent && report.sequence < state.sequence;
+  }
+
+  /** Asks a worker that may be ordered what it holds, not too often. */
+  #ask(row: WorkerRecord, heard: (report: WorkerReport) => void): void {
+    const nowMs = this.#dependencies.nowMs();
+    const asking = this.#asking.get(row.id) ?? { open: false, notBeforeMs: -Infinity, unanswered: 0 };
+    this.#asking.set(row.id, asking);
+    if (asking.open || nowMs < asking.notBeforeMs || this.#dependencies.fence() === undefined) return;
+    asking.open = true;
+    this.counts.reports += 1;
+    this.#dependencies.report(row, (reply) => {
+      asking.open = false;
+      asking.unanswered = reply === 'no-answer' ? asking.unanswered + 1 : 0;
+      const waitMs = Math.min(ASK_AGAIN_MOST_MS, ASK_AGAIN_MS * 2 ** asking.unanswered);
+      asking.notBeforeMs = this.#dependencies.nowMs() + waitMs;
+      if (reply !== 'busy' && reply !== 'no-answer' && this.#table.row(row.id) === row) heard(reply);
+    });
+  }
+}
--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -254,6 +254,21 @@
     expect(yard.actions).toEqual(['inventory', 'load m1', 'load m0']);
   });
 
+  it('lets workers refuse what arrives late: after an open outcome it asks under a higher sequence', () => {
+    const yard = new Yard();
+    yard.tick(specOf(3), target, 0);
+    yard.reply();
+    yard.tick(specOf(3), target, 100);
+    const [, late] = yard.orders;
+    yard.fails = true;
+    yard.reply();
+    yard.fails = false;
+    yard.tick(specOf(3), [{ model: 'm2', adapters: [] }], 60_000);
+    const asked = yard.orders.at(-1);
+    expect([late?.action, asked?.action]).toEqual(['load', 'inventory']);
+    expect([late?.epoch, (late?.sequence ?? 0) < (asked?.sequence ?? 0)]).toEqual([asked?.epoch, true]);
+  });
+
   it('never orders more than the room holds', () => {
     const yard = new Yard();
     const three = ['m0', 'm1', 'm2'].map((model) => ({ model, adapters: [] }));
--- a/packages/placement/src/planner.test.ts
+++ b/packages/placement/src/planner.test.ts
@@ -1,7 +1,9 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { WorkerTable, type WorkerRecord, type ListedWorker } from './worker-table.js';
-import { PlacementPlanner, type StockEngine, type StockOrder, type StockReply } from './planner.js';
+import { WorkerTable, type ListedWorker } from './worker-table.js';
+import type { StockEngine } from './engine.js';
+import type { ReportReply, StockOrder, StockReply, WorkerReport } from './orders.js';
+import { PlacementPlanner } from './planner.js';
 import type { StockWant } from './demand-totals.js';
 
 const HEARTBEAT_MS = 20;
@@ -61,24 +63,31 @@
   readonly held = new Map<string, Map<string, Set<string>>>();
   /** A reply in place of the worker's own. */
   reply: ((id: string, order: StockOrder) => StockReply | undefined) | undefined;
-  #engine: StockEngine;
+  /** Orders that were sent and have not arrived yet. */
+  readonly underWay: { readonly id: string; readonly order: StockOrder }[] = [];
+  /** How many orders each worker has taken. */
+  readonly sequences = new Map<string, number>();
+  /** Workers that do not say what they hold. */
+  readonly silent = new Set<string>();
+  engine: StockEngine;
   #doing = new Map<string, { untilMs: number; done: () => void }>();
 
   constructor(engine: StockEngine, workers: readonly ListedWorker[]) {
-    this.#engine = engine;
+    this.engine = engine;
     this.planner = new PlacementPlanner(this.book, {
       fence: () => this.fence,
       order: (row, order, done) => {
         this.sent.push({ atMs: this.nowMs, worker: row.id, order });
-        done(this.reply?.(row.id, order) ?? this.#take(row, order));
+        done(this.reply?.(row.id, order) ?? this.take(row.id, order));
       },
+      report: (row, done) => done(this.#reportReply(row.id)),
       nowMs: () => this.nowMs,
       decided: () => undefined,
     });
     this.book.learn(workers, this.nowMs);
     for (const row of this.book.rows) {
       this.held.set(row.id, new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])));
-      this.planner.settle(row, row.listed);
+      this.planner.settle(row, this.#reportOf(row.id));
     }
   }
 
@@ -91,12 +100,18 @@
         doing.done();
       }
       this.planner.want('edge', wants(), this.nowMs);
-      const engines = new Map([['assist', this.#engine]]);
+      const engines = new Map([['assist', this.engine]]);
       this.planner.plan(engines, this.evacuated, this.nowMs);
       this.planner.pursue(engines, this.nowMs);
     }
   }
 
+  /** Decides once, and sends nothing. */
+  planOnly(wants: readonly StockWant[]): void {
+    this.planner.want('edge', wants, this.nowMs);
+    this.planner.plan(new Map([['assist', this.engine]]), this.evacuated, this.nowMs);
+  }
+
   holders(model: string, adapter = ''): string[] {
     return [...this.held]
       .filter(([, models]) => (adapter === '' ? models.has(model) : models.get(model)?.has(adapter) === true))
@@ -107,10 +122,32 @@
     return this.sent.filter(({ order }) => order.action === 'load');
   }
 
-  #take(row: WorkerRecord, { action, model, adapter }: StockOrder): StockReply {
-    const models = this.held.get(row.id);
+  /** All orders that are under way arrive; their sender hears no answer. */
+  arrive(): void {
+    for (const { id, order } of this.underWay.splice(0)) this.take(id, order);
+  }
+
+  #reportReply(id: string): ReportReply {
+    if (this.silent.has(id)) return 'no-answer';
+    return this.#doing.has(id) ? 'busy' : this.#reportOf(id);
+  }
+
+  #reportOf(id: string): WorkerReport {
+    return { holdings: this.held.get(id) ?? new Map(), sequence: this.sequences.get(id) ?? 0 };
+  }
+
+  /** An order arrives at a worker. */
+  take(id: string, order: StockOrder): StockReply {
+    const sequence = this.sequences.get(id) ?? 0;
+    if (this.#doing.has(id) || order.sequence !== sequence) return 'busy';
+    const reply = this.#do(id, order);
+    if (reply === 'begun') this.sequences.set(id, sequence + 1);
+    return reply;
+  }
+
+  #do(id: string, { action, model, adapter }: StockOrder): StockReply {
+    const models = this.held.get(id);
     if (models === undefined) return 'wrong-worker';
-    if (this.#doing.has(row.id)) return 'busy';
     const adapters = models.get(model);
     if (action === 'unload') {
       if (adapters === undefined || (adapter !== '' && !adapters.has(adapter))) return 'held';
@@ -121,9 +158,9 @@
     if (adapter === '' ? adapters !== undefined : adapters?.has(adapter) === true) return 'held';
     if (adapter !== '' && adapters === undefined) return 'refused';
     if (adapter === '')
-      this.#doing.set(row.id, { untilMs: this.nowMs + LOAD_MS, done: () => models.set(model, new Set()) });
+      this.#doing.set(id, { untilMs: this.nowMs + LOAD_MS, done: () => models.set(model, new Set()) });
     else adapters?.add(adapter);
-    this.#check(row.id, adapter === '' ? 33 : 0);
+    this.#check(id, adapter === '' ? 33 : 0);
     return 'begun';
   }
 
@@ -131,8 +168,8 @@
     const models = [...(this.held.get(id) ?? new Map<string, Set<string>>())];
     const count = models.reduce((sum, [, adapters]) => sum + adapters.size, 0);
     const usedMb = comingMb + models.length * 33 + count * 0.2;
-    if (usedMb > this.#engine.roomMb) this.wrong.push(`${id} holds ${usedMb} MB`);
-    if (count > this.#engine.adapterPlaces) this.wrong.push(`${id} holds ${count} adapters`);
+    if (usedMb > this.engine.roomMb) this.wrong.push(`${id} holds ${usedMb} MB`);
+    if (count > this.engine.adapterPlaces) this.wrong.push(`${id} holds ${count} adapters`);
   }
 }
 
@@ -148,7 +185,7 @@
     bench.run(3000, steady(bench, ['m2'], 1));
     expect([bench.holders('m2').length > 0, bench.loads()[0]?.order]).toEqual([
       true,
-      { action: 'load', model: 'm2', adapter: '', fence: 7 },
+      { action: 'load', model: 'm2', adapter: '', fence: 7, sequence: 0 },
     ]);
   });
 
@@ -189,8 +226,9 @@
 
   it('orders nothing on workers whose holdings are not certain', () => {
     const bench = new Bench(engineOf(4), [listed('w1')]);
+    bench.silent.add('w2');
     bench.book.learn([listed('w1', ['m0']), listed('w2')], bench.nowMs);
-    bench.run(2000, () => [want('m1', 3)]);
+    bench.run(6000, () => [want('m1', 3)]);
     expect(bench.sent.filter(({ worker }) => worker === 'w2')).toEqual([]);
   });
 
@@ -263,3 +301,68 @@
     expect(wrong).toEqual([]);
   });
 });
+
+/** Requests for one model after the other, on a worker that has room for three of them. */
+function moving(): () => StockWant[] {
+  let heartbeats = 0;
+  return () => {
+    heartbeats += 1;
+    return [want(`m${Math.floor(heartbeats / 40) % 8}`, 1)];
+  };
+}
+
+describe('the room of a worker', () => {
+  it('is kept when unloads are refused', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1', 'm2'])]);
+    bench.reply = (_id, order) => (order.action === 'unload' ? 'refused' : undefined);
+    bench.run(20_000, moving());
+    expect([bench.wrong, bench.sent.length > 0]).toEqual([[], true]);
+  });
+
+  it('is kept when a load is taken without an answer and refused when it is sent again', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1'])]);
+    let tries = 0;
+    bench.reply = (_id, order) => {
+      if (order.action === 'unload') return undefined;
+      tries += 1;
+      if (tries % 2 === 0) return 'refused';
+      bench.take('w1', order);
+      return 'no-answer';
+    };
+    bench.run(20_000, moving());
+    expect([bench.wrong, tries > 4]).toEqual([[], true]);
+  });
+
+  it('is kept when orders arrive long after they were sent', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1', 'm2'])]);
+    let count = 0;
+    bench.reply = (id, order) => {
+      count += 1;
+      if (count % 3 > 0) return undefined;
+      bench.underWay.push({ id, order });
+      return 'no-answer';
+    };
+    const wants = moving();
+    for (let round = 0; round < 12; round += 1) {
+      bench.run(1700, wants);
+      bench.arrive();
+    }
+    expect([bench.wrong, bench.loads().length > 4]).toEqual([[], true]);
+  });
+
+  it('is kept when an order of an earlier coordinator arrives after the worker has reported', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1'])]);
+    const late: StockOrder = { action: 'load', model: 'm7', adapter: '', fence: 6, sequence: 0 };
+    expect(bench.take('w1', late)).toEqual('begun');
+    bench.run(4000, () => [want('m5', 1)]);
+    expect([bench.wrong, bench.holders('m7'), bench.holders('m5')]).toEqual([[], ['w1'], ['w1']]);
+  });
+
+  it('is measured with the sizes that hold when the order is sent', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1'])]);
+    bench.planOnly([want('m5', 1)]);
+    bench.engine = engineOf(8, { roomMb: 70 });
+    bench.run(400, () => [want('m0', 0, 1), want('m1', 0, 1), want('m5', 1)]);
+    expect([bench.wrong, bench.loads()]).toEqual([[], []]);
+  });
+});
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -1,71 +1,18 @@
 import { spread } from '@rainrun/common';
+import { loadsAtOnce, type StockEngine } from './engine.js';
+import { OrderSender, type OrderDependencies } from './order-sender.js';
+import type { WorkerReport } from './orders.js';
+import { adapterCount, modelMb, newStep, usedMb, type WorkerState } from './worker-state.js';
 import { WorkerTable, type WorkerRecord } from './worker-table.js';
 import { DemandTotals, type Demand, type StockWant } from './demand-totals.js';
 import { Loop, type LoopSettings } from './loop.js';
 
-/** What a model weighs and how long it takes to load. */
-export interface StockModel {
-  readonly name: string;
-  readonly sizeMb: number;
-  readonly loadMs: number;
-  readonly adapterMb: number;
-}
-
-/** The engines of one service. */
-export interface StockEngine {
-  readonly service: string;
-  readonly slots: number;
-  readonly roomMb: number;
-  readonly adapterPlaces: number;
-  readonly loadsPerS: number;
-  readonly models: ReadonlyMap<string, StockModel>;
-}
-
-/** An order to a worker. */
-export interface StockOrder {
-  readonly action: 'load' | 'unload';
-  readonly model: string;
-  readonly adapter: string;
-  readonly fence: number;
-}
-
-/** How a worker answered an order. */
-export type StockReply = 'begun' | 'held' | 'busy' | 'fenced' | 'wrong-worker' | 'refused' | 'no-answer';
-
 /** What the planner needs of its node. */
-export interface PlannerDependencies {
-  /** The fence under which this node may order now, or undefined; asked just before each order. */
-  fence(): number | undefined;
-  order(row: WorkerRecord, order: StockOrder, done: (reply: StockReply) => void): void;
-  nowMs(): number;
+export interface PlannerDependencies extends OrderDependencies {
   /** Called for each decision, for the logs. */
   decided(text: string): void;
 }
 
-interface Step {
-  readonly action: 'load' | 'unload';
-  readonly model: string;
-  readonly adapter: string;
-  /** Whether the worker has said that it is at it. */
-  begun: boolean;
-  posted: boolean;
-  notBeforeMs: number;
-  /** When it will be done without another word. */
-  doneMs: number;
-}
-
-interface Work {
-  steps: Step[];
-  /** Models that this incarnation has held: they come back from its own disk. */
-  readonly held: Set<string>;
-  /** All that may be there: what is held, and what an order may have brought. */
-  readonly present: Map<string, Set<string>>;
-  /** Models that are there and get no more requests: the first to give way, and back at once when wanted. */
-  readonly retired: Set<string>;
-  /** Since when it holds a model. */
-  readonly sinceMs: Map<string, number>;
-}
-
 /** A copy that is wanted. */
 interface Need {
   readonly model: string;
@@ -93,14 +40,6 @@
 /** So long edges are given to learn that they may send no more for what is to go; longer where they do send. */
 const SETTLE_MS = 15;
 const SETTLE_USED_MS = 50;
-const AGAIN_MS = 35;
-/** A load from a worker's own disk takes about this part of one from the store. */
-const DISK_PART = 0.68;
-/** An adapter is there so soon. */
-const ADAPTER_MS = 14;
-/** So long a worker takes to let a model go that nobody uses. */
-const UNLOAD_MS = 35;
-const SILENT_MS = 1000;
 const SMOOTH_MS = 400;
 /** Copies are given up as slowly as this, so that a wave of demand does not move them to and fro. */
 const HEIGHT_MS = 6000;
@@ -153,7 +92,7 @@
 export class PlacementPlanner {
   #book: WorkerTable;
   #dependencies: PlannerDependencies;
-  #works = new Map<string, Work>();
+  #sender: OrderSender;
   #totals = new DemandTotals();
   #usedMs = new Map<string, number>();
   /** Since when a model that stands nowhere is waited for. */
@@ -164,11 +103,15 @@
   #loops = new Map<string, { readonly loop: Loop; atMs: number }>();
   /** Loads from the store that may begin now, by service; a new holder begins with none. */
   #tokens = new Map<string, { count: number; atMs: number }>();
-  readonly counts = { loads: 0, unloads: 0, orders: 0, busy: 0, unanswered: 0 };
 
   constructor(book: WorkerTable, dependencies: PlannerDependencies) {
     this.#book = book;
     this.#dependencies = dependencies;
+    this.#sender = new OrderSender(book, dependencies);
+  }
+
+  get counts(): Readonly<OrderSender['counts']> {
+    return this.#sender.counts;
   }
 
   /** Takes all that an edge asks for now, or where `partial` what has changed of it. */
@@ -180,7 +123,7 @@
   /** Decides anew which worker is to hold what. Its cost grows with models, workers and edges: see `PlanPacer`. */
   plan(engines: ReadonlyMap<string, StockEngine>, evacuated: readonly string[], nowMs: number): void {
     this.#totals.expire(nowMs - WANT_MS);
-    for (const id of this.#works.keys()) if (this.#book.row(id) === undefined) this.#works.delete(id);
+    this.#sender.forgetGone();
     for (const engine of engines.values()) {
       this.#refill(engine, nowMs);
       this.#plan(engine, this.#rowsOf(engine), evacuated, nowMs);
@@ -190,45 +133,27 @@
   /** Sends the orders that are due, in what was decided before. */
   pursue(engines: ReadonlyMap<string, StockEngine>, nowMs: number): void {
     for (const engine of engines.values())
-      for (const row of this.#rowsOf(engine)) this.#pursue(engine, row, nowMs);
+      for (const row of this.#rowsOf(engine)) this.#sender.pursue(engine, row, nowMs);
   }
 
   #rowsOf(engine: StockEngine): WorkerRecord[] {
     return [...this.#book.rows].filter((row) => row.service === engine.service && !row.gone);
   }
 
-  #work(row: WorkerRecord): Work {
-    let work = this.#works.get(row.id);
-    if (work === undefined) {
-      work = {
-        steps: [],
-        held: new Set(row.models.keys()),
-        present: new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])),
-        sinceMs: new Map(),
-        retired: new Set(),
-      };
-      this.#works.set(row.id, work);
-    }
-    return work;
+  #work(row: WorkerRecord): WorkerState {
+    return this.#sender.state(row);
   }
 
   #refill(engine: StockEngine, nowMs: number): void {
     const known = this.#tokens.get(engine.service) ?? { count: 0, atMs: nowMs };
     this.#tokens.set(engine.service, known);
     known.count = Math.min(
-      this.#atOnce(engine),
+      loadsAtOnce(engine),
       known.count + (engine.loadsPerS * (nowMs - known.atMs)) / 1000,
     );
     known.atMs = nowMs;
   }
 
-  /** So many loads at once run at full speed. */
-  #atOnce(engine: StockEngine): number {
-    let loadMs = 1000;
-    for (const model of engine.models.values()) loadMs = Math.min(loadMs, model.loadMs);
-    return Math.max(1, Math.round((engine.loadsPerS * loadMs) / 1000));
-  }
-
   /** What is asked for of the models that an engine can load. */
   #demands(engine: StockEngine): Map<string, Demand> {
     const demands = new Map<string, Demand>();
@@ -290,12 +215,7 @@
     let running = 0;
     for (const row of rows) {
       const work = this.#work(row);
-      if (
-        work.steps.some(
-          (known) => known.action === 'load' && known.adapter === '' && !work.held.has(known.model),
-        )
-      )
-        running += 1;
+      if (work.isFetching) running += 1;
     }
     for (const need of needs) {
       if (this.#revive(usable, need.model, copies)) continue;
@@ -304,7 +224,7 @@
         usable,
         need,
         { demands, copies, desired },
-        running < this.#atOnce(engine),
+        running < loadsAtOnce(engine),
         nowMs,
       );
       if (placed === 'from-store') running += 1;
@@ -402,12 +322,12 @@
       const work = this.#work(row);
       if (
         !work.retired.has(model) ||
-        !work.present.has(model) ||
+        !work.holdings.has(model) ||
         work.steps.some((known) => known.model === model)
       )
         continue;
       work.retired.delete(model);
-      row.models.set(model, new Set(work.present.get(model) ?? []));
+      row.models.set(model, new Set(work.holdings.get(model)));
       this.#book.changed(row, model);
       copies.set(model, (copies.get(model) ?? 0) + 1);
       return true;
@@ -428,20 +348,20 @@
     let best: { row: WorkerRecord; cost: number; victims: string[] } | undefined;
     for (const row of rows) {
       const work = this.#work(row);
-      if (work.steps.length > 0 || work.present.has(need.model)) continue;
-      const fromDisk = work.held.has(need.model);
+      if (work.steps.length > 0 || nowMs < work.restsUntilMs || work.planned.has(need.model)) continue;
+      const fromDisk = work.onDisk.has(need.model);
       if (!fromDisk && (!storeFree || (this.#tokens.get(engine.service)?.count ?? 0) < 1)) continue;
-      let freeMb = engine.roomMb - this.#usedMb(engine, work);
+      let freeMb = engine.roomMb - usedMb(engine, work.planned);
       const victims: string[] = [];
       let cost = fromDisk ? -DISK : 0;
-      const others = [...work.present.keys()]
+      const others = [...work.planned.keys()]
         .map((other) => ({ other, value: this.#valueOf(engine, row, other, need, counts, nowMs) }))
         .sort((one, other) => one.value - other.value);
       for (const { other, value } of others) {
         if (freeMb >= model.sizeMb) break;
         if (value >= need.worth) break;
         victims.push(other);
-        freeMb += this.#sizeMb(engine, other, work);
+        freeMb += modelMb(engine, other, work.planned.get(other)?.size ?? 0);
         cost += value;
       }
       if (freeMb < model.sizeMb) continue;
@@ -452,35 +372,23 @@
     const work = this.#work(row);
     for (const victim of victims) {
       if (work.retired.delete(victim)) {
-        work.steps.push(step('unload', victim, '', nowMs));
+        work.add(newStep('unload', victim, '', nowMs));
         continue;
       }
       row.models.delete(victim);
       counts.copies.set(victim, (counts.copies.get(victim) ?? 1) - 1);
       const inUse = (counts.demands.get(victim)?.inFlight ?? 0) > 0;
-      work.steps.push(step('unload', victim, '', nowMs + (inUse ? SETTLE_USED_MS : SETTLE_MS)));
+      work.add(newStep('unload', victim, '', nowMs + (inUse ? SETTLE_USED_MS : SETTLE_MS)));
     }
     for (const victim of victims) this.#book.changed(row, victim);
-    work.steps.push(step('load', need.model, '', nowMs));
-    work.present.set(need.model, new Set());
+    work.add(newStep('load', need.model, '', nowMs));
     counts.copies.set(need.model, (counts.copies.get(need.model) ?? 0) + 1);
     const tokens = this.#tokens.get(engine.service);
-    if (!work.held.has(need.model) && tokens !== undefined) tokens.count -= 1;
+    if (!work.onDisk.has(need.model) && tokens !== undefined) tokens.count -= 1;
     this.#dependencies.decided(
       `${row.id} loads ${need.model}${victims.length > 0 ? ` in the place of ${victims.join(', ')}` : ''} (worth ${need.worth.toFixed(2)})`,
     );
-    return work.held.has(need.model) ? 'from-disk' : 'from-store';
-  }
-
-  #sizeMb(engine: StockEngine, model: string, work: Work): number {
-    const known = engine.models.get(model);
-    return (known?.sizeMb ?? engine.roomMb) + (work.present.get(model)?.size ?? 0) * (known?.adapterMb ?? 0);
-  }
-
-  #usedMb(engine: StockEngine, work: Work): number {
-    let sumMb = 0;
-    for (const model of work.present.keys()) sumMb += this.#sizeMb(engine, model, work);
-    return sumMb;
+    return work.onDisk.has(need.model) ? 'from-disk' : 'from-store';
   }
 
   #placeAdapters(
@@ -511,147 +419,48 @@
       );
       for (const row of holders) {
         const work = this.#work(row);
-        if (work.steps.length > 2) continue;
-        const adapters = [...work.present].flatMap(([known, names]) =>
-          [...names].map((name) => ({
-            known,
-            name,
-            usedMs: this.#usedMs.get(`${engine.service}/${known}/${name}`) ?? -Infinity,
-          })),
-        );
-        if (engine.roomMb - this.#usedMb(engine, work) < size) continue;
-        if (adapters.length >= engine.adapterPlaces) {
-          const queued = work.steps.filter((known) => known.adapter !== '');
-          if (
-            adapters.length - queued.filter((known) => known.action === 'unload').length >=
-            engine.adapterPlaces + 1
-          )
-            continue;
-          const free = adapters.filter(
-            ({ known, name }) =>
-              !queued.some((one) => one.model === known && one.adapter === name) &&
-              this.#adapterIdle(demand, known, model, name),
-          );
-          const oldest = free.sort((one, other) => one.usedMs - other.usedMs)[0];
+        if (work.steps.length > 2 || nowMs < work.restsUntilMs) continue;
+        if (engine.roomMb - usedMb(engine, work.planned) < size) continue;
+        if (adapterCount(work.planned) >= engine.adapterPlaces) {
+          const oldest = this.#oldestAdapter(engine, work, model, demand);
           if (oldest === undefined) continue;
-          row.models.get(oldest.known)?.delete(oldest.name);
-          this.#book.changed(row, oldest.known);
-          work.steps.push(step('unload', oldest.known, oldest.name, nowMs + SETTLE_MS));
+          row.models.get(oldest.model)?.delete(oldest.adapter);
+          this.#book.changed(row, oldest.model);
+          work.add(newStep('unload', oldest.model, oldest.adapter, nowMs + SETTLE_MS));
         }
-        work.steps.push(step('load', model, adapter, nowMs));
-        work.present.get(model)?.add(adapter);
+        work.add(newStep('load', model, adapter, nowMs));
         break;
       }
     }
   }
 
-  /** Whether an adapter is not in use now, as far as the edges say. */
-  #adapterIdle(demand: Demand, known: string, model: string, adapter: string): boolean {
-    const wanted = known === model ? demand.adapters.get(adapter) : undefined;
-    return wanted === undefined || wanted.waiting + wanted.inFlight === 0;
-  }
-
-  /**
-   * What a worker said itself, newer than any order of an earlier holder of
-   * the duty: from here on its holdings are known.
-   */
-  settle(row: WorkerRecord, models: ReadonlyMap<string, ReadonlySet<string>>): void {
-    row.models = new Map([...models].map(([model, adapters]) => [model, new Set(adapters)]));
-    row.sure = true;
-    this.#works.delete(row.id);
-    this.#book.changed(row);
-  }
-
-  /** Whether some request waits for a model or an adapter. */
-  get pressed(): boolean {
-    return this.#totals.waiting > 0;
-  }
-
-  #pursue(engine: StockEngine, row: WorkerRecord, nowMs: number): void {
-    const work = this.#work(row);
-    const first = work.steps[0];
-    if (first === undefined) return;
-    if (nowMs >= first.doneMs) return this.#finish(row, work, first);
-    if (row.leaving) {
-      work.steps = [];
-      return;
-    }
-    if (!row.sure) return;
-    if (first.posted || nowMs < first.notBeforeMs) return;
-    const fence = this.#dependencies.fence();
-    if (fence === undefined) return;
-    const { action, model, adapter } = first;
-    if (action === 'load' && adapter !== '' && work.present.get(model)?.has(adapter) !== true) {
-      work.steps.shift();
-      return;
-    }
-    first.posted = true;
-    this.counts.orders += 1;
-    this.#dependencies.order(row, { action, model, adapter, fence }, (reply) =>
-      this.#replied(engine, row, work, first, reply),
-    );
-  }
-
-  #replied(engine: StockEngine, row: WorkerRecord, work: Work, done: Step, reply: StockReply): void {
-    if (work.steps[0] !== done) return;
-    const nowMs = this.#dependencies.nowMs();
-    function again(waitMs: number): void {
-      done.posted = false;
-      done.notBeforeMs = nowMs + waitMs;
-    }
-    switch (reply) {
-      case 'begun': {
-        if (done.action === 'unload') return this.#finish(row, work, done);
-        if (done.adapter !== '') {
-          done.doneMs = nowMs + ADAPTER_MS;
-          return;
-        }
-        const loadMs = engine.models.get(done.model)?.loadMs ?? 1000;
-        if (done.begun) return again(AGAIN_MS);
-        done.begun = true;
-        this.counts.loads += 1;
-        return again(work.held.has(done.model) ? loadMs * DISK_PART : loadMs + 5);
+  /** Of the adapters that a worker holds and that are not in use, the one that was unused longest. */
+  #oldestAdapter(
+    engine: StockEngine,
+    work: WorkerState,
+    model: string,
+    demand: Demand,
+  ): { readonly model: string; readonly adapter: string } | undefined {
+    let oldest: { readonly model: string; readonly adapter: string; readonly usedMs: number } | undefined;
+    for (const [known, adapters] of work.planned) {
+      for (const name of adapters) {
+        if (work.holdings.get(known)?.has(name) !== true) continue;
+        if (!this.#adapterIdle(demand, known, model, name)) continue;
+        const usedMs = this.#usedMs.get(`${engine.service}/${known}/${name}`) ?? -Infinity;
+        if (oldest === undefined || usedMs < oldest.usedMs) oldest = { model: known, adapter: name, usedMs };
       }
-      case 'held':
-        return this.#finish(row, work, done);
-      case 'busy':
-        this.counts.busy += 1;
-        return again(done.adapter === '' ? AGAIN_MS : AGAIN_MS / 3);
-      case 'no-answer':
-        this.counts.unanswered += 1;
-        return again(SILENT_MS);
-      case 'fenced':
-        return again(SILENT_MS);
-      case 'wrong-worker':
-      case 'refused':
-        if (done.action === 'load' && reply === 'refused') this.#forget(work, done);
-        work.steps.shift();
-        return;
     }
+    return oldest;
   }
 
-  #forget(work: Work, done: Step): void {
-    if (done.adapter === '') work.present.delete(done.model);
-    else work.present.get(done.model)?.delete(done.adapter);
+  /** Whether an adapter is not in use now, as far as the edges say. */
+  #adapterIdle(demand: Demand, known: string, model: string, adapter: string): boolean {
+    const wanted = known === model ? demand.adapters.get(adapter) : undefined;
+    return wanted === undefined || wanted.waiting + wanted.inFlight === 0;
   }
 
-  #finish(row: WorkerRecord, work: Work, done: Step): void {
-    work.steps.shift();
-    const next = work.steps[0];
-    if (done.action === 'unload') {
-      if (next !== undefined && done.adapter === '')
-        next.notBeforeMs = this.#dependencies.nowMs() + UNLOAD_MS;
-      this.#forget(work, done);
-      this.counts.unloads += 1;
-    } else if (done.adapter === '') {
-      work.held.add(done.model);
-      work.sinceMs.set(done.model, this.#dependencies.nowMs());
-      row.models.set(done.model, new Set(work.present.get(done.model) ?? []));
-    } else row.models.get(done.model)?.add(done.adapter);
-    this.#book.changed(row, done.model);
+  /** Takes a worker's own word on what it holds: from here on it may be ordered. */
+  settle(row: WorkerRecord, report: WorkerReport): void {
+    this.#sender.settle(row, report);
   }
 }
-
-function step(action: 'load' | 'unload', model: string, adapter: string, notBeforeMs: number): Step {
-  return { action, model, adapter, begun: false, posted: false, notBeforeMs, doneMs: Infinity };
-}
--- /dev/null
+++ b/packages/placement/src/worker-state.ts
@@ -0,0 +1,201 @@
+import type { StockEngine } from './engine.js';
+import type { Holdings, WorkerReport } from './orders.js';
+
+/** One order that was decided: it is sent once those before it are done. */
+export interface Step {
+  readonly action: 'load' | 'unload';
+  readonly model: string;
+  /** Empty for the model itself. */
+  readonly adapter: string;
+  /** Whether the worker has said that it is at it. */
+  begun: boolean;
+  /** Whether an answer is waited for. */
+  posted: boolean;
+  notBeforeMs: number;
+  /** When it will be done without another word. */
+  doneMs: number;
+}
+
+/**
+ * A step that was not sent yet.
+ * @example
+ * newStep('load', 'model-1', '', nowMs);
+ */
+export function newStep(action: Step['action'], model: string, adapter: string, notBeforeMs: number): Step {
+  return { action, model, adapter, begun: false, posted: false, notBeforeMs, doneMs: Infinity };
+}
+
+/** After a refusal a worker gets no new order for so long; twice as long after each further one. */
+const REFUSED_MS = 250;
+const REFUSED_MOST_MS = 4000;
+
+/**
+ * What one incarnation of a worker holds by its own word, and the orders that
+ * were decided for it. Holdings change with what the worker answers, and with
+ * nothing else; what is decided counts in `planned` from the moment on.
+ * @example
+ * const state = new WorkerState(report.holdings);
+ * state.adopt(report);
+ * state.add(newStep('load', 'model-1', '', nowMs));
+ * state.planned.has('model-1'); // true
+ */
+export class WorkerState {
+  /** Models that this incarnation has held: they come back from its own disk. */
+  readonly onDisk: Set<string>;
+  /** Models that are there and get no more requests: the first to give way, and back at once when wanted. */
+  readonly retired = new Set<string>();
+  /** Since when it holds a model. */
+  readonly sinceMs = new Map<string, number>();
+  /** How many orders it has taken; known once it has reported. */
+  sequence = 0;
+  /** When it last took an order. */
+  acceptedMs = -Infinity;
+  /** Until when it is left alone after it refused orders. */
+  restsUntilMs = -Infinity;
+  #holdings: Map<string, Set<string>>;
+  #steps: Step[] = [];
+  #planned: Map<string, Set<string>> | undefined;
+  #refusals = 0;
+
+  constructor(listed: Holdings) {
+    this.#holdings = copyOf(listed);
+    this.onDisk = new Set(listed.keys());
+  }
+
+  get steps(): readonly Step[] {
+    return this.#steps;
+  }
+
+  /** What it holds. */
+  get holdings(): Holdings {
+    return this.#holdings;
+  }
+
+  /** What it will hold once all steps are done. */
+  get planned(): Holdings {
+    this.#planned ??= this.#project();
+    return this.#planned;
+  }
+
+  /** Takes a worker's own word, in place of all that was believed and decided. */
+  adopt(report: WorkerReport): void {
+    this.#holdings = copyOf(report.holdings);
+    this.sequence = report.sequence;
+    this.retired.clear();
+    for (const model of report.holdings.keys()) this.onDisk.add(model);
+    for (const model of this.sinceMs.keys()) if (!report.holdings.has(model)) this.sinceMs.delete(model);
+    this.clear();
+  }
+
+  add(step: Step): void {
+    this.#steps.push(step);
+    this.#planned = undefined;
+  }
+
+  /** Drops all that was decided and is not done. */
+  clear(): void {
+    this.#steps = [];
+    this.#planned = undefined;
+  }
+
+  /** The worker has taken an order. */
+  accepted(nowMs: number): void {
+    this.sequence += 1;
+    this.acceptedMs = nowMs;
+    this.#refusals = 0;
+  }
+
+  /** The worker has refused an order. */
+  refused(nowMs: number): void {
+    this.restsUntilMs = nowMs + Math.min(REFUSED_MOST_MS, REFUSED_MS * 2 ** this.#refusals);
+    this.#refusals += 1;
+  }
+
+  /** The first step is done. */
+  finishFirst(nowMs: number): void {
+    const step = this.#steps.shift();
+    if (step === undefined) return;
+    applyStep(this.#holdings, step);
+    this.#planned = undefined;
+    if (step.adapter !== '') return;
+    if (step.action === 'unload') this.sinceMs.delete(step.model);
+    else {
+      this.onDisk.add(step.model);
+      this.sinceMs.set(step.model, nowMs);
+    }
+  }
+
+  /** Whether a load keeps to the room and the adapter places, with the sizes that hold now. */
+  bears(engine: StockEngine, { action, model, adapter }: Step): boolean {
+    if (action === 'unload') return true;
+    const after = copyOf(this.#holdings);
+    if (adapter !== '' && !after.has(model)) return false;
+    applyStep(after, { action, model, adapter });
+    return usedMb(engine, after) <= engine.roomMb && adapterCount(after) <= engine.adapterPlaces;
+  }
+
+  /** Whether a model is being loaded from the store of weights, or will be. */
+  get isFetching(): boolean {
+    return this.#steps.some(
+      ({ action, model, adapter }) => action === 'load' && adapter === '' && !this.onDisk.has(model),
+    );
+  }
+
+  #project(): Map<string, Set<string>> {
+    const planned = copyOf(this.#holdings);
+    for (const step of this.#steps) applyStep(planned, step);
+    return planned;
+  }
+}
+
+function applyStep(
+  holdings: Map<string, Set<string>>,
+  { action, model, adapter }: Pick<Step, 'action' | 'model' | 'adapter'>,
+): void {
+  if (adapter !== '') {
+    if (action === 'load') holdings.get(model)?.add(adapter);
+    else holdings.get(model)?.delete(adapter);
+  } else if (action === 'unload') holdings.delete(model);
+  else if (!holdings.has(model)) holdings.set(model, new Set());
+}
+
+/**
+ * A copy of holdings that may be changed.
+ * @example
+ * copyOf(report.holdings).delete('model-1');
+ */
+export function copyOf(holdings: Holdings): Map<string, Set<string>> {
+  return new Map([...holdings].map(([model, adapters]) => [model, new Set(adapters)]));
+}
+
+/**
+ * What a model with its adapters takes up, in MB; one that the configuration does not know counts as all the room.
+ * @example
+ * modelMb(engine, 'model-1', 2); // its weights and two adapters
+ */
+export function modelMb(engine: StockEngine, model: string, adapters: number): number {
+  const known = engine.models.get(model);
+  return known === undefined ? engine.roomMb : known.sizeMb + adapters * known.adapterMb;
+}
+
+/**
+ * What holdings take up, in MB.
+ * @example
+ * usedMb(engine, state.planned) <= engine.roomMb;
+ */
+export function usedMb(engine: StockEngine, holdings: Holdings): number {
+  let sumMb = 0;
+  for (const [model, adapters] of holdings) sumMb += modelMb(engine, model, adapters.size);
+  return sumMb;
+}
+
+/**
+ * How many adapters there are, of all models together.
+ * @example
+ * adapterCount(state.planned) < engine.adapterPlaces;
+ */
+export function adapterCount(holdings: Holdings): number {
+  let count = 0;
+  for (const adapters of holdings.values()) count += adapters.size;
+  return count;
+}
--- a/packages/placement/src/worker-table.ts
+++ b/packages/placement/src/worker-table.ts
@@ -26,10 +26,8 @@
   /** Grows with every change of any row. */
   number: number;
   goneMs: number;
-  /** Whether its holdings are known for certain: no order of an earlier holder of the duty is still to show. */
+  /** Whether its holdings are known for certain, by its own word; only then is it ordered. */
   sure: boolean;
-  /** What the list said last. */
-  listed: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
 const FORGET_MS = 30_000;
@@ -127,7 +125,6 @@
       number: 0,
       goneMs: 0,
       sure: false,
-      listed: listed.models,
     };
     this.#rows.set(id, row);
     this.changed(row);
@@ -135,7 +132,6 @@
   }
 
   #update(row: WorkerRecord, listed: ListedWorker, nowMs: number): void {
-    row.listed = listed.models;
     const coldUntilMs = listed.coldMs > 0 ? nowMs + listed.coldMs : -Infinity;
     const cold = coldUntilMs > row.coldUntilMs + COLD_STEP_MS && coldUntilMs > nowMs;
     if (
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -5,7 +5,7 @@
 import { CoreReplica, coreStatus, OperatorService } from '@rainrun/cluster-node';
 import { RecordStore } from '@rainrun/storage';
 import { fault, randomId, type Chance, type Clock, type Fault } from '@rainrun/common';
-import type { WorkerRecord, ListedWorker, StockOrder, StockReply } from '@rainrun/placement';
+import type { WorkerRecord, ListedWorker, ReportReply, StockOrder, StockReply } from '@rainrun/placement';
 import { Result } from 'true-myth';
 import { request } from 'undici';
 import type { Dialect, SystemSettings } from './dialect.js';
@@ -88,7 +88,6 @@
       post: (address, frame) => this.#wire.post(address, frame),
       order: (row, order, done) => this.#order(row, order, done),
       report: (row, done) => this.#report(row, done),
-      listLagMs: settings.provider.lagMs,
       changed: (state) =>
         log.info({ edition: state.edition, revision: state.revision, evacuated: state.evacuated }, 'agreed'),
       reborn: (incarnation) => log.warn({ incarnation }, 'dropped from the view; joining anew'),
@@ -215,10 +214,7 @@
     );
   }
 
-  #report(
-    row: WorkerRecord,
-    done: (models: ReadonlyMap<string, ReadonlySet<string>> | undefined) => void,
-  ): void {
+  #report(row: WorkerRecord, done: (reply: ReportReply) => void): void {
     this.#call(
       row,
       'GET',
@@ -226,7 +222,7 @@
       '',
       () => true,
       (reply) => {
-        done(reply?.status === 200 ? this.#dialect.readReport(reply.body) : undefined);
+        done(reply?.status === 200 ? this.#dialect.readReport(reply.body) : 'no-answer');
       },
     );
   }
--- a/packages/runtime/src/dialect.ts
+++ b/packages/runtime/src/dialect.ts
@@ -1,7 +1,7 @@
 import type { OperatorCall, OperatorFormat } from '@rainrun/cluster-node';
 import type { Fault } from '@rainrun/common';
 import type { WireWords } from '@rainrun/router';
-import type { ListedWorker, StockOrder, StockReply } from '@rainrun/placement';
+import type { ListedWorker, ReportReply, StockOrder, StockReply } from '@rainrun/placement';
 import type { Result } from 'true-myth';
 
 export type { OperatorCall } from '@rainrun/cluster-node';
@@ -68,7 +68,7 @@
   listPath(next: string | undefined): string;
   readPage(text: string): Result<ListPage, Fault>;
   writeOrder(order: StockOrder, holder: string): string;
-  /** What a worker says it holds; undefined while it is at an order, or if it cannot be read. */
-  readReport(text: string): ReadonlyMap<string, ReadonlySet<string>> | undefined;
+  /** What a worker says it holds; one that cannot be read is no answer. */
+  readReport(text: string): ReportReply;
   readOrderReply(status: number): StockReply;
 }
--- a/packages/simulator/src/grounds.ts
+++ b/packages/simulator/src/grounds.ts
@@ -83,6 +83,7 @@
   #loadedMs = new Map<string, number>();
   #busyUntilMs = 0;
   #epoch = 0;
+  #sequence = 0;
   #works = new Set<Work>();
   #boots = 0;
   #sizesMb = new Map<string, number>();
@@ -102,6 +103,7 @@
     this.holdings = [];
     this.#loadedMs.clear();
     this.#busyUntilMs = 0;
+    this.#sequence = 0;
     this.#grounds.oracle.orderEnds(this.name);
     for (const work of this.#works) {
       work.over = true;
@@ -114,6 +116,8 @@
     const { time, oracle, dice, isCut } = this.#grounds;
     if (!this.up || this.dark || isCut(by, this.name))
       return time.after(500, () => done(Result.err(fault('unreached', 'no reply'))));
+    if (order.epoch === this.#epoch && order.sequence <= this.#sequence)
+      return time.after(1, () => done(Result.err(fault('worker-nonsense', 'late'))));
     const acts = order.action !== 'inventory';
     const spec = this.#grounds.spec();
     if (spec !== undefined) this.#heldMb(spec);
@@ -124,6 +128,7 @@
         `${this.name} got epoch ${order.epoch} after ${this.#epoch}`,
         time.nowMs(),
       );
+    if (order.epoch >= this.#epoch) this.#sequence = order.sequence;
     this.#epoch = Math.max(this.#epoch, order.epoch);
     const busy = time.nowMs() < this.#busyUntilMs;
     if (acts && !busy) this.#grounds.ordered(order.action);
--- /dev/null
+++ b/packages/simulator/src/placement-orders.test.ts
@@ -0,0 +1,93 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { sampleDocument } from './system/configuration.js';
+import { Faults } from './system/faults.js';
+import { SMALL_SYSTEM, type SystemSize } from './system/size.js';
+import { SOUND_CALLS, type CallFaults } from './system/worker-calls.js';
+import { System } from './system.js';
+
+const SIZE: SystemSize = { ...SMALL_SYSTEM, edges: 1, workers: 4, models: 10, heartbeatMs: 50 };
+const SEEDS = [1, 2, 3, 4];
+const OPEN_MS = 5000;
+const UNSOUND_MS = 20_000;
+const SHIFT_MS = 700;
+const FAULT_MS = 4000;
+const REST_MS = 8000;
+
+/** What happens to the cores meanwhile. */
+type CoreTrouble = 'none' | 'freeze' | 'cut' | 'kill';
+
+/** A few models, others at each call; half of them with an adapter. */
+function shiftDemand(system: System): void {
+  const { dice } = system;
+  const first = Math.floor(dice.next() * SIZE.models);
+  system.needs = [0, 1, 2, 3, 4].flatMap((step) => {
+    const model = `m${(first + step * 3) % SIZE.models}`;
+    const adapter = `a${Math.floor(dice.next() * 4)}`;
+    const needed = { model, adapter: '', count: 2 };
+    return step % 2 === 0 ? [needed] : [needed, { model, adapter, count: 1 }];
+  });
+}
+
+/** Demand moves on while calls to workers go wrong and the coordinator is in trouble; what it broke. */
+function play(seed: number, faults: CallFaults, trouble: CoreTrouble): string[] {
+  const system = new System(seed, SIZE);
+  const { time } = system;
+  const injected = new Faults(system);
+  system.start();
+  system.put(0, sampleDocument(5, SIZE.models, 'first'));
+  time.runUntil(OPEN_MS);
+  system.workerCalls.faults = faults;
+  let troubledMs = time.nowMs();
+  while (time.nowMs() < OPEN_MS + UNSOUND_MS) {
+    shiftDemand(system);
+    const leader = system.leader();
+    if (trouble !== 'none' && leader !== undefined && time.nowMs() - troubledMs >= FAULT_MS) {
+      troubledMs = time.nowMs();
+      injected.core(leader, trouble, FAULT_MS / 2);
+    }
+    time.runUntil(time.nowMs() + SHIFT_MS);
+  }
+  system.workerCalls.faults = SOUND_CALLS;
+  time.runUntil(time.nowMs() + REST_MS);
+  injected.restoreAll();
+  system.checkEnd();
+  return system.breaches.map(({ rule, detail }) => `seed ${seed}: ${rule}: ${detail}`);
+}
+
+function playAll(faults: Partial<CallFaults>, trouble: CoreTrouble = 'none'): string[] {
+  return SEEDS.flatMap((seed) => play(seed, { ...SOUND_CALLS, ...faults }, trouble));
+}
+
+describe('orders to workers over an unsound network', () => {
+  it('stay within the room while all goes well', () => {
+    expect(playAll({})).toEqual([]);
+  });
+
+  it('stay within the room when some arrive long after their sender gave up waiting', () => {
+    expect(playAll({ delayed: 0.3 })).toEqual([]);
+  });
+
+  it('stay within the room when workers take them and the answers are lost', () => {
+    expect(playAll({ answerLost: 0.3 })).toEqual([]);
+  });
+
+  it('stay within the room when workers refuse some without a reason', () => {
+    expect(playAll({ refused: 0.3 })).toEqual([]);
+  });
+
+  it('stay within the room when coordinators change while workers cannot be read', () => {
+    expect(playAll({ unreadable: 0.7 }, 'freeze')).toEqual([]);
+  });
+
+  it('stay within the room when coordinators change while orders are late', () => {
+    expect(
+      (['freeze', 'cut', 'kill'] as const).flatMap((trouble) => playAll({ delayed: 0.3 }, trouble)),
+    ).toEqual([]);
+  });
+
+  it('stay within the room when everything goes wrong at once', () => {
+    const faults = { delayed: 0.2, answerLost: 0.2, refused: 0.2, unreadable: 0.5 };
+    expect((['none', 'freeze', 'cut'] as const).flatMap((trouble) => playAll(faults, trouble))).toEqual([]);
+  });
+});
--- a/packages/simulator/src/system-seeds.ts
+++ b/packages/simulator/src/system-seeds.ts
@@ -12,7 +12,7 @@
     --from    first seed (default 1)
     --count   how many seeds (default 20)
     --size    small or five (default small)
-    --profile what the days are about: mixed, changes, partitions, membership, power (default by seed)
+    --profile what the days are about: mixed, changes, partitions, membership, power, placement (default by seed)
     --span    whole, short, or long with hundreds of changes (default whole)
     --show    print the timeline of every seed, not only of failing ones
     --brief   print no timeline at all
--- a/packages/simulator/src/system-trial.ts
+++ b/packages/simulator/src/system-trial.ts
@@ -29,7 +29,7 @@
 };
 
 /** What a day is mostly about. */
-export const PROFILES = ['mixed', 'changes', 'partitions', 'membership', 'power'] as const;
+export const PROFILES = ['mixed', 'changes', 'partitions', 'membership', 'power', 'placement'] as const;
 /** A kind of simulated day. */
 export type Profile = (typeof PROFILES)[number];
 
@@ -53,7 +53,8 @@
   | 'all killed'
   | 'all without power'
   | 'power during change'
-  | 'power after acknowledgement';
+  | 'power after acknowledgement'
+  | 'unsound calls';
 
 const WEIGHTS: Readonly<Record<Profile, Readonly<Partial<Record<Act, number>>>>> = {
   mixed: {
@@ -110,6 +111,14 @@
     'power during change': 20,
     'power after acknowledgement': 10,
   },
+  placement: {
+    core: 14,
+    worker: 8,
+    demand: 40,
+    'unsound calls': 20,
+    'long cut': 2,
+    order: 2,
+  },
 };
 
 /** A change goes out so often on a day of changes: hundreds a day. */
@@ -229,6 +238,8 @@
         return this.#whenWhole(() => faults.powerDuringChange(send));
       case 'power after acknowledgement':
         return this.#whenWhole(() => faults.powerAfterAcknowledgement(send));
+      case 'unsound calls':
+        return faults.unsoundCalls();
     }
   }
 
--- a/packages/simulator/src/system.ts
+++ b/packages/simulator/src/system.ts
@@ -43,6 +43,7 @@
   readonly size: SystemSize;
   readonly network: Network;
   readonly workers: WorkerPool;
+  readonly workerCalls: WorkerCalls;
   readonly operators: OperatorClient;
   readonly expectations = new Expectations();
   readonly cores: Machine[] = [];
@@ -71,13 +72,14 @@
       return cores.find((core) => core.address === address);
     }
     const operators = new OperatorClient({ time, dice, directory, machineAt, note });
+    this.workerCalls = new WorkerCalls(time, dice, network, workers);
     const shared = { time, size, network, workers, demand, breach };
     this.#invariants = new Invariants({ ...shared, operators, expectations, cores, edges });
     this.#processes = new Processes({
       ...shared,
       dice,
       note,
-      calls: new WorkerCalls(time, dice, network, workers),
+      calls: this.workerCalls,
       listedCores: () => directory.list(),
       disturbed: (machine) => this.disturbed(machine),
     });
--- a/packages/simulator/src/system/faults.ts
+++ b/packages/simulator/src/system/faults.ts
@@ -4,6 +4,7 @@
 import type { Cut, SimDisk } from '../world.js';
 import type { Machine } from './machine.js';
 import { BOUNDS } from './size.js';
+import { SOUND_CALLS } from './worker-calls.js';
 
 /** Faults of one core; each counts as a loss while it lasts and for `catchUpMs` after. */
 const CORE_FAULTS = [
@@ -30,6 +31,8 @@
 const SLOW_DISK_MS = 40;
 const SLOWEST_DISK_MS = 200;
 const LOSSY_RATIO = 0.05;
+const MOST_CALLS_DELAYED = 0.4;
+const MOST_CALLS_FAILED = 0.3;
 /** A successor has joined, been made a voter and caught up by then. */
 const SUCCESSOR_MS = BOUNDS.catchUpMs;
 
@@ -377,6 +380,22 @@
     });
   }
 
+  /** Orders, their answers, reports and the platform's list are late, lost, refused or unreadable for a while. */
+  unsoundCalls(): void {
+    const { workerCalls } = this.#system;
+    if (workerCalls.faults !== SOUND_CALLS) return;
+    this.#inject('unsound calls to workers');
+    workerCalls.faults = {
+      delayed: MOST_CALLS_DELAYED * this.#dice.next(),
+      answerLost: MOST_CALLS_FAILED * this.#dice.next(),
+      refused: MOST_CALLS_FAILED * this.#dice.next(),
+      unreadable: this.#dice.next(),
+    };
+    this.#after(1000 + this.#roll(6000), () => {
+      workerCalls.faults = SOUND_CALLS;
+    });
+  }
+
   /** Answers to operators are lost for a while, up to 0.7 of them. */
   loseAnswers(): void {
     const { operators } = this.#system;
--- a/packages/simulator/src/system/processes.ts
+++ b/packages/simulator/src/system/processes.ts
@@ -10,7 +10,7 @@
 import { newOperatorService } from './operator-desk.js';
 import type { SystemSize } from './size.js';
 import type { WorkerCalls } from './worker-calls.js';
-import { LIST_LAG_MS, type WorkerPool } from './workers.js';
+import { type WorkerPool } from './workers.js';
 
 /** Times of the cores as the program sets them. */
 const TIMES: GroupTimes = {
@@ -202,7 +202,6 @@
       post: (to, frame) => network.post(machine, to, frame),
       order: (row, order, done) => calls.order(machine, replica, row, order, done),
       report: (row, done) => calls.report(machine, row, done),
-      listLagMs: LIST_LAG_MS,
       changed: () => undefined,
       reborn: () => this.#context.note(name, 'dropped, rejoins'),
       refused: (why) => this.#context.note(name, `refused: ${why}`),
@@ -260,10 +259,11 @@
 
   /** Reads the platform's list of workers from time to time. */
   #readList(machine: Machine, running: Process, replica: CoreReplica): void {
-    const { time, dice, workers } = this.#context;
+    const { time, dice, workers, calls } = this.#context;
     if (time.nowMs() - running.listedMs < LIST_MS) return;
     running.listedMs = time.nowMs();
     time.after(2 + dice.next() * 8, () => {
+      if (!calls.isListReadable) return;
       const list = workers.list();
       time.after(2 + dice.next() * 8, () => machine.perform(running, () => replica.learnList(list)));
     });
--- a/packages/simulator/src/system/workers.ts
+++ b/packages/simulator/src/system/workers.ts
@@ -1,5 +1,5 @@
 import { randomId, type Dice } from '@rainrun/common';
-import type { ListedWorker, StockOrder, StockReply } from '@rainrun/placement';
+import type { ListedWorker, ReportReply, StockOrder, StockReply } from '@rainrun/placement';
 import type { VirtualTime } from '../world.js';
 
 /** The one service of models of a simulated system. */
@@ -20,6 +20,8 @@
 export const LIST_LAG_MS = 800;
 /** A worker's own report lags by no more than this and a step of the list. */
 const REPORT_LAG_MS = 200;
+/** A load from a worker's own disk takes this part of one from the store. */
+const DISK_PART = 0.6;
 const LEASE_MS = 3000;
 const WINDOW_MS = 5000;
 const OVERSHOOT = 1.1;
@@ -60,6 +62,7 @@
   #onDisk = new Set<string>();
   #doing: Doing | undefined;
   #coming = '';
+  #sequence = 0;
   #taken: Taken[] = [];
 
   constructor(pool: WorkerPool, zone: string, address: string) {
@@ -82,6 +85,7 @@
     this.#doing = undefined;
     this.#coming = '';
     this.#taken = [];
+    this.#sequence = 0;
     this.leaving = false;
   }
 
@@ -105,15 +109,26 @@
     if (this.#taken.some((taken) => taken.fence > order.fence)) return 'fenced';
     this.#checkHolder({ holder, fence: order.fence, atMs: nowMs });
     if (this.#doing !== undefined && nowMs < this.#doing.untilMs) return 'busy';
+    if (order.sequence !== this.#sequence) return 'busy';
     this.settle();
     return order.action === 'load' ? this.#load(order, nowMs) : this.#unload(order, nowMs);
   }
 
+  /** How many orders this incarnation has taken. */
+  get sequence(): number {
+    return this.#sequence;
+  }
+
   /** Whether an order is being done. */
   get busy(): boolean {
     return this.#doing !== undefined;
   }
 
+  /** Whether a model is being loaded. */
+  get isLoading(): boolean {
+    return this.#coming !== '';
+  }
+
   /** Ends what is done by now. */
   settle(): void {
     const doing = this.#doing;
@@ -148,7 +163,8 @@
     if (!fromDisk) this.#pool.loaded(nowMs);
     this.#pool.placed(this, model);
     this.#coming = model;
-    this.#begin(nowMs, ENGINE.loadMs * (fromDisk ? 0.6 : 1) * (0.9 + this.#pool.dice.next() * 0.8), () => {
+    const slowdown = fromDisk ? DISK_PART : this.#pool.crowding();
+    this.#begin(nowMs, ENGINE.loadMs * slowdown * (0.9 + this.#pool.dice.next() * 0.8), () => {
       this.#coming = '';
       this.#onDisk.add(model);
       this.models.set(model, new Set());
@@ -168,6 +184,7 @@
   }
 
   #begin(nowMs: number, takesMs: number, done: () => void): void {
+    this.#sequence += 1;
     this.#doing = { untilMs: nowMs + takesMs, done };
   }
 
@@ -187,6 +204,16 @@
   }
 }
 
+/** What the platform and the workers themselves show of a moment. */
+interface Snapshot {
+  readonly atMs: number;
+  readonly list: readonly ListedWorker[];
+  /** Workers that were at an order. */
+  readonly busy: ReadonlySet<string>;
+  /** How many orders each worker had taken. */
+  readonly sequences: ReadonlyMap<string, number>;
+}
+
 /** The platform's workers and its list of them, which lags. */
 export class WorkerPool {
   readonly time: VirtualTime;
@@ -199,7 +226,7 @@
   counted: () => boolean = () => true;
   #fences = new Map<number, string>();
   #newest: { fence: number; holder: string } = { fence: 0, holder: '' };
-  #snapshots: { atMs: number; list: readonly ListedWorker[]; busy: ReadonlySet<string> }[] = [];
+  #snapshots: Snapshot[] = [];
   #shownMs = -Infinity;
   #leavingMs = new Map<string, number>();
   #evacuatedMs = new Map<string, number>();
@@ -263,6 +290,12 @@
       );
   }
 
+  /** How many times longer a load from the store takes that begins now: beyond so many at once, each waits for the others. */
+  crowding(): number {
+    const loading = this.members.filter((worker) => worker.isLoading).length + 1;
+    return Math.max(1, loading / ((ENGINE.loadsPerS * ENGINE.loadMs) / 1000));
+  }
+
   /** A model begins to load in a zone. */
   placed(worker: SimulatedWorker, model: string): void {
     const sinceMs = this.#evacuatedMs.get(worker.zone);
@@ -281,14 +314,16 @@
     return (this.#snapshots.findLast((known) => known.atMs <= wantedMs) ?? this.#snapshots[0])?.list ?? [];
   }
 
-  /** What a worker says that it holds, as it stood a little before; undefined where it says nothing or is at an order. */
-  report(address: string, id: string): ReadonlyMap<string, ReadonlySet<string>> | undefined {
+  /** What a worker says that it holds, as it stood a little before. */
+  report(address: string, id: string): ReportReply {
     const worker = this.workerAt(address);
-    if (worker === undefined || worker.id !== id || worker.dark || worker.away) return undefined;
+    if (worker === undefined || worker.id !== id || worker.dark || worker.away) return 'no-answer';
     const stoodMs = this.time.nowMs() - this.dice.next() * REPORT_LAG_MS;
     const snapshot = this.#snapshots.findLast((known) => known.atMs <= stoodMs);
-    if (snapshot === undefined || snapshot.busy.has(id)) return undefined;
-    return snapshot.list.find((listed) => listed.id === id)?.models;
+    const listed = snapshot?.list.find((known) => known.id === id);
+    if (snapshot === undefined || listed === undefined) return 'no-answer';
+    if (snapshot.busy.has(id)) return 'busy';
+    return { holdings: listed.models, sequence: snapshot.sequences.get(id) ?? 0 };
   }
 
   workerAt(address: string): SimulatedWorker | undefined {
@@ -311,7 +346,8 @@
         models: new Map([...models].map(([model, adapters]) => [model, new Set(adapters)])),
       }));
     const busy = new Set(this.members.filter((worker) => worker.busy).map((worker) => worker.id));
-    this.#snapshots.push({ atMs: nowMs, list, busy });
+    const sequences = new Map(this.members.map((worker) => [worker.id, worker.sequence]));
+    this.#snapshots.push({ atMs: nowMs, list, busy, sequences });
     if (this.#snapshots.length > 2 * (LIST_LAG_MS / LIST_STEP_MS)) this.#snapshots.shift();
     this.time.after(LIST_STEP_MS, () => this.#snap());
   }
--- a/tools/scale/src/dialect.ts
+++ b/tools/scale/src/dialect.ts
@@ -1,6 +1,6 @@
 import type { Dialect, ListPage, OperatorCall, SystemSettings } from '@rainrun/runtime/system';
 import { fault, type Fault } from '@rainrun/common';
-import type { StockOrder, StockReply } from '@rainrun/placement';
+import type { Holdings, ReportReply, StockOrder, StockReply } from '@rainrun/placement';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
 import * as v from 'valibot';
@@ -33,12 +33,16 @@
   ),
 });
 
+/** What a worker says of itself; null while it is at an order. */
+const ReportSchema = v.nullable(v.object({ models: HoldingsSchema, sequence: v.number() }));
+
 /** What an order says on the stand-in's wire. */
 export const OrderSchema = v.object({
   action: v.picklist(['load', 'unload']),
   model: v.string(),
   adapter: v.string(),
   fence: v.number(),
+  sequence: v.number(),
   holder: v.string(),
 });
 
@@ -49,14 +53,15 @@
   );
 }
 
-function holdingsOf(models: v.InferOutput<typeof HoldingsSchema>): ReadonlyMap<string, ReadonlySet<string>> {
+function holdingsOf(models: v.InferOutput<typeof HoldingsSchema>): Holdings {
   return new Map(models.map(([model, adapters]) => [model, new Set(adapters)]));
 }
 
-/** A stand-in's worker that is at an order says nothing. */
-function readReport(text: string): ReadonlyMap<string, ReadonlySet<string>> | undefined {
-  const parsed = readJson(text).map((data) => v.safeParse(HoldingsSchema, data));
-  return parsed.isOk && parsed.value.success ? holdingsOf(parsed.value.output) : undefined;
+function readReport(text: string): ReportReply {
+  const parsed = readJson(text).map((data) => v.safeParse(ReportSchema, data));
+  if (!parsed.isOk || !parsed.value.success) return 'no-answer';
+  const report = parsed.value.output;
+  return report === null ? 'busy' : { holdings: holdingsOf(report.models), sequence: report.sequence };
 }
 
 function readPage(text: string): Result<ListPage, Fault> {
--- a/tools/scale/src/stand-in.ts
+++ b/tools/scale/src/stand-in.ts
@@ -15,6 +15,8 @@
   #port: number;
   #list = '';
   #rows = new Map<string, Map<string, { readyMs: number; adapters: Set<string> }>>();
+  /** How many orders each worker has taken. */
+  #sequences = new Map<string, number>();
   readonly counts = {
     lists: 0,
     reports: 0,
@@ -78,7 +80,10 @@
     const models = [...(this.#rows.get(id) ?? [])];
     const nowMs = performance.now();
     if (models.some(([, { readyMs }]) => readyMs > nowMs)) return 'null';
-    return JSON.stringify(models.map(([model, { adapters }]) => [model, [...adapters]]));
+    return JSON.stringify({
+      models: models.map(([model, { adapters }]) => [model, [...adapters]]),
+      sequence: this.#sequences.get(id) ?? 0,
+    });
   }
 
   #order(id: string, body: string): number {
@@ -89,22 +94,28 @@
       return 400;
     }
     this.counts.orders += 1;
-    const { action, model, adapter } = order.output;
+    const { action, model, adapter, sequence } = order.output;
+    const taken = this.#sequences.get(id) ?? 0;
     const known = row.get(model);
+    if (sequence !== taken) return 409;
     if (action === 'unload') {
+      if (known === undefined) return 200;
       this.counts.unloads += 1;
       if (adapter === '') row.delete(model);
-      else known?.adapters.delete(adapter);
-      return 200;
+      else known.adapters.delete(adapter);
+      this.#sequences.set(id, taken + 1);
+      return 202;
     }
     if (adapter !== '') {
       this.counts.adapterLoads += 1;
       known?.adapters.add(adapter);
+      this.#sequences.set(id, taken + 1);
       return 202;
     }
     const nowMs = performance.now();
     if (known !== undefined) return nowMs >= known.readyMs ? 200 : 409;
     this.counts.modelLoads += 1;
+    this.#sequences.set(id, taken + 1);
     row.set(model, { readyMs: nowMs + LOAD_MS, adapters: new Set() });
     return 202;
   }
--- a/tools/stand-in-workers/src/worker.ts
+++ b/tools/stand-in-workers/src/worker.ts
@@ -10,6 +10,7 @@
 
 interface Order {
   readonly epoch: number;
+  readonly sequence: number;
   readonly action: string;
   readonly model: string;
   readonly adapter: string;
@@ -59,6 +60,7 @@
   #loadedMs = new Map<string, number>();
   #busy = false;
   #epoch = 0;
+  #sequence = 0;
   #running = 0;
   #mood: Mood = 'well';
   #leavingMs: number | undefined;
@@ -141,12 +143,17 @@
   }
 
   async #order(order: Order, res: ServerResponse): Promise<void> {
-    const { epoch, action, model, adapter } = order;
+    const { epoch, sequence, action, model, adapter } = order;
     if (epoch < this.#epoch) {
       json(res, 409, { error: `epoch ${this.#epoch} orders now` });
       return;
     }
+    if (epoch === this.#epoch && sequence <= this.#sequence) {
+      json(res, 409, { error: `order ${sequence} is late: ${this.#sequence} was seen` });
+      return;
+    }
     this.#epoch = epoch;
+    this.#sequence = sequence;
     if (action !== 'inventory' && this.#busy) {
       this.#book.breach(`${this.setup.name} got an order while it carried out another`);
       json(res, 409, { error: 'busy' });
