--- /dev/null
+++ b/packages/placement/src/adapter-placement.ts
@@ -0,0 +1,126 @@
+import { spread } from '@rainrun/common';
+import type { OrderSender } from './order-sender.js';
+import type { PlacementRound } from './placement-round.js';
+import type { Unserved } from './unserved.js';
+import type { Usage } from './usage.js';
+import { adapterCount, newStep, usedMb, type WorkerState } from './worker-state.js';
+import type { WorkerRecord, WorkerTable } from './worker-table.js';
+
+/** An adapter of a model. */
+interface AdapterName {
+  readonly model: string;
+  readonly adapter: string;
+}
+
+/** So long edges are given to learn that they may send no more for what is to go. */
+const SETTLE_MS = 15;
+/** An adapter is not put behind more steps of a worker than this. */
+const MOST_STEPS = 2;
+
+/**
+ * Puts adapters that are waited for where their models stand: those first that
+ * were asked for longest without being served.
+ * @example
+ * adapters.place(round);
+ */
+export class AdapterPlacement {
+  #table: WorkerTable;
+  #sender: OrderSender;
+  #usage: Usage;
+  #unserved: Unserved;
+
+  constructor(table: WorkerTable, sender: OrderSender, usage: Usage, unserved: Unserved) {
+    this.#table = table;
+    this.#sender = sender;
+    this.#usage = usage;
+    this.#unserved = unserved;
+  }
+
+  place(round: PlacementRound): void {
+    const { engine, nowMs } = round;
+    const missing = this.#missing(round)
+      .map((wanted) => ({ wanted, ageMs: this.#unserved.ageMs(keyOf(engine.service, wanted), nowMs) }))
+      .sort((one, other) => other.ageMs - one.ageMs);
+    for (const { wanted } of missing) this.#placeOne(round, wanted);
+  }
+
+  /** Adapters that are waited for, and neither stand nor come at a worker that holds their model. */
+  #missing(round: PlacementRound): AdapterName[] {
+    const { engine, demands, nowMs } = round;
+    const missing: AdapterName[] = [];
+    for (const [model, demand] of demands) {
+      for (const [adapter, { waiting, inFlight }] of demand.adapters) {
+        const wanted = { model, adapter };
+        const key = keyOf(engine.service, wanted);
+        if (waiting + inFlight > 0) this.#usage.used(key, nowMs);
+        if (waiting === 0) continue;
+        if (round.rows.some((row) => row.models.get(model)?.has(adapter) === true)) {
+          this.#unserved.served(key);
+          continue;
+        }
+        this.#unserved.asked(key, nowMs);
+        if (!round.rows.some((row) => this.#isComing(row, wanted))) missing.push(wanted);
+      }
+    }
+    return missing;
+  }
+
+  #isComing(row: WorkerRecord, { model, adapter }: AdapterName): boolean {
+    return (
+      row.models.has(model) &&
+      this.#sender
+        .state(row)
+        .steps.some((step) => step.action === 'load' && step.model === model && step.adapter === adapter)
+    );
+  }
+
+  #placeOne(round: PlacementRound, wanted: AdapterName): void {
+    const { model, adapter } = wanted;
+    const holders = round.rows
+      .filter((row) => row.models.has(model))
+      .sort(
+        (one, other) =>
+          this.#sender.state(one).steps.length - this.#sender.state(other).steps.length ||
+          spread(`${adapter} ${one.id}`) - spread(`${adapter} ${other.id}`),
+      );
+    holders.some((row) => this.#placeAt(round, row, wanted));
+  }
+
+  /** Orders an adapter at a worker, in the place of the one that was unused longest if all places are taken. */
+  #placeAt(round: PlacementRound, row: WorkerRecord, { model, adapter }: AdapterName): boolean {
+    const { engine, nowMs } = round;
+    const state = this.#sender.state(row);
+    const sizeMb = engine.models.get(model)?.adapterMb ?? 0;
+    if (state.steps.length > MOST_STEPS || nowMs < state.restsUntilMs || !state.planned.has(model))
+      return false;
+    if (engine.roomMb - usedMb(engine, state.planned) < sizeMb) return false;
+    if (adapterCount(state.planned) >= engine.adapterPlaces) {
+      const victim = this.#longestUnused(round, state);
+      if (victim === undefined) return false;
+      row.models.get(victim.model)?.delete(victim.adapter);
+      this.#table.changed(row, victim.model);
+      state.add(newStep('unload', victim.model, victim.adapter, nowMs + SETTLE_MS));
+    }
+    state.add(newStep('load', model, adapter, nowMs));
+    return true;
+  }
+
+  /** Of the adapters that a worker holds and that nobody uses or waits for, the one that was unused longest. */
+  #longestUnused({ engine, demands, nowMs }: PlacementRound, state: WorkerState): AdapterName | undefined {
+    let longest: (AdapterName & { readonly idleMs: number }) | undefined;
+    for (const [model, adapters] of state.planned) {
+      for (const adapter of adapters) {
+        const demand = demands.get(model)?.adapters.get(adapter);
+        const inUse = demand !== undefined && demand.waiting + demand.inFlight > 0;
+        if (inUse || state.holdings.get(model)?.has(adapter) !== true) continue;
+        const idleMs = this.#usage.idleMs(keyOf(engine.service, { model, adapter }), nowMs);
+        if (longest === undefined || idleMs > longest.idleMs) longest = { model, adapter, idleMs };
+      }
+    }
+    return longest;
+  }
+}
+
+function keyOf(service: string, { model, adapter }: AdapterName): string {
+  return `${service}/${model}/${adapter}`;
+}
--- /dev/null
+++ b/packages/placement/src/model-placement.ts
@@ -0,0 +1,158 @@
+import type { CopyDemand } from './copy-demand.js';
+import type { OrderSender } from './order-sender.js';
+import { isActive, type CopyNeed, type PlacementRound } from './placement-round.js';
+import type { Usage } from './usage.js';
+import { DISK_PART, modelMb, newStep, usedMb } from './worker-state.js';
+import type { WorkerRecord, WorkerTable } from './worker-table.js';
+
+/** Where the weights come from. */
+export type LoadSource = 'disk' | 'store';
+
+/** A worker that can take a copy, and what gives way for it. */
+interface Site {
+  readonly row: WorkerRecord;
+  readonly cost: number;
+  readonly victims: readonly string[];
+}
+
+/** So long edges are given to learn that they may send no more for what is to go; longer where they do send. */
+const SETTLE_MS = 15;
+const SETTLE_USED_MS = 50;
+const REST_MS = 400;
+/** A copy stays so long once it is loaded. */
+const RESIDE_MS = 800;
+/** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
+const GIVES_WAY = 0.7;
+/** Idle for as long as this if it was never used. */
+const LONGEST_IDLE_MS = 60_000;
+
+/** What a copy is worth where it stands; it gives way to a need that is worth more. */
+const VALUE = {
+  retired: 0.5,
+  surplus: 1,
+  surplusActive: 1.5,
+  idle: 2,
+  idleLately: 2,
+  burdened: 3.5,
+  furtherForFirst: 6,
+  rested: 7.5,
+  further: 9,
+  active: 12,
+  fresh: 15,
+} as const;
+
+/**
+ * Finds the worker for a copy that is wanted, and orders the copies away that
+ * are worth least there.
+ * @example
+ * placement.place(round, need, 'disk');
+ */
+export class ModelPlacement {
+  #table: WorkerTable;
+  #sender: OrderSender;
+  #copyDemand: CopyDemand;
+  #usage: Usage;
+
+  constructor(table: WorkerTable, sender: OrderSender, copyDemand: CopyDemand, usage: Usage) {
+    this.#table = table;
+    this.#sender = sender;
+    this.#copyDemand = copyDemand;
+    this.#usage = usage;
+  }
+
+  /** Orders the copy at the best worker; says what was decided, or nothing if no worker can take it now. */
+  place(round: PlacementRound, need: CopyNeed, source: LoadSource): string | undefined {
+    const site = this.#bestSite(round, need, source);
+    if (site === undefined) return undefined;
+    const { row, victims } = site;
+    for (const victim of victims) this.#unload(round, row, victim);
+    for (const victim of victims) this.#table.changed(row, victim);
+    this.#sender.state(row).add(newStep('load', need.model, '', round.nowMs));
+    round.copies.set(need.model, (round.copies.get(need.model) ?? 0) + 1);
+    const instead = victims.length > 0 ? ` in the place of ${victims.join(', ')}` : '';
+    return `${row.id} loads ${need.model} from ${source}${instead} (worth ${need.worth.toFixed(2)})`;
+  }
+
+  /** Whether a worker that has the model on its own disk will be free sooner than a load from the store takes. */
+  comesFromDiskSoon({ engine, rows, nowMs }: PlacementRound, { model, ageMs }: CopyNeed): boolean {
+    const loadMs = engine.models.get(model)?.loadMs ?? 0;
+    if (ageMs > loadMs) return false;
+    return rows.some((row) => {
+      const state = this.#sender.state(row);
+      if (!state.onDisk.has(model) || state.steps.length === 0) return false;
+      return state.freeInMs(engine, nowMs) + loadMs * DISK_PART < loadMs;
+    });
+  }
+
+  #unload(round: PlacementRound, row: WorkerRecord, victim: string): void {
+    const { copies, demands, nowMs } = round;
+    const state = this.#sender.state(row);
+    if (state.retired.delete(victim)) return state.add(newStep('unload', victim, '', nowMs));
+    row.models.delete(victim);
+    copies.set(victim, (copies.get(victim) ?? 1) - 1);
+    const inUse = (demands.get(victim)?.inFlight ?? 0) > 0;
+    state.add(newStep('unload', victim, '', nowMs + (inUse ? SETTLE_USED_MS : SETTLE_MS)));
+  }
+
+  #bestSite(round: PlacementRound, need: CopyNeed, source: LoadSource): Site | undefined {
+    const { engine, rows, nowMs } = round;
+    const model = engine.models.get(need.model);
+    if (model === undefined || model.sizeMb > engine.roomMb) return undefined;
+    let best: Site | undefined;
+    for (const row of rows) {
+      const state = this.#sender.state(row);
+      if (state.steps.length > 0 || nowMs < state.restsUntilMs) continue;
+      if (state.holdings.has(need.model) || state.onDisk.has(need.model) !== (source === 'disk')) continue;
+      const site = this.#siteAt(round, need, row, model.sizeMb);
+      if (site !== undefined && (best === undefined || site.cost < best.cost)) best = site;
+    }
+    return best;
+  }
+
+  /** What gives way at a worker, the least worth first, until there is room; nothing if that is not worth it. */
+  #siteAt(round: PlacementRound, need: CopyNeed, row: WorkerRecord, sizeMb: number): Site | undefined {
+    const { engine } = round;
+    const { holdings } = this.#sender.state(row);
+    const valued = [...holdings.keys()]
+      .map((model) => ({ model, value: this.#valueOf(round, row, model, need) }))
+      .sort((one, other) => one.value - other.value);
+    let freeMb = engine.roomMb - usedMb(engine, holdings);
+    let cost = 0;
+    const victims: string[] = [];
+    for (const { model, value } of valued) {
+      if (freeMb >= sizeMb || value >= need.worth) break;
+      victims.push(model);
+      freeMb += modelMb(engine, model, holdings.get(model)?.size ?? 0);
+      cost += value;
+    }
+    return freeMb >= sizeMb ? { row, cost, victims } : undefined;
+  }
+
+  /**
+   * What a copy is worth where it stands. A further copy of one busy model
+   * gives way to another's only if that is clearly better off for it, so that
+   * two do not take turns.
+   */
+  #valueOf(round: PlacementRound, row: WorkerRecord, model: string, need: CopyNeed): number {
+    const { engine, nowMs } = round;
+    const state = this.#sender.state(row);
+    const copies = round.copies.get(model) ?? 0;
+    if (state.retired.has(model)) return VALUE.retired;
+    if (nowMs - (state.sinceMs.get(model) ?? -Infinity) < RESIDE_MS)
+      return copies > 1 ? VALUE.further : VALUE.fresh;
+    const active = isActive(round, model);
+    if (copies > Math.max(1, round.targets.get(model)?.kept ?? 0))
+      return active ? VALUE.surplusActive : VALUE.surplus;
+    if (copies > 1) return this.#valueOfFurther(round, model, copies, need);
+    if (active) return VALUE.active + Math.min(1, (round.demands.get(model)?.inFlight ?? 0) / 100);
+    const idleMs = Math.min(LONGEST_IDLE_MS, this.#usage.idleMs(`${engine.service}/${model}`, nowMs));
+    return idleMs < REST_MS ? VALUE.rested : VALUE.idle + VALUE.idleLately / (1 + idleMs / 1000);
+  }
+
+  #valueOfFurther(round: PlacementRound, model: string, copies: number, need: CopyNeed): number {
+    if (!isActive(round, model)) return VALUE.idle;
+    if (need.load === Infinity) return VALUE.furtherForFirst;
+    const after = this.#copyDemand.recent(round.engine, model) / (copies - 1);
+    return after < need.load * GIVES_WAY ? VALUE.burdened : VALUE.further;
+  }
+}
--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -1,7 +1,7 @@
 import type { StockEngine } from './engine.js';
 import type { ReportReply, StockOrder, StockReply, WorkerReport } from './orders.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
-import { copyOf, WorkerState, type Step } from './worker-state.js';
+import { copyOf, DISK_PART, WorkerState, type Step } from './worker-state.js';
 
 /** What the sender of orders needs of its node. */
 export interface OrderDependencies {
@@ -14,8 +14,6 @@
 }
 
 const AGAIN_MS = 35;
-/** A load from a worker's own disk takes about this part of one from the store. */
-const DISK_PART = 0.68;
 /** What a load is waited for beyond the time that the configuration gives. */
 const LOAD_SLACK_MS = 5;
 /** An adapter is there so soon. */
--- /dev/null
+++ b/packages/placement/src/placement-round.ts
@@ -0,0 +1,39 @@
+import type { CopyTarget } from './copy-demand.js';
+import type { Demand } from './demand-totals.js';
+import type { StockEngine } from './engine.js';
+import type { WorkerRecord } from './worker-table.js';
+
+/** What one plan of a service decides on. */
+export interface PlacementRound {
+  readonly engine: StockEngine;
+  /** Workers that may be ordered. */
+  readonly rows: readonly WorkerRecord[];
+  readonly demands: ReadonlyMap<string, Demand>;
+  readonly targets: ReadonlyMap<string, CopyTarget>;
+  /** Copies of each model that stand or come; kept up to date with what the round decides. */
+  readonly copies: Map<string, number>;
+  readonly nowMs: number;
+}
+
+/** A copy that is wanted. */
+export interface CopyNeed {
+  readonly model: string;
+  /** It takes the place of copies that are worth less. */
+  readonly worth: number;
+  /** The higher, the sooner it is loaded. */
+  readonly urgency: number;
+  /** Since when its model is asked for and stands nowhere; 0 for a further copy. */
+  readonly ageMs: number;
+  /** Requests that each present copy carries. */
+  readonly load: number;
+}
+
+/**
+ * Whether a model is in use or waited for.
+ * @example
+ * isActive(round, 'model-1');
+ */
+export function isActive({ demands }: PlacementRound, model: string): boolean {
+  const demand = demands.get(model);
+  return demand !== undefined && demand.inFlight + demand.waiting > 0;
+}
--- /dev/null
+++ b/packages/placement/src/retirement.ts
@@ -0,0 +1,67 @@
+import type { OrderSender } from './order-sender.js';
+import type { PlacementRound } from './placement-round.js';
+import type { WorkerRecord, WorkerTable } from './worker-table.js';
+
+/** Copies of one model are taken out of use no sooner after each other. */
+const RETIRE_MS = 400;
+/** A copy stays in use so long once it is loaded. */
+const RESIDE_MS = 800;
+
+/**
+ * Takes copies beyond what a model needs out of use, one at a time, so that
+ * nothing runs there when the room is wanted, and back into use when they are
+ * needed.
+ * @example
+ * retirement.retire(round);
+ * retirement.revive(round, 'model-1');
+ */
+export class Retirement {
+  #table: WorkerTable;
+  #sender: OrderSender;
+  /** When a copy of a model was last taken out of use. */
+  #retiredMs = new Map<string, number>();
+
+  constructor(table: WorkerTable, sender: OrderSender) {
+    this.#table = table;
+    this.#sender = sender;
+  }
+
+  retire(round: PlacementRound): void {
+    const { engine, copies, targets, nowMs } = round;
+    for (const [model, count] of copies) {
+      if (count <= Math.max(1, targets.get(model)?.kept ?? 1) || !engine.models.has(model)) continue;
+      const key = `${engine.service}/${model}`;
+      if (nowMs - (this.#retiredMs.get(key) ?? -Infinity) < RETIRE_MS) continue;
+      const holders = round.rows.filter((row) => this.#mayRetire(row, model, nowMs));
+      const fullest = holders.sort((one, other) => other.models.size - one.models.size)[0];
+      if (fullest === undefined || holders.length < 2) continue;
+      this.#retiredMs.set(key, nowMs);
+      fullest.models.delete(model);
+      this.#sender.state(fullest).retired.add(model);
+      this.#table.changed(fullest, model);
+      copies.set(model, count - 1);
+    }
+  }
+
+  /** Takes a retired copy back into use, if there is one; nothing is loaded for it. */
+  revive({ rows, copies }: PlacementRound, model: string): boolean {
+    for (const row of rows) {
+      const state = this.#sender.state(row);
+      const adapters = state.holdings.get(model);
+      if (adapters === undefined || !state.retired.has(model)) continue;
+      if (state.steps.some((step) => step.model === model)) continue;
+      state.retired.delete(model);
+      row.models.set(model, new Set(adapters));
+      this.#table.changed(row, model);
+      copies.set(model, (copies.get(model) ?? 0) + 1);
+      return true;
+    }
+    return false;
+  }
+
+  #mayRetire(row: WorkerRecord, model: string, nowMs: number): boolean {
+    const state = this.#sender.state(row);
+    const heldMs = nowMs - (state.sinceMs.get(model) ?? -Infinity);
+    return row.models.has(model) && state.steps.length === 0 && heldMs > RESIDE_MS;
+  }
+}
--- /dev/null
+++ b/packages/placement/src/serving.test.ts
@@ -0,0 +1,109 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { Dice } from '@rainrun/common';
+import { Fleet, type FleetShape, type RequestKind } from './testing/fleet.js';
+
+/** Many more models than places, slow loads, a store that allows few of them. */
+const SHAPE: FleetShape = {
+  workers: 42,
+  slots: 24,
+  modelsEach: 3,
+  adapterPlaces: 8,
+  models: 221,
+  loadMs: 2700,
+  loadsPerS: 9.8,
+  placed: 126,
+};
+const BUSY_FAMILY = 50;
+const BUSY = 20;
+const SHIFT_MS = 12_000;
+const PLAY_MS = 34_000;
+
+/** The lower numbers are asked for more often. */
+function skewed(dice: Dice, count: number, skew: number): number {
+  let sum = 0;
+  for (let place = 1; place <= count; place += 1) sum += place ** -skew;
+  let left = dice.next() * sum;
+  for (let place = 1; place <= count; place += 1) {
+    left -= place ** -skew;
+    if (left < 0) return place - 1;
+  }
+  return count - 1;
+}
+
+/** Which models are busy moves on by ten several times a day. */
+function busyModel(dice: Dice, nowMs: number): string {
+  const first = Math.floor(nowMs / SHIFT_MS) * 10;
+  return `m${(first + skewed(dice, BUSY, 0.9)) % BUSY_FAMILY}`;
+}
+
+const KINDS: readonly RequestKind[] = [
+  {
+    perS: 466,
+    patienceMs: 5000,
+    runMs: 400,
+    pick: (dice, nowMs) => {
+      const model = busyModel(dice, nowMs);
+      return [model, dice.next() < 0.1 ? `a${Math.floor(dice.next() * 7)}` : ''];
+    },
+  },
+  {
+    perS: 14,
+    patienceMs: 4000,
+    runMs: 1200,
+    pick: (dice, nowMs) => {
+      const model = busyModel(dice, nowMs);
+      return [model, dice.next() < 0.5 ? `a${Math.floor(dice.next() * 7)}` : ''];
+    },
+  },
+  {
+    perS: 35,
+    patienceMs: 12_000,
+    runMs: 500,
+    pick: (dice) => [`m${BUSY_FAMILY + skewed(dice, SHAPE.models - BUSY_FAMILY, 0.4)}`, ''],
+  },
+];
+
+function isRare(name: string): boolean {
+  return Number(name.slice(1)) >= BUSY_FAMILY;
+}
+
+/** One name of ten may go unserved, and one more; the bound of the deployments. */
+function boundOf(fleet: Fleet): number {
+  return 1 + fleet.often().length / 10;
+}
+
+describe('the placement of many more models than there are places', () => {
+  const seeds = [1, 2, 3];
+
+  it('serves in time whatever is asked for again and again', () => {
+    for (const seed of seeds) {
+      const fleet = new Fleet(seed, SHAPE);
+      fleet.play(PLAY_MS, KINDS);
+      expect(fleet.wrong).toEqual([]);
+      expect(fleet.neverServed()).toEqual([]);
+      expect([fleet.share(isRare) > 0.85, fleet.share((name) => !isRare(name)) > 0.95]).toEqual([true, true]);
+    }
+  });
+
+  it('serves nearly all of it while coordinators change and forget what was on which disk', () => {
+    for (const seed of seeds) {
+      const fleet = new Fleet(seed, SHAPE);
+      for (let change = 0; change < 4; change += 1) {
+        fleet.play(PLAY_MS / 4, KINDS);
+        fleet.replaceCoordinator();
+      }
+      expect(fleet.wrong).toEqual([]);
+      expect(fleet.neverServed().length <= boundOf(fleet)).toEqual(true);
+    }
+  });
+
+  it('serves nearly all of it with half the store', () => {
+    for (const seed of seeds) {
+      const fleet = new Fleet(seed, { ...SHAPE, loadsPerS: SHAPE.loadsPerS / 2 });
+      fleet.play(PLAY_MS, KINDS);
+      expect(fleet.wrong).toEqual([]);
+      expect(fleet.neverServed().length <= boundOf(fleet)).toEqual(true);
+    }
+  });
+});
--- /dev/null
+++ b/packages/placement/src/testing/fleet.ts
@@ -0,0 +1,331 @@
+/** A simulated fleet of workers that a planner orders, with requests that arrive, wait, run and are given up. */
+import { Dice } from '@rainrun/common';
+import type { StockWant } from '../demand-totals.js';
+import type { StockEngine, StockModel } from '../engine.js';
+import type { ReportReply, StockOrder, StockReply } from '../orders.js';
+import { PlacementPlanner } from '../planner.js';
+import { WorkerTable, type WorkerRecord } from '../worker-table.js';
+
+const SERVICE = 'assist';
+const HEARTBEAT_MS = 20;
+const DISK_PART = 0.15;
+const ADAPTER_MS = 10;
+const UNLOAD_MS = 15;
+
+/** One kind of requests. */
+export interface RequestKind {
+  readonly perS: number;
+  readonly patienceMs: number;
+  readonly runMs: number;
+  /** What a request that arrives now is for: a model, and an adapter of it or an empty name. */
+  pick(dice: Dice, nowMs: number): readonly [string, string];
+}
+
+/** What a fleet is like. */
+export interface FleetShape {
+  readonly workers: number;
+  readonly slots: number;
+  readonly modelsEach: number;
+  readonly adapterPlaces: number;
+  readonly models: number;
+  readonly loadMs: number;
+  readonly loadsPerS: number;
+  /** So many models stand somewhere at first, in turn. */
+  readonly placed: number;
+}
+
+/** How a model, or an adapter of one, was served. */
+export interface Service {
+  asked: number;
+  served: number;
+  firstMs: number;
+  lastMs: number;
+}
+
+interface Running {
+  readonly request: Request;
+  readonly endMs: number;
+}
+
+interface Request {
+  readonly model: string;
+  readonly adapter: string;
+  readonly endMs: number;
+  readonly runMs: number;
+}
+
+interface Doing {
+  readonly order: StockOrder;
+  untilMs: number;
+}
+
+class FleetWorker {
+  readonly id: string;
+  readonly held = new Map<string, Set<string>>();
+  readonly onDisk = new Set<string>();
+  sequence = 0;
+  doing: Doing | undefined;
+  running: Running[] = [];
+
+  constructor(id: string) {
+    this.id = id;
+  }
+
+  uses(model: string, adapter: string): boolean {
+    return this.running.some(
+      ({ request }) => request.model === model && (adapter === '' || request.adapter === adapter),
+    );
+  }
+}
+
+/**
+ * Plays requests against a planner.
+ * @example
+ * const fleet = new Fleet(7, shape);
+ * fleet.play(30_000, kinds);
+ * fleet.neverServed();
+ */
+export class Fleet {
+  nowMs = 1000;
+  readonly served = new Map<string, Service>();
+  readonly loadsFromStore: number[] = [];
+  /** Rules that were broken. */
+  readonly wrong: string[] = [];
+  loadsFromDisk = 0;
+  #shape: FleetShape;
+  #engine: StockEngine;
+  #dice: Dice;
+  #table = new WorkerTable();
+  #planner: PlacementPlanner;
+  #workers = new Map<string, FleetWorker>();
+  #waiting: Request[] = [];
+
+  constructor(seed: number, shape: FleetShape) {
+    this.#shape = shape;
+    this.#dice = new Dice(seed);
+    const names = Array.from({ length: shape.models }, (_, place) => `m${place}`);
+    this.#engine = {
+      service: SERVICE,
+      slots: shape.slots,
+      roomMb: shape.modelsEach * 100 + shape.adapterPlaces,
+      adapterPlaces: shape.adapterPlaces,
+      loadsPerS: shape.loadsPerS,
+      models: new Map(
+        names.map((name): [string, StockModel] => [
+          name,
+          { name, sizeMb: 100, loadMs: shape.loadMs, adapterMb: 1 },
+        ]),
+      ),
+    };
+    this.#planner = this.#newPlanner();
+    for (let place = 0; place < shape.workers; place += 1)
+      this.#workers.set(`w${place}`, new FleetWorker(`w${place}`));
+    const workers = [...this.#workers.values()];
+    for (let place = 0; place < Math.min(shape.placed, shape.workers * shape.modelsEach); place += 1) {
+      const worker = workers[place % shape.workers];
+      worker?.held.set(`m${place % shape.models}`, new Set());
+      worker?.onDisk.add(`m${place % shape.models}`);
+    }
+    this.#list();
+  }
+
+  /** Another coordinator takes over, and knows no more than what workers say. */
+  replaceCoordinator(): void {
+    this.#table = new WorkerTable();
+    this.#planner = this.#newPlanner();
+    this.#list();
+  }
+
+  /** Requests arrive for a while. */
+  play(forMs: number, kinds: readonly RequestKind[]): void {
+    for (const endMs = this.nowMs + forMs; this.nowMs < endMs; this.nowMs += HEARTBEAT_MS) {
+      for (const kind of kinds) this.#arrive(kind);
+      this.#endRuns();
+      this.#dispatch();
+      this.#planner.want('edge', this.#wants(), this.nowMs);
+      const engines = new Map([[SERVICE, this.#engine]]);
+      this.#planner.plan(engines, [], this.nowMs);
+      this.#planner.pursue(engines, this.nowMs);
+    }
+  }
+
+  /** Names that were asked for four times or more, over eight seconds or more, and were never served. */
+  neverServed(): string[] {
+    return this.often().filter((name) => this.served.get(name)?.served === 0);
+  }
+
+  /** Names that were asked for four times or more, over eight seconds or more. */
+  often(): string[] {
+    return [...this.served]
+      .filter(([, { asked, firstMs, lastMs }]) => asked >= 4 && lastMs - firstMs >= 8000)
+      .map(([name]) => name);
+  }
+
+  /** Share of the requests for some names that were served. */
+  share(names: (name: string) => boolean): number {
+    let asked = 0;
+    let served = 0;
+    for (const [name, service] of this.served) {
+      if (name.includes('/') || !names(name)) continue;
+      asked += service.asked;
+      served += service.served;
+    }
+    return served / Math.max(1, asked);
+  }
+
+  #newPlanner(): PlacementPlanner {
+    return new PlacementPlanner(this.#table, {
+      fence: () => 1,
+      order: (row, order, done) => done(this.#take(row, order)),
+      report: (row, done) => done(this.#report(row.id)),
+      nowMs: () => this.nowMs,
+      decided: () => undefined,
+    });
+  }
+
+  #list(): void {
+    const list = [...this.#workers.values()].map(({ id, held }) => ({
+      id,
+      service: SERVICE,
+      address: `${id}:80`,
+      zone: 'north',
+      slots: this.#shape.slots,
+      leaving: false,
+      coldMs: 0,
+      models: held,
+    }));
+    this.#table.learn(list, this.nowMs);
+  }
+
+  #arrive({ perS, patienceMs, runMs, pick }: RequestKind): void {
+    let due = (perS * HEARTBEAT_MS) / 1000;
+    for (; due > 0; due -= 1) {
+      if (due < 1 && this.#dice.next() >= due) return;
+      const [model, adapter] = pick(this.#dice, this.nowMs);
+      this.#waiting.push({ model, adapter, endMs: this.nowMs + patienceMs, runMs });
+      for (const name of namesOf(model, adapter)) {
+        const known = this.served.get(name);
+        if (known === undefined)
+          this.served.set(name, { asked: 1, served: 0, firstMs: this.nowMs, lastMs: this.nowMs });
+        else {
+          known.asked += 1;
+          known.lastMs = this.nowMs;
+        }
+      }
+    }
+  }
+
+  #endRuns(): void {
+    for (const worker of this.#workers.values()) {
+      worker.running = worker.running.filter(({ endMs }) => endMs > this.nowMs);
+      this.#settle(worker);
+    }
+  }
+
+  /** Sends what can be sent to the least loaded worker that the table shows for it. */
+  #dispatch(): void {
+    const rows = [...this.#table.rows];
+    this.#waiting = this.#waiting.filter((request) => {
+      if (request.endMs <= this.nowMs) return false;
+      const { model, adapter } = request;
+      let best: FleetWorker | undefined;
+      for (const row of rows) {
+        const worker = this.#workers.get(row.id);
+        const adapters = row.models.get(model);
+        if (worker === undefined || adapters === undefined || (adapter !== '' && !adapters.has(adapter)))
+          continue;
+        if (worker.running.length >= this.#shape.slots || !worker.held.has(model)) continue;
+        if (best === undefined || worker.running.length < best.running.length) best = worker;
+      }
+      if (best === undefined) return true;
+      best.running.push({ request, endMs: this.nowMs + request.runMs });
+      for (const name of namesOf(model, adapter)) {
+        const known = this.served.get(name);
+        if (known !== undefined) known.served += 1;
+      }
+      return false;
+    });
+  }
+
+  #wants(): StockWant[] {
+    const wants = new Map<string, { waiting: number; inFlight: number }>();
+    function want(model: string, adapter: string): { waiting: number; inFlight: number } {
+      const key = `${model}/${adapter}`;
+      const known = wants.get(key) ?? { waiting: 0, inFlight: 0 };
+      wants.set(key, known);
+      return known;
+    }
+    for (const { model, adapter } of this.#waiting) want(model, adapter).waiting += 1;
+    for (const worker of this.#workers.values())
+      for (const { request } of worker.running) want(request.model, request.adapter).inFlight += 1;
+    return [...wants].map(([key, counts]) => {
+      const [model = '', adapter = ''] = key.split('/');
+      return { service: SERVICE, model, adapter, ...counts, perS: 0.1, pressure: 0 };
+    });
+  }
+
+  #report(id: string): ReportReply {
+    const worker = this.#workers.get(id);
+    if (worker === undefined) return 'no-answer';
+    return worker.doing === undefined ? { holdings: worker.held, sequence: worker.sequence } : 'busy';
+  }
+
+  #take(row: WorkerRecord, order: StockOrder): StockReply {
+    const worker = this.#workers.get(row.id);
+    if (worker === undefined) return 'wrong-worker';
+    this.#settle(worker);
+    if (worker.doing !== undefined || order.sequence !== worker.sequence) return 'busy';
+    const adapters = worker.held.get(order.model);
+    const isThere = order.adapter === '' ? adapters !== undefined : adapters?.has(order.adapter) === true;
+    if (isThere === (order.action === 'load')) return 'held';
+    if (order.adapter !== '' && adapters === undefined) return 'wrong-worker';
+    worker.sequence += 1;
+    worker.doing = { order, untilMs: this.nowMs + this.#durationMs(worker, order) };
+    return 'begun';
+  }
+
+  #durationMs(worker: FleetWorker, { action, model, adapter }: StockOrder): number {
+    if (action === 'unload') return UNLOAD_MS;
+    if (adapter !== '') return ADAPTER_MS;
+    if (worker.onDisk.has(model)) {
+      this.loadsFromDisk += 1;
+      return this.#shape.loadMs * DISK_PART;
+    }
+    this.#checkStore();
+    let loading = 1;
+    for (const { doing } of this.#workers.values())
+      if (doing?.order.action === 'load' && doing.order.adapter === '') loading += 1;
+    const atOnce = (this.#shape.loadsPerS * this.#shape.loadMs) / 1000;
+    return this.#shape.loadMs * Math.max(1, loading / atOnce);
+  }
+
+  #checkStore(): void {
+    this.loadsFromStore.push(this.nowMs);
+    const inWindow = this.loadsFromStore.filter((atMs) => atMs > this.nowMs - 5000).length;
+    if (inWindow > this.#shape.loadsPerS * 5 * 1.1 + 3) this.wrong.push(`${inWindow} loads in 5 s`);
+  }
+
+  /** Ends what a worker does; an unload waits for the runs that need what it removes. */
+  #settle(worker: FleetWorker): void {
+    const { doing } = worker;
+    if (doing === undefined || doing.untilMs > this.nowMs) return;
+    const { action, model, adapter } = doing.order;
+    if (action === 'unload' && worker.uses(model, adapter)) return;
+    worker.doing = undefined;
+    if (action === 'unload' && adapter === '') worker.held.delete(model);
+    else if (action === 'unload') worker.held.get(model)?.delete(adapter);
+    else if (adapter !== '') worker.held.get(model)?.add(adapter);
+    else {
+      worker.held.set(model, new Set());
+      worker.onDisk.add(model);
+    }
+    let adapters = 0;
+    for (const names of worker.held.values()) adapters += names.size;
+    if (worker.held.size > this.#shape.modelsEach || adapters > this.#shape.adapterPlaces)
+      this.wrong.push(`${worker.id} holds ${worker.held.size} models and ${adapters} adapters`);
+  }
+}
+
+function namesOf(model: string, adapter: string): string[] {
+  return adapter === '' ? [model] : [model, `${model}/${adapter}`];
+}
--- a/packages/placement/src/worker-state.ts
+++ b/packages/placement/src/worker-state.ts
@@ -25,6 +25,8 @@
   return { action, model, adapter, begun: false, posted: false, notBeforeMs, doneMs: Infinity };
 }
 
+/** A load from a worker's own disk takes no more than about this part of one from the store. */
+export const DISK_PART = 0.68;
 /** After a refusal a worker gets no new order for so long; twice as long after each further one. */
 const REFUSED_MS = 250;
 const REFUSED_MOST_MS = 4000;
@@ -134,6 +136,17 @@
     return usedMb(engine, after) <= engine.roomMb && adapterCount(after) <= engine.adapterPlaces;
   }
 
+  /** In how many milliseconds all steps will be done, as far as can be told. */
+  freeInMs(engine: StockEngine, nowMs: number): number {
+    let sumMs = 0;
+    for (const { action, model, adapter, begun, notBeforeMs } of this.#steps) {
+      if (action === 'unload' || adapter !== '') continue;
+      const loadMs = engine.models.get(model)?.loadMs ?? 0;
+      sumMs += begun ? Math.max(0, notBeforeMs - nowMs) : loadMs * (this.onDisk.has(model) ? DISK_PART : 1);
+    }
+    return sumMs;
+  }
+
   /** Whether a model is being loaded from the store of weights, or will be. */
   get isFetching(): boolean {
     return this.#steps.some(
