--- a/packages/placement/src/placement.test.ts
+++ b/packages/placement/src/placement.test.ts
@@ -135,6 +135,23 @@
     expect(settle(specOf(4), later.workers, more, 60, 900_000).moves).toEqual(0);
   });
 
+  it('lets models take turns that are asked for alike where there are fewer places, no faster than the store', () => {
+    const spec = specOf(8);
+    const demands = new Map(spec.models.map(({ name }) => [name, demand(0.05)]));
+    const placer = new Placer(PLACE_SETTINGS);
+    let now = [worker('w1', 'z1'), worker('w2', 'z2')];
+    const stood = new Set<string>();
+    let moves = 0;
+    for (let nowMs = 0; nowMs < 120_000; nowMs += 1000) {
+      const changes = placer.step(spec, now, demands, nowMs);
+      if (nowMs > 20_000) moves += Object.keys(changes).length;
+      now = now.map((one) => ({ ...one, holdings: changes[one.name] ?? one.holdings }));
+      for (const { holdings } of now) for (const { model } of holdings) stood.add(model);
+    }
+    const mostMoves = (100_000 / 60_000) * spec.store.pullsPerMinute * 0.5 + 1;
+    expect([stood.size, moves <= mostMoves]).toEqual([8, true]);
+  });
+
   it('puts nothing on a worker that may not be used', () => {
     const spec = specOf(2);
     const { workers } = settle(
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -1,4 +1,5 @@
 import type { HoldingTarget, Spec } from '@rainrun/configuration';
+import { Unserved } from './unserved.js';
 
 /** A worker as the placer sees it. */
 export interface PlaceWorker {
@@ -44,6 +45,9 @@
   restMs: 5000,
 };
 
+/** Part of the store's pulls that may go to models whose turn it is. */
+const TURN_PART = 0.5;
+
 const NONE = new Map<string, number>();
 
 interface Bench {
@@ -65,6 +69,9 @@
  * moved copy in peace for a while, and asks for a wider gap to remove a copy
  * than to add one, so that it does not hunt. Room that nobody asks for goes to
  * copies in a second zone, but not while something asked for still lacks room.
+ * A model that is asked for and stands nowhere counts for more the longer that
+ * lasts, until it takes the place of one that is asked for alike: where there
+ * are more of them than places they take turns, no faster than half the store.
  * @example
  * const changes = new Placer(PLACE_SETTINGS).step(spec, workers, demands, nowMs);
  */
@@ -72,6 +79,11 @@
   #settings: PlaceSettings;
   #movedMs = new Map<string, number>();
   #reasons = new Map<string, string>();
+  /** Models that are asked for and stand nowhere. */
+  #unserved = new Unserved();
+  /** Places that may change hands now because of how long a model was asked for in vain. */
+  #turns = 0;
+  #turnsMs: number | undefined;
 
   constructor(settings: PlaceSettings) {
     this.#settings = settings;
@@ -93,9 +105,10 @@
     const adapterMb = new Map(spec.adapters.map((adapter) => [adapter.name, adapter.sizeMb]));
     const benches = workers.map((worker) => openBench(worker, sizes, adapterMb));
     const parts: Parts = { sizes, adapterMb, demands };
+    this.#refillTurns(spec, nowMs);
     let { steps, fills } = this.#settings;
     let short = false;
-    for (const want of this.#wants(spec, benches, demands)) {
+    for (const want of this.#wants(spec, benches, demands, nowMs)) {
       if (short && want.urgency <= 0) break;
       if (fills > 0 && this.#fill(want, benches, parts, nowMs)) {
         fills -= 1;
@@ -111,8 +124,20 @@
     return changes;
   }
 
-  #wants(spec: Spec, benches: readonly Bench[], demands: ReadonlyMap<string, ModelDemand>): Want[] {
+  #refillTurns(spec: Spec, nowMs: number): void {
+    const passedMs = nowMs - (this.#turnsMs ?? nowMs);
+    this.#turnsMs = nowMs;
+    this.#turns = Math.min(1, this.#turns + passedMs * (TURN_PART / msPerPull(spec)));
+  }
+
+  #wants(
+    spec: Spec,
+    benches: readonly Bench[],
+    demands: ReadonlyMap<string, ModelDemand>,
+    nowMs: number,
+  ): Want[] {
     const wants: Want[] = [];
+    const turnMs = this.#turnMs(spec, benches, demands, nowMs);
     for (const { name: model } of spec.models) {
       const demand = demands.get(model);
       const copies = benches.filter((bench) => bench.worker.usable && bench.holdings.has(model));
@@ -120,8 +145,9 @@
       if (copies.length === 0)
         wants.push({
           model,
-          urgency: demand === undefined ? 0 : 10 + pressure,
+          urgency: demand === undefined ? 0 : 10 + pressure + this.#unserved.ageMs(model, nowMs) / turnMs,
           gain: pressure,
+          agedGain: pressure * (1 + this.#unserved.ageMs(model, nowMs) / turnMs),
           why: 'no copy',
         });
       else if (pressure > this.#settings.above)
@@ -163,6 +189,26 @@
     return wants.sort((one, other) => other.urgency - one.urgency);
   }
 
+  /** Notes what stands nowhere; how long one turn lasts, so that all of it can be pulled meanwhile. */
+  #turnMs(
+    spec: Spec,
+    benches: readonly Bench[],
+    demands: ReadonlyMap<string, ModelDemand>,
+    nowMs: number,
+  ): number {
+    this.#unserved.expire(nowMs);
+    let missing = 0;
+    for (const { name: model } of spec.models) {
+      const stands = benches.some((bench) => bench.worker.usable && bench.holdings.has(model));
+      if (stands) this.#unserved.served(model);
+      else if (demands.has(model)) {
+        this.#unserved.asked(model, nowMs);
+        missing += 1;
+      }
+    }
+    return Math.max(this.#settings.restMs, missing * msPerPull(spec));
+  }
+
   #pressure(demand: ModelDemand | undefined, copies: readonly Bench[]): number {
     if (demand === undefined) return 0;
     const slots = copies.reduce(
@@ -218,7 +264,12 @@
       )
       .sort((one, other) => one.worth - other.worth);
     const victim = victims[0];
-    if (victim === undefined || victim.worth >= want.gain * this.#settings.below) return false;
+    if (victim === undefined) return false;
+    if (victim.worth >= want.gain * this.#settings.below) {
+      const isTurn = victim.worth < (want.agedGain ?? 0) * this.#settings.below;
+      if (!isTurn || this.#turns < 1) return false;
+      this.#turns -= 1;
+    }
     const { bench, model } = victim;
     bench.freeMb += heldMb(bench, model, parts.sizes, parts.adapterMb);
     bench.holdings.delete(model);
@@ -253,11 +304,17 @@
   readonly urgency: number;
   /** The pressure that it takes away: what a copy that gives way is held against. */
   readonly gain: number;
+  /** The same, grown by how long its model was asked for in vain. */
+  readonly agedGain?: number;
   readonly why: string;
   /** Only in a zone that has none yet, so that it outlives the loss of a zone. */
   readonly elsewhere?: boolean;
 }
 
+function msPerPull(spec: Spec): number {
+  return 60_000 / spec.store.pullsPerMinute;
+}
+
 function isInOneZone(benches: readonly Bench[]): boolean {
   return new Set(benches.map((bench) => bench.worker.zone)).size === 1;
 }
