--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -13,7 +13,12 @@
   nowMs(): number;
 }
 
+/** A busy worker is tried again after so long; half as long again after each further time. */
 const AGAIN_MS = 35;
+const AGAIN_MOST_MS = 140;
+const AGAIN_GROWTH = 1.5;
+/** An adapter takes some milliseconds: what is behind it is tried again sooner. */
+const ADAPTER_AGAIN_PART = 1 / 3;
 /** What a load is waited for beyond the time that the configuration gives. */
 const LOAD_SLACK_MS = 5;
 /** An adapter is there so soon. */
@@ -121,7 +126,8 @@
         return this.#finish(row, state, step);
       case 'busy':
         this.counts.busy += 1;
-        this.#sendAgain(step, nowMs + (step.adapter === '' ? AGAIN_MS : AGAIN_MS / 3));
+        step.refusals += 1;
+        this.#sendAgain(step, nowMs + retryMs(step));
         if (nowMs - state.acceptedMs >= BUSY_LONG_MS) this.#compare(row, state);
         return;
       case 'no-answer':
@@ -214,3 +220,9 @@
     });
   }
 }
+
+/** How long a step waits that a busy worker did not take. */
+function retryMs({ adapter, refusals }: Step): number {
+  const firstMs = adapter === '' ? AGAIN_MS : AGAIN_MS * ADAPTER_AGAIN_PART;
+  return Math.min(AGAIN_MOST_MS, firstMs * AGAIN_GROWTH ** (refusals - 1));
+}
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -23,9 +23,9 @@
 
 /** What an edge asked for is forgotten after so long without a word from it. */
 const WANT_MS = 2000;
-/** A model that stands nowhere gains worth by the second, until it takes the place even of what is in use. */
+/** A model that stands nowhere gains worth with each load's time, until it takes the place even of what is in use. */
 const FIRST_WORTH = 8;
-const IMPATIENT_PER_S = 3;
+const IMPATIENT_PER_LOAD = 1.5;
 const IMPATIENT_MOST = 6;
 /** Waiting for as long as one load takes counts like so many requests that wait. */
 const URGENCY_PER_LOAD = 3;
@@ -168,7 +168,7 @@
     const loadMs = engine.models.get(model)?.loadMs ?? 1000;
     return {
       model,
-      worth: FIRST_WORTH + Math.min(IMPATIENT_MOST, (ageMs / 1000) * IMPATIENT_PER_S),
+      worth: FIRST_WORTH + Math.min(IMPATIENT_MOST, (IMPATIENT_PER_LOAD * ageMs) / loadMs),
       urgency: demand.waiting + (URGENCY_PER_LOAD * ageMs) / loadMs,
       ageMs,
       load: Infinity,
@@ -196,7 +196,7 @@
       }
     let fetching = this.#fetching(round.engine);
     const atOnce = loadsAtOnce(round.engine);
-    while (budget.isOpen && fetching < atOnce) {
+    while (budget.isOpen && fetching < atOnce && this.#models.isAnyWorkerFree(round)) {
       const { next } = budget;
       const other = next === 'first-copy' ? 'further-copy' : 'first-copy';
       const purpose = fromStore[next].length > 0 ? next : other;
--- a/packages/placement/src/testing/fleet.ts
+++ b/packages/placement/src/testing/fleet.ts
@@ -11,6 +11,9 @@
 const DISK_PART = 0.15;
 const ADAPTER_MS = 10;
 const UNLOAD_MS = 15;
+const PROMPT_MS = 500;
+/** With so many requests at once a worker takes twice as long for each. */
+const SLOWER_AT = 24;
 
 /** One kind of requests. */
 export interface RequestKind {
@@ -38,6 +41,8 @@
 export interface Service {
   asked: number;
   served: number;
+  /** Of them, those that were begun within half a second. */
+  prompt: number;
   firstMs: number;
   lastMs: number;
 }
@@ -50,6 +55,7 @@
 interface Request {
   readonly model: string;
   readonly adapter: string;
+  readonly bornMs: number;
   readonly endMs: number;
   readonly runMs: number;
 }
@@ -173,6 +179,13 @@
     return served / Math.max(1, asked);
   }
 
+  /** Share of the requests for some names that were begun within half a second. */
+  promptShare(names: (name: string) => boolean): number {
+    const chosen = [...this.served].filter(([name]) => !name.includes('/') && names(name));
+    const asked = chosen.reduce((sum, [, service]) => sum + service.asked, 0);
+    return chosen.reduce((sum, [, service]) => sum + service.prompt, 0) / Math.max(1, asked);
+  }
+
   #newPlanner(): PlacementPlanner {
     return new PlacementPlanner(this.#table, {
       fence: () => 1,
@@ -202,11 +215,11 @@
     for (; due > 0; due -= 1) {
       if (due < 1 && this.#dice.next() >= due) return;
       const [model, adapter] = pick(this.#dice, this.nowMs);
-      this.#waiting.push({ model, adapter, endMs: this.nowMs + patienceMs, runMs });
+      this.#waiting.push({ model, adapter, bornMs: this.nowMs, endMs: this.nowMs + patienceMs, runMs });
       for (const name of namesOf(model, adapter)) {
         const known = this.served.get(name);
         if (known === undefined)
-          this.served.set(name, { asked: 1, served: 0, firstMs: this.nowMs, lastMs: this.nowMs });
+          this.served.set(name, { asked: 1, served: 0, prompt: 0, firstMs: this.nowMs, lastMs: this.nowMs });
         else {
           known.asked += 1;
           known.lastMs = this.nowMs;
@@ -222,31 +235,44 @@
     }
   }
 
-  /** Sends what can be sent to the least loaded worker that the table shows for it. */
+  /** Sends what can be sent, and gives up what has waited too long. */
   #dispatch(): void {
     const rows = [...this.#table.rows];
     this.#waiting = this.#waiting.filter((request) => {
       if (request.endMs <= this.nowMs) return false;
-      const { model, adapter } = request;
-      let best: FleetWorker | undefined;
-      for (const row of rows) {
-        const worker = this.#workers.get(row.id);
-        const adapters = row.models.get(model);
-        if (worker === undefined || adapters === undefined || (adapter !== '' && !adapters.has(adapter)))
-          continue;
-        if (worker.running.length >= this.#shape.slots || !worker.held.has(model)) continue;
-        if (best === undefined || worker.running.length < best.running.length) best = worker;
-      }
-      if (best === undefined) return true;
-      best.running.push({ request, endMs: this.nowMs + request.runMs });
-      for (const name of namesOf(model, adapter)) {
-        const known = this.served.get(name);
-        if (known !== undefined) known.served += 1;
-      }
+      const worker = this.#workerFor(request, rows);
+      if (worker === undefined) return true;
+      this.#run(request, worker);
       return false;
     });
   }
 
+  /** The least loaded worker that the table shows for a request and that holds its model. */
+  #workerFor({ model, adapter }: Request, rows: readonly WorkerRecord[]): FleetWorker | undefined {
+    let best: FleetWorker | undefined;
+    for (const row of rows) {
+      const worker = this.#workers.get(row.id);
+      const adapters = row.models.get(model);
+      if (worker === undefined || adapters === undefined) continue;
+      if (adapter !== '' && !adapters.has(adapter)) continue;
+      if (worker.running.length >= this.#shape.slots || !worker.held.has(model)) continue;
+      if (best === undefined || worker.running.length < best.running.length) best = worker;
+    }
+    return best;
+  }
+
+  #run(request: Request, worker: FleetWorker): void {
+    const slowdown = 1 + worker.running.length / SLOWER_AT;
+    worker.running.push({ request, endMs: this.nowMs + request.runMs * slowdown });
+    const isPrompt = this.nowMs - request.bornMs <= PROMPT_MS;
+    for (const name of namesOf(request.model, request.adapter)) {
+      const known = this.served.get(name);
+      if (known === undefined) continue;
+      known.served += 1;
+      if (isPrompt) known.prompt += 1;
+    }
+  }
+
   #wants(): StockWant[] {
     const wants = new Map<string, { waiting: number; inFlight: number }>();
     function want(model: string, adapter: string): { waiting: number; inFlight: number } {
--- a/packages/placement/src/worker-state.ts
+++ b/packages/placement/src/worker-state.ts
@@ -11,6 +11,8 @@
   begun: boolean;
   /** Whether an answer is waited for. */
   posted: boolean;
+  /** How often the worker was busy with something else. */
+  refusals: number;
   notBeforeMs: number;
   /** When it will be done without another word. */
   doneMs: number;
@@ -22,7 +24,7 @@
  * newStep('load', 'model-1', '', nowMs);
  */
 export function newStep(action: Step['action'], model: string, adapter: string, notBeforeMs: number): Step {
-  return { action, model, adapter, begun: false, posted: false, notBeforeMs, doneMs: Infinity };
+  return { action, model, adapter, begun: false, posted: false, refusals: 0, notBeforeMs, doneMs: Infinity };
 }
 
 /** A load from a worker's own disk takes no more than about this part of one from the store. */
