A silent worker keeps no model's turn; a coordinator without grants counts no edges

Cause: a load sent to a worker that had gone dark counted as a copy that comes, and what a dark worker held as one that stands, until the platform's list dropped it: models waited for nothing, seconds each time.

Change: an order without an answer leaves open what the worker holds, so it is asked, and its model is free to go elsewhere; what a worker that answers neither holds does not count. Edges are counted only by a coordinator with a majority's grants. The simulator's drain check doesn't run while the list cannot be read, as the rule says.

--- a/packages/cluster-node/src/follower.ts
+++ b/packages/cluster-node/src/follower.ts
@@ -259,7 +259,8 @@
 
   /** Only the coordinator hears every edge; one that is new to it counts too few at first. */
   #countEdges(tell: Tell, nowMs: number): void {
-    if (tell.table === '' || epochOf(tell.table) < epochOf(this.#counted.table)) return;
+    // A coordinator that has lost its majority may hear no edge, and still be heard.
+    if (!tell.granted || tell.table === '' || epochOf(tell.table) < epochOf(this.#counted.table)) return;
     if (tell.table !== this.#counted.table) this.#counted = { table: tell.table, sinceMs: nowMs };
     const least = nowMs - this.#counted.sinceMs < COUNTING_MS ? this.#edges : 1;
     this.#edges = Math.max(least, tell.followers);
--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -25,7 +25,10 @@
 const ADAPTER_MS = 14;
 /** So long a worker takes to let a model go that nobody uses. */
 const UNLOAD_MS = 35;
-const SILENT_MS = 1000;
+/** A worker has seen a newer coordinator: this one will have lost the duty by then, or gets a newer epoch. */
+const FENCED_MS = 1000;
+/** A worker that leaves so many questions in a row unanswered is taken for silent. */
+const SILENT_QUESTIONS = 2;
 /** A worker that is busy so long after the last order that it took is asked what it holds. */
 const BUSY_LONG_MS = 500;
 /** By then a report tells of the last order that the worker took; one that tells of fewer before is older than it. */
@@ -82,6 +85,11 @@
     for (const id of this.#asking.keys()) if (this.#table.row(id) === undefined) this.#asking.delete(id);
   }
 
+  /** Whether a worker neither takes orders nor says what it holds: nobody can count on what it held. */
+  isSilent(row: WorkerRecord): boolean {
+    return !row.sure && (this.#asking.get(row.id)?.unanswered ?? 0) >= SILENT_QUESTIONS;
+  }
+
   /** Takes a worker's own word on what it holds: from here on it may be ordered. */
   settle(row: WorkerRecord, report: WorkerReport): void {
     const state = this.state(row);
@@ -132,9 +140,9 @@
         return;
       case 'no-answer':
         this.counts.unanswered += 1;
-        return this.#sendAgain(step, nowMs + SILENT_MS);
+        return this.#doubt(row, state);
       case 'fenced':
-        return this.#sendAgain(step, nowMs + SILENT_MS);
+        return this.#sendAgain(step, nowMs + FENCED_MS);
       case 'wrong-worker':
       case 'refused':
         state.refused(nowMs);
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -117,7 +117,7 @@
   #begin(engine: StockEngine, evacuated: readonly string[], nowMs: number): PlacementRound {
     const staying = this.#rowsOf(engine).filter((row) => !row.leaving && !evacuated.includes(row.zone));
     const copies = new Map<string, number>();
-    for (const row of staying)
+    for (const row of staying.filter((known) => !this.#sender.isSilent(known)))
       for (const model of this.#coming(row)) copies.set(model, (copies.get(model) ?? 0) + 1);
     const demands = this.#demands(engine);
     const targets = new Map<string, CopyTarget>();
--- a/packages/simulator/src/system/invariants.ts
+++ b/packages/simulator/src/system/invariants.ts
@@ -12,6 +12,7 @@
 import type { OperatorClient } from './operator-client.js';
 import { LEASE_MS } from './processes.js';
 import { BOUNDS, type SystemSize } from './size.js';
+import type { WorkerCalls } from './worker-calls.js';
 import type { WorkerPool } from './workers.js';
 import { checkZones } from './zone-history.js';
 
@@ -23,6 +24,7 @@
   readonly size: SystemSize;
   readonly network: Network;
   readonly workers: WorkerPool;
+  readonly workerCalls: WorkerCalls;
   readonly demand: Demand;
   readonly operators: OperatorClient;
   readonly expectations: Expectations;
@@ -122,7 +124,12 @@
   #probeDrains(edge: Machine, follower: Follower): void {
     const { time, workers } = this.#context;
     for (const worker of follower.workers.values()) {
-      const sinceMs = Math.max(workers.leavingSince(worker.id), this.#disturbedMs + BOUNDS.contactMs);
+      const { listFailedMs } = this.#context.workerCalls;
+      const sinceMs = Math.max(
+        workers.leavingSince(worker.id),
+        this.#disturbedMs + BOUNDS.contactMs,
+        listFailedMs,
+      );
       if (!worker.leaving && time.nowMs() - sinceMs > BOUNDS.drainMs)
         this.#context.breach('drain', `${edge.name} may still send to ${worker.id}`);
     }
--- a/packages/simulator/src/system/worker-calls.ts
+++ b/packages/simulator/src/system/worker-calls.ts
@@ -34,6 +34,7 @@
 export class WorkerCalls {
   /** What goes wrong now. */
   faults: CallFaults = SOUND_CALLS;
+  #listFailedMs = -Infinity;
   #time: VirtualTime;
   #dice: Dice;
   #network: Network;
@@ -94,9 +95,16 @@
     });
   }
 
+  /** When the platform's list could not be read last. */
+  get listFailedMs(): number {
+    return this.#listFailedMs;
+  }
+
   /** Whether the platform's list can be read now. */
-  get isListReadable(): boolean {
-    return !this.#strikes(this.faults.unreadable);
+  readsList(): boolean {
+    const fails = this.#strikes(this.faults.unreadable);
+    if (fails) this.#listFailedMs = this.#time.nowMs();
+    return !fails;
   }
 
   #strikes(share: number): boolean {
