One token bucket, one place for holdings and for times of loads; behaviour unchanged

- The placer's turns and the store's budget counted tokens as the orderer's bucket did already: all three use TokenBucket now.
- Copying holdings stood in the worker table, the planner's modules, the simulator and a test: copyOf in holdings.ts serves all, beside what holdings take up.
- How long a load takes (WorkerState.loadMs) was worked out in three places, how long a copy was held in two; RESIDE_MS and SETTLE_MS stood twice.
- Questions to a worker were kept in a second map by the same key, cleared by a second loop: they belong to its state.
- Loads from the store were counted by a second pass over all workers in each plan.
- PlacementPlanner.settle was called by a test alone: gone; the test lets workers be asked as they are in use.
No assertion changed.
- The example of StoreBudget named a method that isn't there.

--- a/packages/placement/src/adapter-placement.ts
+++ b/packages/placement/src/adapter-placement.ts
@@ -1,9 +1,10 @@
 import { spread } from '@rainrun/common';
+import { adapterCount, usedMb } from './holdings.js';
 import type { OrderSender } from './order-sender.js';
-import type { PlacementRound } from './placement-round.js';
+import { SETTLE_MS, type PlacementRound } from './placement-round.js';
 import type { Unserved } from './unserved.js';
 import type { Usage } from './usage.js';
-import { adapterCount, newStep, usedMb, type WorkerState } from './worker-state.js';
+import { newStep, type WorkerState } from './worker-state.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 
 /** An adapter of a model. */
@@ -12,8 +13,6 @@
   readonly adapter: string;
 }
 
-/** So long edges are given to learn that they may send no more for what is to go. */
-const SETTLE_MS = 15;
 /** An adapter is not put behind more steps of a worker than this. */
 const MOST_STEPS = 2;
 
--- /dev/null
+++ b/packages/placement/src/holdings.ts
@@ -0,0 +1,46 @@
+/** What workers hold, and what it takes up. */
+import type { StockEngine } from './engine.js';
+
+/** Adapters by model. */
+export type Holdings = ReadonlyMap<string, ReadonlySet<string>>;
+
+/**
+ * A copy of holdings that may be changed.
+ * @example
+ * copyOf(report.holdings).delete('model-1');
+ */
+export function copyOf(holdings: Holdings): Map<string, Set<string>> {
+  return new Map([...holdings].map(([model, adapters]) => [model, new Set(adapters)]));
+}
+
+/**
+ * What a model with its adapters takes up, in MB; one that the configuration does not know counts as all the room.
+ * @example
+ * modelMb(engine, 'model-1', 2); // its weights and two adapters
+ */
+export function modelMb(engine: StockEngine, model: string, adapters: number): number {
+  const known = engine.models.get(model);
+  return known === undefined ? engine.roomMb : known.sizeMb + adapters * known.adapterMb;
+}
+
+/**
+ * What holdings take up, in MB.
+ * @example
+ * usedMb(engine, state.planned) <= engine.roomMb;
+ */
+export function usedMb(engine: StockEngine, holdings: Holdings): number {
+  let sumMb = 0;
+  for (const [model, adapters] of holdings) sumMb += modelMb(engine, model, adapters.size);
+  return sumMb;
+}
+
+/**
+ * How many adapters there are, of all models together.
+ * @example
+ * adapterCount(state.planned) < engine.adapterPlaces;
+ */
+export function adapterCount(holdings: Holdings): number {
+  let count = 0;
+  for (const adapters of holdings.values()) count += adapters.size;
+  return count;
+}
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -3,6 +3,7 @@
 export * from './placer.js';
 export * from './worker-table.js';
 export * from './engine.js';
+export { copyOf, type Holdings } from './holdings.js';
 export * from './orders.js';
 export * from './planner.js';
 export * from './demand-totals.js';
--- a/packages/placement/src/model-placement.ts
+++ b/packages/placement/src/model-placement.ts
@@ -1,8 +1,9 @@
 import type { CopyDemand } from './copy-demand.js';
+import { modelMb, usedMb } from './holdings.js';
 import type { OrderSender } from './order-sender.js';
-import { isActive, type CopyNeed, type PlacementRound } from './placement-round.js';
+import { isActive, RESIDE_MS, SETTLE_MS, type CopyNeed, type PlacementRound } from './placement-round.js';
 import type { Usage } from './usage.js';
-import { DISK_PART, modelMb, newStep, usedMb } from './worker-state.js';
+import { newStep } from './worker-state.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 
 /** Where the weights come from. */
@@ -15,12 +16,9 @@
   readonly victims: readonly string[];
 }
 
-/** So long edges are given to learn that they may send no more for what is to go; longer where they do send. */
-const SETTLE_MS = 15;
+/** So long edges are given to learn that they may send no more for what is to go, where they do send. */
 const SETTLE_USED_MS = 50;
 const REST_MS = 400;
-/** A copy stays so long once it is loaded. */
-const RESIDE_MS = 800;
 /** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
 const GIVES_WAY = 0.7;
 /** Idle for as long as this if it was never used. */
@@ -89,7 +87,7 @@
     return rows.some((row) => {
       const state = this.#sender.state(row);
       if (!state.onDisk.has(model) || state.planned.has(model) || state.steps.length === 0) return false;
-      return state.freeInMs(engine, nowMs) + loadMs * DISK_PART < loadMs;
+      return state.freeInMs(engine, nowMs) + state.loadMs(engine, model) < loadMs;
     });
   }
 
@@ -152,8 +150,7 @@
     const state = this.#sender.state(row);
     const copies = round.copies.get(model) ?? 0;
     if (state.retired.has(model)) return VALUE.retired;
-    if (nowMs - (state.sinceMs.get(model) ?? -Infinity) < RESIDE_MS)
-      return copies > 1 ? VALUE.further : VALUE.fresh;
+    if (state.heldMs(model, nowMs) < RESIDE_MS) return copies > 1 ? VALUE.further : VALUE.fresh;
     const active = isActive(round, model);
     if (copies > Math.max(1, round.targets.get(model)?.kept ?? 0))
       return active ? VALUE.surplusActive : VALUE.surplus;
--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -1,7 +1,8 @@
 import type { StockEngine } from './engine.js';
+import { copyOf } from './holdings.js';
 import type { ReportReply, StockOrder, StockReply, WorkerReport } from './orders.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
-import { copyOf, DISK_PART, WorkerState, type Step } from './worker-state.js';
+import { WorkerState, type Step } from './worker-state.js';
 
 /** What the sender of orders needs of its node. */
 export interface OrderDependencies {
@@ -19,7 +20,7 @@
 const AGAIN_GROWTH = 1.5;
 /** An adapter takes some milliseconds: what is behind it is tried again sooner. */
 const ADAPTER_AGAIN_PART = 1 / 3;
-/** What a load is waited for beyond the time that the configuration gives. */
+/** What a load from the store is waited for beyond the time that the configuration gives. */
 const LOAD_SLACK_MS = 5;
 /** An adapter is there so soon. */
 const ADAPTER_MS = 14;
@@ -37,13 +38,6 @@
 const ASK_AGAIN_MS = 250;
 const ASK_AGAIN_MOST_MS = 2000;
 
-/** Questions to one worker what it holds. */
-interface Asking {
-  open: boolean;
-  notBeforeMs: number;
-  unanswered: number;
-}
-
 /**
  * Sends what was decided for each worker, one order at a time, and keeps to
  * what the worker itself says that it holds.
@@ -63,7 +57,6 @@
   #table: WorkerTable;
   #dependencies: OrderDependencies;
   #states = new Map<string, WorkerState>();
-  #asking = new Map<string, Asking>();
 
   constructor(table: WorkerTable, dependencies: OrderDependencies) {
     this.#table = table;
@@ -82,16 +75,15 @@
   /** Forgets workers that are no longer in the table. */
   forgetGone(): void {
     for (const id of this.#states.keys()) if (this.#table.row(id) === undefined) this.#states.delete(id);
-    for (const id of this.#asking.keys()) if (this.#table.row(id) === undefined) this.#asking.delete(id);
   }
 
   /** Whether a worker neither takes orders nor says what it holds: nobody can count on what it held. */
   isSilent(row: WorkerRecord): boolean {
-    return !row.sure && (this.#asking.get(row.id)?.unanswered ?? 0) >= SILENT_QUESTIONS;
+    return !row.sure && this.state(row).asking.unanswered >= SILENT_QUESTIONS;
   }
 
   /** Takes a worker's own word on what it holds: from here on it may be ordered. */
-  settle(row: WorkerRecord, report: WorkerReport): void {
+  #settle(row: WorkerRecord, report: WorkerReport): void {
     const state = this.state(row);
     state.adopt(report);
     row.models = copyOf(report.holdings);
@@ -165,9 +157,8 @@
     if (step.begun) return this.#sendAgain(step, nowMs + AGAIN_MS);
     step.begun = true;
     this.counts.loads += 1;
-    const loadMs = engine.models.get(step.model)?.loadMs ?? 0;
-    const expectedMs = state.onDisk.has(step.model) ? loadMs * DISK_PART : loadMs + LOAD_SLACK_MS;
-    this.#sendAgain(step, nowMs + expectedMs);
+    const slackMs = state.onDisk.has(step.model) ? 0 : LOAD_SLACK_MS;
+    this.#sendAgain(step, nowMs + state.loadMs(engine, step.model) + slackMs);
   }
 
   #finish(row: WorkerRecord, state: WorkerState, step: Step): void {
@@ -191,7 +182,7 @@
 
   #reread(row: WorkerRecord, state: WorkerState): void {
     this.#ask(row, (report) => {
-      if (!row.sure && !this.#isOutdated(state, report)) this.settle(row, report);
+      if (!row.sure && !this.#isOutdated(state, report)) this.#settle(row, report);
     });
   }
 
@@ -201,7 +192,7 @@
     this.#ask(row, (report) => {
       const isUnchanged = row.sure && state.acceptedMs === acceptedMs;
       if (isUnchanged && report.sequence !== state.sequence && !this.#isOutdated(state, report))
-        this.settle(row, report);
+        this.#settle(row, report);
     });
   }
 
@@ -214,8 +205,7 @@
   /** Asks a worker that may be ordered what it holds, not too often. */
   #ask(row: WorkerRecord, heard: (report: WorkerReport) => void): void {
     const nowMs = this.#dependencies.nowMs();
-    const asking = this.#asking.get(row.id) ?? { open: false, notBeforeMs: -Infinity, unanswered: 0 };
-    this.#asking.set(row.id, asking);
+    const { asking } = this.state(row);
     if (asking.open || nowMs < asking.notBeforeMs || this.#dependencies.fence() === undefined) return;
     asking.open = true;
     this.counts.reports += 1;
--- a/packages/placement/src/orderer.ts
+++ b/packages/placement/src/orderer.ts
@@ -1,6 +1,7 @@
 import type { HoldingTarget, Spec } from '@rainrun/configuration';
 import type { Fault } from '@rainrun/common';
 import type { Result } from 'true-myth';
+import { TokenBucket } from './token-bucket.js';
 
 /** One order to a worker. The epoch fences it: a worker has seen the highest. */
 export interface Order {
@@ -55,23 +56,20 @@
 /** By then every edge that may admit has heard of the new target and sends no more to what goes. */
 const UNLOAD_WAIT_MS = 1500;
 
-/** How many pulls the store allows: a bucket that starts empty, so that a new holder of the duty waits. */
+/** How many pulls the store allows: so many a minute, and so many at once. */
 class PullBucket {
-  #pulls = 0;
-  #filledMs: number;
+  #bucket: TokenBucket;
   #flying = 0;
 
   constructor(nowMs: number) {
-    this.#filledMs = nowMs;
+    this.#bucket = new TokenBucket(nowMs);
   }
 
   take(spec: Spec, nowMs: number): boolean {
-    const perMs = spec.store.pullsPerMinute / 60_000;
-    const most = Math.max(1, Math.floor(spec.store.pullsPerMinute / 60));
-    this.#pulls = Math.min(most, this.#pulls + (nowMs - this.#filledMs) * perMs);
-    this.#filledMs = nowMs;
-    if (this.#pulls < 1 || this.#flying >= spec.store.concurrentPulls) return false;
-    this.#pulls -= 1;
+    const perS = spec.store.pullsPerMinute / 60;
+    this.#bucket.refill(perS, Math.max(1, Math.floor(perS)), nowMs);
+    if (!this.#bucket.isOpen || this.#flying >= spec.store.concurrentPulls) return false;
+    this.#bucket.take();
     this.#flying += 1;
     return true;
   }
--- a/packages/placement/src/orders.ts
+++ b/packages/placement/src/orders.ts
@@ -1,4 +1,5 @@
 /** Orders to workers, their answers, and what workers say of themselves. */
+import type { Holdings } from './holdings.js';
 
 /** An order to a worker. */
 export interface StockOrder {
@@ -33,9 +34,6 @@
   /** It may have been taken, and may still be. */
   | 'no-answer';
 
-/** Adapters by model. */
-export type Holdings = ReadonlyMap<string, ReadonlySet<string>>;
-
 /** What a worker that is at no order said of itself; it may have taken an order since. */
 export interface WorkerReport {
   readonly holdings: Holdings;
--- a/packages/placement/src/placement-round.ts
+++ b/packages/placement/src/placement-round.ts
@@ -3,6 +3,11 @@
 import type { StockEngine } from './engine.js';
 import type { WorkerRecord } from './worker-table.js';
 
+/** So long edges are given to learn that they may send no more for what is to go. */
+export const SETTLE_MS = 15;
+/** A copy stays in use so long once it is loaded. */
+export const RESIDE_MS = 800;
+
 /** What one plan of a service decides on. */
 export interface PlacementRound {
   readonly engine: StockEngine;
@@ -10,6 +15,8 @@
   readonly rows: readonly WorkerRecord[];
   readonly demands: ReadonlyMap<string, Demand>;
   readonly targets: ReadonlyMap<string, CopyTarget>;
+  /** Workers that load from the store when the round begins. */
+  readonly fetching: number;
   /** Copies of each model that stand or come; kept up to date with what the round decides. */
   readonly copies: Map<string, number>;
   readonly nowMs: number;
--- a/packages/placement/src/placer.ts
+++ b/packages/placement/src/placer.ts
@@ -1,4 +1,5 @@
 import type { HoldingTarget, Spec } from '@rainrun/configuration';
+import { TokenBucket } from './token-bucket.js';
 import { Unserved } from './unserved.js';
 
 /** A worker as the placer sees it. */
@@ -82,8 +83,7 @@
   /** Models that are asked for and stand nowhere. */
   #unserved = new Unserved();
   /** Places that may change hands now because of how long a model was asked for in vain. */
-  #turns = 0;
-  #turnsMs: number | undefined;
+  #turns: TokenBucket | undefined;
 
   constructor(settings: PlaceSettings) {
     this.#settings = settings;
@@ -125,9 +125,8 @@
   }
 
   #refillTurns(spec: Spec, nowMs: number): void {
-    const passedMs = nowMs - (this.#turnsMs ?? nowMs);
-    this.#turnsMs = nowMs;
-    this.#turns = Math.min(1, this.#turns + passedMs * (TURN_PART / msPerPull(spec)));
+    this.#turns ??= new TokenBucket(nowMs);
+    this.#turns.refill((TURN_PART * spec.store.pullsPerMinute) / 60, 1, nowMs);
   }
 
   #wants(
@@ -267,8 +266,8 @@
     if (victim === undefined) return false;
     if (victim.worth >= want.gain * this.#settings.below) {
       const isTurn = victim.worth < (want.agedGain ?? 0) * this.#settings.below;
-      if (!isTurn || this.#turns < 1) return false;
-      this.#turns -= 1;
+      if (!isTurn || this.#turns?.isOpen !== true) return false;
+      this.#turns.take();
     }
     const { bench, model } = victim;
     bench.freeMb += heldMb(bench, model, parts.sizes, parts.adapterMb);
--- a/packages/placement/src/planner.test.ts
+++ b/packages/placement/src/planner.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { WorkerTable, type ListedWorker } from './worker-table.js';
 import type { StockEngine } from './engine.js';
+import { copyOf } from './holdings.js';
 import type { ReportReply, StockOrder, StockReply, WorkerReport } from './orders.js';
 import { PlacementPlanner } from './planner.js';
 import type { StockWant } from './demand-totals.js';
@@ -85,10 +86,9 @@
       decided: () => undefined,
     });
     this.book.learn(workers, this.nowMs);
-    for (const row of this.book.rows) {
-      this.held.set(row.id, new Map([...row.models].map(([model, adapters]) => [model, new Set(adapters)])));
-      this.planner.settle(row, this.#reportOf(row.id));
-    }
+    for (const { id, models } of this.book.rows) this.held.set(id, copyOf(models));
+    // Each worker is asked what it holds.
+    this.planner.pursue(new Map([['assist', this.engine]]), this.nowMs);
   }
 
   /** Heartbeats for a while; `wants` says what is asked for at each heartbeat. */
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -2,9 +2,8 @@
 import { CopyDemand, type CopyTarget } from './copy-demand.js';
 import { DemandTotals, type Demand, type StockWant } from './demand-totals.js';
 import { loadsAtOnce, type StockEngine } from './engine.js';
-import { ModelPlacement } from './model-placement.js';
+import { ModelPlacement, type LoadSource } from './model-placement.js';
 import { OrderSender, type OrderDependencies } from './order-sender.js';
-import type { WorkerReport } from './orders.js';
 import type { CopyNeed, PlacementRound } from './placement-round.js';
 import { Retirement } from './retirement.js';
 import { StoreBudget, type LoadPurpose } from './store-budget.js';
@@ -98,11 +97,6 @@
       for (const row of this.#rowsOf(engine)) this.#sender.pursue(engine, row, nowMs);
   }
 
-  /** Takes a worker's own word on what it holds: from here on it may be ordered. */
-  settle(row: WorkerRecord, report: WorkerReport): void {
-    this.#sender.settle(row, report);
-  }
-
   #rowsOf(engine: StockEngine): WorkerRecord[] {
     return [...this.#table.rows].filter((row) => row.service === engine.service && !row.gone);
   }
@@ -115,7 +109,9 @@
   }
 
   #begin(engine: StockEngine, evacuated: readonly string[], nowMs: number): PlacementRound {
-    const staying = this.#rowsOf(engine).filter((row) => !row.leaving && !evacuated.includes(row.zone));
+    const present = this.#rowsOf(engine);
+    const fetching = present.filter((row) => this.#sender.state(row).isFetching).length;
+    const staying = present.filter((row) => !row.leaving && !evacuated.includes(row.zone));
     const copies = new Map<string, number>();
     for (const row of staying.filter((known) => !this.#sender.isSilent(known)))
       for (const model of this.#coming(row)) copies.set(model, (copies.get(model) ?? 0) + 1);
@@ -126,7 +122,7 @@
       if (demand.waiting + demand.inFlight > 0) this.#usage.used(`${engine.service}/${model}`, nowMs);
     }
     const rows = staying.filter((row) => row.sure);
-    return { engine, rows, demands, targets, copies, nowMs };
+    return { engine, rows, demands, targets, fetching, copies, nowMs };
   }
 
   /** What is asked for of the models that an engine can load. */
@@ -194,7 +190,7 @@
         if (this.#retirement.revive(round, need.model) || this.#place(round, need, 'disk')) continue;
         if (!this.#models.comesFromDiskSoon(round, need)) fromStore[purpose].push(need);
       }
-    let fetching = this.#fetching(round.engine);
+    let { fetching } = round;
     const atOnce = loadsAtOnce(round.engine);
     while (budget.isOpen && fetching < atOnce && this.#models.isAnyWorkerFree(round)) {
       const { next } = budget;
@@ -208,15 +204,10 @@
     }
   }
 
-  #place(round: PlacementRound, need: CopyNeed, source: 'disk' | 'store'): boolean {
+  #place(round: PlacementRound, need: CopyNeed, source: LoadSource): boolean {
     const decided = this.#models.place(round, need, source);
     if (decided === undefined) return false;
     this.#dependencies.decided(decided);
     return true;
   }
-
-  /** Workers that load from the store now. */
-  #fetching(engine: StockEngine): number {
-    return this.#rowsOf(engine).filter((row) => this.#sender.state(row).isFetching).length;
-  }
 }
--- a/packages/placement/src/retirement.ts
+++ b/packages/placement/src/retirement.ts
@@ -1,11 +1,9 @@
 import type { OrderSender } from './order-sender.js';
-import type { PlacementRound } from './placement-round.js';
+import { RESIDE_MS, type PlacementRound } from './placement-round.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 
 /** Copies of one model are taken out of use no sooner after each other. */
 const RETIRE_MS = 400;
-/** A copy stays in use so long once it is loaded. */
-const RESIDE_MS = 800;
 
 /**
  * Takes copies beyond what a model needs out of use, one at a time, so that
@@ -61,7 +59,6 @@
 
   #mayRetire(row: WorkerRecord, model: string, nowMs: number): boolean {
     const state = this.#sender.state(row);
-    const heldMs = nowMs - (state.sinceMs.get(model) ?? -Infinity);
-    return row.models.has(model) && state.steps.length === 0 && heldMs > RESIDE_MS;
+    return row.models.has(model) && state.steps.length === 0 && state.heldMs(model, nowMs) > RESIDE_MS;
   }
 }
--- a/packages/placement/src/store-budget.ts
+++ b/packages/placement/src/store-budget.ts
@@ -1,4 +1,5 @@
 import { loadsAtOnce, type StockEngine } from './engine.js';
+import { TokenBucket } from './token-bucket.js';
 
 /** What a load from the store is for. */
 export type LoadPurpose =
@@ -8,33 +9,29 @@
   | 'further-copy';
 
 /**
- * Loads that the store of weights of one service allows: a token bucket that
- * starts empty, so that a new holder of the duty waits, and that first copies
- * and further copies share. While both are wanted neither gets more than half,
+ * Loads that the store of weights of one service allows, shared by first copies
+ * and further copies. While both are wanted neither gets more than half,
  * so that models in heavy use cannot keep the others from being loaded.
  * @example
  * budget.refill(engine, nowMs);
- * if (budget.allows('first-copy', bothWanted)) budget.take('first-copy');
+ * if (budget.isOpen) budget.take(budget.next);
  */
 export class StoreBudget {
-  #tokens = 0;
-  #filledMs: number;
+  #bucket: TokenBucket;
   /** First copies that were loaded beyond further ones, within a few loads. */
   #lead = 0;
 
   constructor(nowMs: number) {
-    this.#filledMs = nowMs;
+    this.#bucket = new TokenBucket(nowMs);
   }
 
   refill(engine: StockEngine, nowMs: number): void {
-    const gained = (engine.loadsPerS * (nowMs - this.#filledMs)) / 1000;
-    this.#tokens = Math.min(loadsAtOnce(engine), this.#tokens + gained);
-    this.#filledMs = nowMs;
+    this.#bucket.refill(engine.loadsPerS, loadsAtOnce(engine), nowMs);
   }
 
   /** Whether a load may begin now. */
   get isOpen(): boolean {
-    return this.#tokens >= 1;
+    return this.#bucket.isOpen;
   }
 
   /** Which of the two has had fewer loads and comes first. */
@@ -43,7 +40,7 @@
   }
 
   take(purpose: LoadPurpose): void {
-    this.#tokens -= 1;
+    this.#bucket.take();
     const lead = this.#lead + (purpose === 'first-copy' ? 1 : -1);
     this.#lead = Math.max(-1, Math.min(1, lead));
   }
--- a/packages/placement/src/worker-state.ts
+++ b/packages/placement/src/worker-state.ts
@@ -1,5 +1,6 @@
 import type { StockEngine } from './engine.js';
-import type { Holdings, WorkerReport } from './orders.js';
+import { adapterCount, copyOf, usedMb, type Holdings } from './holdings.js';
+import type { WorkerReport } from './orders.js';
 
 /** One order that was decided: it is sent once those before it are done. */
 export interface Step {
@@ -28,11 +29,19 @@
 }
 
 /** A load from a worker's own disk takes no more than about this part of one from the store. */
-export const DISK_PART = 0.68;
+const DISK_PART = 0.68;
 /** After a refusal a worker gets no new order for so long; twice as long after each further one. */
 const REFUSED_MS = 250;
 const REFUSED_MOST_MS = 4000;
 
+/** Questions to one worker what it holds. */
+export interface Asking {
+  open: boolean;
+  notBeforeMs: number;
+  /** How many in a row had no answer. */
+  unanswered: number;
+}
+
 /**
  * What one incarnation of a worker holds by its own word, and the orders that
  * were decided for it. Holdings change with what the worker answers, and with
@@ -50,6 +59,8 @@
   readonly retired = new Set<string>();
   /** Since when it holds a model. */
   readonly sinceMs = new Map<string, number>();
+  /** When it was asked what it holds. */
+  readonly asking: Asking = { open: false, notBeforeMs: -Infinity, unanswered: 0 };
   /** How many orders it has taken; known once it has reported. */
   sequence = 0;
   /** When it last took an order. */
@@ -138,13 +149,23 @@
     return usedMb(engine, after) <= engine.roomMb && adapterCount(after) <= engine.adapterPlaces;
   }
 
+  /** How long a load takes, from the worker's own disk if it has held the model. */
+  loadMs(engine: StockEngine, model: string): number {
+    const fromStoreMs = engine.models.get(model)?.loadMs ?? 0;
+    return this.onDisk.has(model) ? fromStoreMs * DISK_PART : fromStoreMs;
+  }
+
+  /** How long it has held a model; endless for one that it has held from the start. */
+  heldMs(model: string, nowMs: number): number {
+    return nowMs - (this.sinceMs.get(model) ?? -Infinity);
+  }
+
   /** In how many milliseconds all steps will be done, as far as can be told. */
   freeInMs(engine: StockEngine, nowMs: number): number {
     let sumMs = 0;
     for (const { action, model, adapter, begun, notBeforeMs } of this.#steps) {
       if (action === 'unload' || adapter !== '') continue;
-      const loadMs = engine.models.get(model)?.loadMs ?? 0;
-      sumMs += begun ? Math.max(0, notBeforeMs - nowMs) : loadMs * (this.onDisk.has(model) ? DISK_PART : 1);
+      sumMs += begun ? Math.max(0, notBeforeMs - nowMs) : this.loadMs(engine, model);
     }
     return sumMs;
   }
@@ -173,44 +194,3 @@
   } else if (action === 'unload') holdings.delete(model);
   else if (!holdings.has(model)) holdings.set(model, new Set());
 }
-
-/**
- * A copy of holdings that may be changed.
- * @example
- * copyOf(report.holdings).delete('model-1');
- */
-export function copyOf(holdings: Holdings): Map<string, Set<string>> {
-  return new Map([...holdings].map(([model, adapters]) => [model, new Set(adapters)]));
-}
-
-/**
- * What a model with its adapters takes up, in MB; one that the configuration does not know counts as all the room.
- * @example
- * modelMb(engine, 'model-1', 2); // its weights and two adapters
- */
-export function modelMb(engine: StockEngine, model: string, adapters: number): number {
-  const known = engine.models.get(model);
-  return known === undefined ? engine.roomMb : known.sizeMb + adapters * known.adapterMb;
-}
-
-/**
- * What holdings take up, in MB.
- * @example
- * usedMb(engine, state.planned) <= engine.roomMb;
- */
-export function usedMb(engine: StockEngine, holdings: Holdings): number {
-  let sumMb = 0;
-  for (const [model, adapters] of holdings) sumMb += modelMb(engine, model, adapters.size);
-  return sumMb;
-}
-
-/**
- * How many adapters there are, of all models together.
- * @example
- * adapterCount(state.planned) < engine.adapterPlaces;
- */
-export function adapterCount(holdings: Holdings): number {
-  let count = 0;
-  for (const adapters of holdings.values()) count += adapters.size;
-  return count;
-}
--- a/packages/placement/src/worker-table.ts
+++ b/packages/placement/src/worker-table.ts
@@ -1,3 +1,5 @@
+import { copyOf, type Holdings } from './holdings.js';
+
 /** One worker as the platform lists it. */
 export interface ListedWorker {
   readonly id: string;
@@ -8,7 +10,7 @@
   readonly leaving: boolean;
   readonly coldMs: number;
   /** What it holds by its own word: adapters by model. */
-  readonly models: ReadonlyMap<string, ReadonlySet<string>>;
+  readonly models: Holdings;
 }
 
 /** One incarnation of a worker as the holder of the duty knows it. */
@@ -111,7 +113,7 @@
 
   #enter(listed: ListedWorker, nowMs: number): WorkerRecord {
     const { id, service, address, zone, slots, leaving, coldMs } = listed;
-    const models = new Map([...listed.models].map(([model, adapters]) => [model, new Set(adapters)]));
+    const models = copyOf(listed.models);
     const row: WorkerRecord = {
       id,
       service,
--- a/packages/simulator/src/system/workers.ts
+++ b/packages/simulator/src/system/workers.ts
@@ -1,5 +1,11 @@
 import { randomId, type Dice } from '@rainrun/common';
-import type { ListedWorker, ReportReply, StockOrder, StockReply } from '@rainrun/placement';
+import {
+  copyOf,
+  type ListedWorker,
+  type ReportReply,
+  type StockOrder,
+  type StockReply,
+} from '@rainrun/placement';
 import type { VirtualTime } from '../world.js';
 
 /** The one service of models of a simulated system. */
@@ -17,7 +23,7 @@
 
 const LIST_STEP_MS = 100;
 /** The list lags by no more. */
-export const LIST_LAG_MS = 800;
+const LIST_LAG_MS = 800;
 /** A worker's own report lags by no more than this and a step of the list. */
 const REPORT_LAG_MS = 200;
 /** A load from a worker's own disk takes this part of one from the store. */
@@ -343,7 +349,7 @@
         slots: ENGINE.slots,
         leaving,
         coldMs: 0,
-        models: new Map([...models].map(([model, adapters]) => [model, new Set(adapters)])),
+        models: copyOf(models),
       }));
     const busy = new Set(this.members.filter((worker) => worker.busy).map((worker) => worker.id));
     const sequences = new Map(this.members.map((worker) => [worker.id, worker.sequence]));
