The cores' times on a platform stand once, beside the defaults

The program, the simulator and the group's test cluster each wrote out the same six times, so that a change of one would have been tested with the others: all three use PLATFORM_TIMES now.

--- a/packages/process-group/src/test-cluster.ts
+++ b/packages/process-group/src/test-cluster.ts
@@ -7,21 +7,11 @@
 import { Acceptor, readRecords } from './acceptor.js';
 import { Group } from './group.js';
 import type { Play } from './play.js';
-import { GROUP_TIMES, type GroupTimes } from './times.js';
+import { PLATFORM_TIMES } from './times.js';
 
 const TICK_MS = 25;
 const LINK_MS = 1;
 
-/** The times of a core on a platform. */
-const TIMES: GroupTimes = {
-  ...GROUP_TIMES,
-  replaceMs: 1500,
-  suspectMs: 900,
-  grantMs: 600,
-  helloMs: 100,
-  graceMs: 100,
-};
-
 /** The state: the ids of the operations that were applied, in their order. */
 const PLAY: Play<readonly string[]> = {
   empty: () => [],
@@ -197,7 +187,7 @@
       votersWanted: this.#votersWanted,
       clock: { nowMs: () => this.nowMs },
       chance: this.#dice,
-      times: TIMES,
+      times: PLATFORM_TIMES,
       play: PLAY,
       acceptor,
       speaks: SPEAKS,
--- a/packages/process-group/src/times.ts
+++ b/packages/process-group/src/times.ts
@@ -27,3 +27,13 @@
   resignMs: 3000,
   lagMs: 4000,
 };
+
+/** The times of cores on a platform: a lost core is replaced before it counts as lost no more. */
+export const PLATFORM_TIMES: GroupTimes = {
+  ...GROUP_TIMES,
+  replaceMs: 1500,
+  suspectMs: 900,
+  grantMs: 600,
+  helloMs: 100,
+  graceMs: 100,
+};
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -1,6 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { SPEAKS } from '@rainrun/messages';
-import { Acceptor, GROUP_TIMES, readRecords, type GroupTimes } from '@rainrun/process-group';
+import { Acceptor, PLATFORM_TIMES, readRecords } from '@rainrun/process-group';
 import { PoolLink, type Header } from '@rainrun/gateway';
 import { CoreReplica, coreStatus, OperatorService } from '@rainrun/cluster-node';
 import { RecordStore } from '@rainrun/storage';
@@ -22,16 +22,6 @@
 const ORDER_WAIT_MS = 800;
 const COUNTERS_MS = 10_000;
 
-/** A lost core is replaced before it counts as lost no more. */
-const TIMES: GroupTimes = {
-  ...GROUP_TIMES,
-  replaceMs: 1500,
-  suspectMs: 900,
-  grantMs: 600,
-  helloMs: 100,
-  graceMs: 100,
-};
-
 const CLOCK: Clock = { nowMs: () => performance.now() };
 const CHANCE: Chance = { next: () => Math.random() };
 
@@ -82,7 +72,7 @@
       votersWanted: 2 * settings.lossesBorne + 1,
       clock: CLOCK,
       chance: CHANCE,
-      times: TIMES,
+      times: PLATFORM_TIMES,
       acceptor,
       speaks: SPEAKS,
       post: (address, frame) => this.#wire.post(address, frame),
--- a/packages/simulator/src/system/processes.ts
+++ b/packages/simulator/src/system/processes.ts
@@ -2,7 +2,7 @@
 import { CoreReplica, Follower } from '@rainrun/cluster-node';
 import { randomId, type Dice } from '@rainrun/common';
 import { SPEAKS } from '@rainrun/messages';
-import { Acceptor, GROUP_TIMES, readRecords, type GroupTimes } from '@rainrun/process-group';
+import { Acceptor, PLATFORM_TIMES, readRecords } from '@rainrun/process-group';
 import type { VirtualTime } from '../world.js';
 import type { Demand } from './demand.js';
 import type { Machine, Process } from './machine.js';
@@ -12,17 +12,8 @@
 import type { WorkerCalls } from './worker-calls.js';
 import { type WorkerPool } from './workers.js';
 
-/** Times of the cores as the program sets them. */
-const TIMES: GroupTimes = {
-  ...GROUP_TIMES,
-  replaceMs: 1500,
-  suspectMs: 900,
-  grantMs: 600,
-  helloMs: 100,
-  graceMs: 100,
-};
 /** A coordinator that was succeeded may believe in its duty for so long. */
-export const LEASE_MS = TIMES.grantMs;
+export const LEASE_MS = PLATFORM_TIMES.grantMs;
 const CORE_TICK_MS = 20;
 const EDGE_TICK_MS = 25;
 const LIST_MS = 500;
@@ -196,7 +187,7 @@
       votersWanted: 2 * size.lossesBorne + 1,
       clock: { nowMs: () => time.nowMs() + skewMs },
       chance: dice,
-      times: TIMES,
+      times: PLATFORM_TIMES,
       acceptor,
       speaks: SPEAKS,
       post: (to, frame) => network.post(machine, to, frame),
