Edges load only the parts of undici that they use; each program only its role; fewer wake-ups

Cause: the index of undici (fetch, mocks, caches, sockets) was most of the bundle; both programs held both roles; an edge woke 20 times a second with nothing waiting.

--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -1,4 +1,5 @@
-import { buildConnector, Client, Pool, type Dispatcher } from 'undici';
+import type { Dispatcher } from 'undici';
+import { buildConnector, Client, Pool } from './undici-client.js';
 
 /** A header as it stands on the wire. */
 export type Header = readonly [name: string, value: string];
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -12,7 +12,10 @@
 import type { Log } from './log.js';
 import { splitAddress, Wire } from './wire.js';
 
+/** Between two looks at what waits, and at the cores while this edge cannot serve yet. */
 const HEARTBEAT_MS = 50;
+/** The same while nothing waits here: each wake-up of a process costs more than the look itself. */
+const RESTING_HEARTBEAT_MS = 100;
 /** A model that stands nowhere is asked for after this, with what else came meanwhile. */
 const HASTE_MS = 7;
 const COUNTERS_MS = 10_000;
@@ -47,6 +50,7 @@
   #timers: NodeJS.Timeout[] = [];
   #stopping = false;
   #wasReady = false;
+  #heartbeat: NodeJS.Timeout | undefined;
   #haste: NodeJS.Timeout | undefined;
 
   constructor(settings: SystemSettings, dialect: EdgeDialect, log: Log, clock = MONOTONIC) {
@@ -100,14 +104,9 @@
     await this.#front.listen(listen.clients);
     this.#readiness.listen(splitAddress(listen.readiness).port, host);
     this.#timers.push(
-      setInterval(() => {
-        this.#follower.tick();
-        this.#router.tick();
-        this.#noteReady();
-      }, HEARTBEAT_MS),
       setInterval(() => this.#log.info({ counters: this.#counters() }, 'counters'), COUNTERS_MS),
     );
-    this.#follower.tick();
+    this.#beat();
     this.#log.info({ clients: listen.clients }, 'started');
   }
 
@@ -133,6 +132,7 @@
   /** Ends at once: timers, sockets and connections. */
   async close(): Promise<void> {
     for (const timer of this.#timers) clearInterval(timer);
+    clearTimeout(this.#heartbeat);
     clearTimeout(this.#haste);
     this.#front.tear();
     this.#readiness.close();
@@ -140,6 +140,14 @@
     await this.#link.close();
   }
 
+  #beat(): void {
+    this.#follower.tick();
+    this.#router.tick();
+    this.#noteReady();
+    const isResting = this.#follower.ready && this.#router.waiting === 0;
+    this.#heartbeat = setTimeout(() => this.#beat(), isResting ? RESTING_HEARTBEAT_MS : HEARTBEAT_MS);
+  }
+
   #hasten(): void {
     this.#follower.haste();
     this.#haste ??= setTimeout(() => {
--- a/packages/runtime/src/system.ts
+++ b/packages/runtime/src/system.ts
@@ -3,18 +3,53 @@
 import { pino } from 'pino';
 import { tryOrElse } from 'true-myth/result';
 import { CoreNode } from './core-node.js';
-import type { Dialect } from './dialect.js';
+import type { Dialect, SystemSettings } from './dialect.js';
 import { EdgeNode } from './edge-node.js';
+import type { Log } from './log.js';
 
 /** Exit codes of the programs on a platform. */
 const EXITS = { well: 0, badSetting: 2, badDisk: 3 } as const;
 
+/** A program's settings, and the log that it writes to. */
+interface ProgramSetup {
+  readonly settings: SystemSettings;
+  readonly log: Log;
+}
+
+/**
+ * Runs an edge on a platform: settings by the dialect, then the node until a signal.
+ * @example
+ * await runEdge(dialect, '/etc/rainrun/settings.toml');
+ */
+export async function runEdge(dialect: Dialect, path: string): Promise<void> {
+  const setup = setUp(dialect, path);
+  if (setup === undefined) return;
+  const node = new EdgeNode(setup.settings, dialect, setup.log);
+  onStop(() => node.stop());
+  return node.start();
+}
+
 /**
- * Runs one program on a platform: settings by the dialect, then the node until a signal.
+ * Runs a core on a platform: settings by the dialect, its disk, then the node until a signal.
  * @example
- * await runSystem('edge', dialect, '/etc/rainrun/settings.toml');
+ * await runCore(dialect, '/etc/rainrun/settings.toml');
  */
-export async function runSystem(role: 'edge' | 'core', dialect: Dialect, path: string): Promise<void> {
+export async function runCore(dialect: Dialect, path: string): Promise<void> {
+  const setup = setUp(dialect, path);
+  if (setup === undefined) return;
+  const opened = await CoreNode.open(setup.settings, dialect, setup.log, (why) => {
+    end(EXITS.badDisk, [why]);
+  });
+  if (opened.isErr) {
+    end(EXITS.badDisk, [opened.error]);
+    return;
+  }
+  onStop(() => opened.value.stop());
+  return opened.value.start();
+}
+
+/** Reads the settings and opens the log; where the settings are bad the program ends, and nothing is returned. */
+function setUp(dialect: Dialect, path: string): ProgramSetup | undefined {
   const read = tryOrElse(
     (thrown) => [
       fault('bad-setting', `settings: found ${JSON.stringify(path)}, expected a file (${String(thrown)})`),
@@ -23,27 +58,14 @@
   ).andThen((text) => dialect.readSettings(text));
   if (read.isErr) {
     end(EXITS.badSetting, read.error);
-    return;
+    return undefined;
   }
   const settings = read.value;
   const log = pino({ base: { node: settings.name } });
   process.on('SIGHUP', () => {
     log.info('settings may have changed; they count from the next start');
   });
-  if (role === 'edge') {
-    const node = new EdgeNode(settings, dialect, log);
-    onStop(() => node.stop());
-    return node.start();
-  }
-  const opened = await CoreNode.open(settings, dialect, log, (why) => {
-    end(EXITS.badDisk, [why]);
-  });
-  if (opened.isErr) {
-    end(EXITS.badDisk, [opened.error]);
-    return;
-  }
-  onStop(() => opened.value.stop());
-  return opened.value.start();
+  return { settings, log };
 }
 
 function onStop(stop: () => Promise<void>): void {
--- a/tools/scale/src/system-child.ts
+++ b/tools/scale/src/system-child.ts
@@ -1,6 +1,6 @@
-import { runSystem } from '@rainrun/runtime/system';
+import { runCore, runEdge } from '@rainrun/runtime/system';
 import { DIALECT } from './dialect.js';
 
 const [, , role, path = ''] = process.argv;
 process.on('disconnect', () => process.exit(0));
-await runSystem(role === 'core' ? 'core' : 'edge', DIALECT, path);
+await (role === 'core' ? runCore : runEdge)(DIALECT, path);
