Workers that fail more than their peers are ejected, by what all edges saw

A failing worker answers fast, looks idle and drew requests. Change: each edge counts how requests to each worker ended (an error of the worker's, a reset, a shed, a long silence before the client left are failures) and says so with its questions to the coordinator, which compares each worker with its peers for the callers of each zone, ejects at most a third of a service, and lets a worker come back by 10, 40 and 100 percent of the edges; longer away each time. A worker that is limited is still used where no other can take a request. Peers' errors, not a fixed bound, decide: errors that all have eject nobody.

--- a/packages/cluster-node/src/core-replica.ts
+++ b/packages/cluster-node/src/core-replica.ts
@@ -37,6 +37,7 @@
 import { PlanPacer } from './plan-pacer.js';
 import { writeToldState, type ToldState } from './told-state.js';
 import { Subscribers, type Offer, type Subscriber } from './subscribers.js';
+import { WorkerHealth } from './worker-health.js';
 
 const DEPLOYMENT_PLAY: Play<Deployment> = {
   empty: () => EMPTY_DEPLOYMENT,
@@ -78,6 +79,7 @@
   #group: Group<Deployment>;
   #book = new WorkerTable();
   #planner: PlacementPlanner;
+  #health = new WorkerHealth();
   #table = '';
   #tableEpoch = -1;
   #subscribers = new Subscribers();
@@ -133,7 +135,10 @@
     this.#group.tick();
     this.#subscribers.expire(nowMs);
     this.#openTable();
-    if (this.#group.leading) this.#placeModels(nowMs);
+    if (this.#group.leading) {
+      this.#health.judge(this.#book, nowMs);
+      this.#placeModels(nowMs);
+    }
     this.#tellChanges(nowMs);
   }
 
@@ -187,6 +192,7 @@
     this.#table = epoch < 0 ? '' : `${epoch}-${this.#group.seat.incarnation}`;
     this.#book = new WorkerTable();
     this.#planner = this.#newPlanner();
+    this.#health = new WorkerHealth();
   }
 
   #engines(): ReadonlyMap<string, StockEngine> {
@@ -214,13 +220,14 @@
   }
 
   #onFollow(follow: Follow): void {
-    const { seat, wants, leaving, partial } = follow;
+    const { seat, wants, leaving, partial, outcomes } = follow;
     if (seat === undefined) return;
     if (leaving) return this.#subscribers.remove(seat.incarnation);
     const nowMs = this.#dependencies.clock.nowMs();
     const subscriber = this.#subscribers.heard(follow, seat, nowMs);
     if (this.#group.leading) {
       this.#planner.want(seat.incarnation, wants, nowMs, partial);
+      this.#health.note(seat.zone, outcomes, nowMs);
       if (wants.some(({ waiting }) => waiting > 0)) this.#placeModels(nowMs);
     }
     if (this.#subscribers.isAnswerDue(subscriber, this.#offer(), nowMs)) this.#tell(subscriber, nowMs);
@@ -303,7 +310,7 @@
 }
 
 function rowOf(row: WorkerRecord, nowMs: number): WorkerRow {
-  const { number, id, service, address, zone, leaving, gone, slots, coldUntilMs, models } = row;
+  const { number, id, service, address, zone, leaving, gone, slots, coldUntilMs, models, limits } = row;
   return create(WorkerRowSchema, {
     number,
     id,
@@ -320,6 +327,11 @@
       adapters: [...adapters],
       load: 0,
     })),
+    limits: [...limits].map(([callers, percent]) => ({
+      $typeName: 'rainrun.v1.CallerLimit' as const,
+      zone: callers,
+      percent,
+    })),
   });
 }
 
--- a/packages/cluster-node/src/follower.ts
+++ b/packages/cluster-node/src/follower.ts
@@ -8,6 +8,7 @@
   type Seat,
   type Tell,
   type Want,
+  type WorkerOutcomes,
   type WorkerRow,
 } from '@rainrun/messages';
 import {
@@ -31,6 +32,8 @@
   /** Adapters by model. */
   readonly models: ReadonlyMap<string, ReadonlySet<string>>;
   readonly number: number;
+  /** Percentage of the edges of this one's zone that may send to it. */
+  readonly sharePercent: number;
 }
 
 /** What a follower is given by its program, or by the simulator. */
@@ -46,10 +49,21 @@
   post(address: string, frame: Frame): void;
   /** What this node asks for now. */
   wants(): readonly Want[];
+  /** How requests to workers ended since the last call. */
+  outcomes(): WorkerOutcomes[];
   /** Another edition, or other workers, are known from now on. */
   changed(what: 'state' | 'workers'): void;
 }
 
+/** What a node says to a core beside what it holds. */
+interface Question {
+  readonly wants?: Want[];
+  readonly outcomes?: WorkerOutcomes[];
+  readonly leaving?: boolean;
+  readonly partial?: boolean;
+}
+
+const EVERYONE = 100;
 const FOLLOW_MS = 250;
 /** A node that cannot serve yet, and that no coordinator knows of, asks this often. */
 const EAGER_MS = 80;
@@ -211,7 +225,8 @@
     core.askedMs = nowMs;
     const wants = leads ? this.#dependencies.wants() : [];
     if (leads) this.#toldWaiting = new Set(wants.filter(({ waiting }) => waiting > 0).map(keyOf));
-    this.#post(core.address, { wants: [...wants] });
+    const outcomes = leads ? this.#dependencies.outcomes() : [];
+    this.#post(core.address, { wants: [...wants], outcomes });
   }
 
   /** Between two whole questions the coordinator is told only of what waits, or waited when it was told last. */
@@ -223,7 +238,7 @@
     this.#post(leader.address, { wants, partial: true });
   }
 
-  #post(address: string, question: { wants?: Want[]; leaving?: boolean; partial?: boolean }): void {
+  #post(address: string, question: Question): void {
     const value = create(FollowSchema, {
       seat: this.#seat,
       edition: this.#state.edition,
@@ -291,7 +306,7 @@
       this.#workers.delete(row.id);
       return;
     }
-    const { id, service, address, zone, leaving, slots, coldMs, number } = row;
+    const { id, service, address, zone, leaving, slots, coldMs, number, limits } = row;
     const models = new Map(row.holdings.map(({ model, adapters }) => [model, new Set(adapters)]));
     this.#workers.set(id, {
       id,
@@ -303,6 +318,7 @@
       coldUntilMs: coldMs > 0 ? nowMs + coldMs : -Infinity,
       models,
       number,
+      sharePercent: limits.find((limit) => limit.zone === this.#seat.zone)?.percent ?? EVERYONE,
     });
   }
 }
--- /dev/null
+++ b/packages/cluster-node/src/worker-health.ts
@@ -0,0 +1,172 @@
+/**
+ * Which workers fail more than their peers do, by what all edges saw of their answers. A worker that fails looks idle
+ * to each edge by itself, and draws requests; here it is ejected, for the callers that it fails, and comes back in
+ * steps.
+ */
+import type { WorkerRecord, WorkerTable } from '@rainrun/placement';
+
+/** How requests of one edge to one worker ended. */
+export interface ReportedOutcomes {
+  readonly worker: string;
+  readonly answered: number;
+  readonly failed: number;
+}
+
+/** What was seen lately of one worker by the edges of one zone. */
+interface Tally {
+  answered: number;
+  failed: number;
+  atMs: number;
+}
+
+/** A worker that gets none or few of the requests of one zone. */
+interface Ejection {
+  /** From then on a few edges try it again. */
+  readonly untilMs: number;
+  /** How often it was ejected in a row. */
+  readonly times: number;
+}
+
+/** Outcomes count half after so long. */
+const HALF_LIFE_MS = 2000;
+const JUDGE_MS = 250;
+/** Fewer failures than this say nothing; of a worker that is tried again, fewer than the second number. */
+const LEAST_FAILURES = 4;
+const LEAST_FAILURES_AGAIN = 2;
+/** A worker is ejected when its failures are so many standard deviations above what its peers' would make of them. */
+const DEVIATIONS = 4;
+/** Peers are taken to have had so many requests more, one of them failed: few say nothing for certain. */
+const PRIOR_REQUESTS = 20;
+/** At most this part of the workers of a service is ejected for the edges of one zone. */
+const MOST_PART = 0.34;
+const EJECTED_MS = 2000;
+const EJECTED_MOST_MS = 16_000;
+/** Percentages of the edges that try a worker again, one step after the other; then all do. */
+const RETURN_STEPS = [10, 40] as const;
+const RETURN_STEP_MS = 700;
+/** A worker that has been back for so long starts anew. */
+const FORGIVEN_MS = 10_000;
+const EVERYONE = 100;
+
+/**
+ * Judges workers by the outcomes that edges report.
+ * @example
+ * health.note('north', [{ worker: 'w1', answered: 1, failed: 4 }], nowMs);
+ * health.judge(table, nowMs); // limits who may send to it, in its row of the table
+ */
+export class WorkerHealth {
+  /** By worker, and by zone of the callers. */
+  #tallies = new Map<string, Map<string, Tally>>();
+  #ejections = new Map<string, Map<string, Ejection>>();
+  #judgedMs = -Infinity;
+
+  /** Takes what one edge saw since it reported last. */
+  note(zone: string, outcomes: readonly ReportedOutcomes[], nowMs: number): void {
+    for (const { worker, answered, failed } of outcomes) {
+      const tally = faded(entry(this.#tallies, worker).get(zone), nowMs);
+      tally.answered += answered;
+      tally.failed += failed;
+      entry(this.#tallies, worker).set(zone, tally);
+    }
+  }
+
+  /** Ejects workers that fail more than their peers, and lets ejected ones come back. */
+  judge(table: WorkerTable, nowMs: number): void {
+    if (nowMs - this.#judgedMs < JUDGE_MS) return;
+    this.#judgedMs = nowMs;
+    this.#forget(table);
+    const services = new Map<string, WorkerRecord[]>();
+    for (const row of table.rows)
+      if (!row.gone) services.set(row.service, [...(services.get(row.service) ?? []), row]);
+    for (const rows of services.values()) this.#judgeService(rows, nowMs);
+    for (const row of table.rows) this.#applyLimits(table, row, nowMs);
+  }
+
+  #judgeService(rows: readonly WorkerRecord[], nowMs: number): void {
+    const zones = new Set(rows.flatMap((row) => [...(this.#tallies.get(row.id)?.keys() ?? [])]));
+    for (const zone of zones) {
+      const tallies = rows.map((row) => ({ row, tally: faded(this.#tallies.get(row.id)?.get(zone), nowMs) }));
+      const requests = tallies.reduce((sum, { tally }) => sum + tally.answered + tally.failed, 0);
+      const failed = tallies.reduce((sum, { tally }) => sum + tally.failed, 0);
+      let room = Math.floor(MOST_PART * rows.length) - this.#limitedCount(rows, zone, nowMs);
+      const worstFirst = tallies.sort((one, other) => other.tally.failed - one.tally.failed);
+      for (const { row, tally } of worstFirst) {
+        if (!this.#isOutlier(row, zone, tally, requests, failed, nowMs)) continue;
+        const isNew = this.#percentOf(row.id, zone, nowMs) === EVERYONE;
+        if (isNew && room <= 0) continue;
+        if (isNew) room -= 1;
+        this.#eject(row, zone, nowMs);
+      }
+    }
+  }
+
+  /** Whether a worker fails clearly more of its requests than its peers together. */
+  #isOutlier(
+    row: WorkerRecord,
+    zone: string,
+    { answered, failed }: Tally,
+    requestsOfAll: number,
+    failedOfAll: number,
+    nowMs: number,
+  ): boolean {
+    const percent = this.#percentOf(row.id, zone, nowMs);
+    if (percent === 0) return false;
+    if (failed < (percent < EVERYONE ? LEAST_FAILURES_AGAIN : LEAST_FAILURES) - 0.5) return false;
+    const requests = answered + failed;
+    const peersPart = (failedOfAll - failed + 1) / (requestsOfAll - requests + PRIOR_REQUESTS);
+    const expected = requests * peersPart;
+    return failed - expected > DEVIATIONS * Math.sqrt(expected * Math.max(0, 1 - peersPart));
+  }
+
+  #eject(row: WorkerRecord, zone: string, nowMs: number): void {
+    const known = this.#ejections.get(row.id)?.get(zone);
+    const isForgiven = known === undefined || nowMs - known.untilMs > FORGIVEN_MS;
+    const times = isForgiven ? 0 : known.times + 1;
+    const untilMs = nowMs + Math.min(EJECTED_MOST_MS, EJECTED_MS * 2 ** times);
+    entry(this.#ejections, row.id).set(zone, { untilMs, times });
+    this.#tallies.get(row.id)?.delete(zone);
+  }
+
+  #limitedCount(rows: readonly WorkerRecord[], zone: string, nowMs: number): number {
+    return rows.filter((row) => this.#percentOf(row.id, zone, nowMs) < EVERYONE).length;
+  }
+
+  /** How many in a hundred edges of a zone may send to a worker now. */
+  #percentOf(worker: string, zone: string, nowMs: number): number {
+    const ejection = this.#ejections.get(worker)?.get(zone);
+    if (ejection === undefined) return EVERYONE;
+    if (nowMs < ejection.untilMs) return 0;
+    return RETURN_STEPS[Math.floor((nowMs - ejection.untilMs) / RETURN_STEP_MS)] ?? EVERYONE;
+  }
+
+  #applyLimits(table: WorkerTable, row: WorkerRecord, nowMs: number): void {
+    const limits = new Map<string, number>();
+    for (const zone of this.#ejections.get(row.id)?.keys() ?? []) {
+      const percent = this.#percentOf(row.id, zone, nowMs);
+      if (percent < EVERYONE) limits.set(zone, percent);
+    }
+    const isSame =
+      limits.size === row.limits.size &&
+      [...limits].every(([zone, percent]) => row.limits.get(zone) === percent);
+    if (isSame) return;
+    row.limits = limits;
+    table.changed(row);
+  }
+
+  #forget(table: WorkerTable): void {
+    for (const known of [this.#tallies, this.#ejections])
+      for (const worker of known.keys()) if (table.row(worker) === undefined) known.delete(worker);
+  }
+}
+
+function entry<T>(byWorker: Map<string, Map<string, T>>, worker: string): Map<string, T> {
+  const known = byWorker.get(worker) ?? new Map<string, T>();
+  byWorker.set(worker, known);
+  return known;
+}
+
+function faded(tally: Tally | undefined, nowMs: number): Tally {
+  if (tally === undefined) return { answered: 0, failed: 0, atMs: nowMs };
+  const part = 0.5 ** ((nowMs - tally.atMs) / HALF_LIFE_MS);
+  return { answered: tally.answered * part, failed: tally.failed * part, atMs: nowMs };
+}
--- a/packages/placement/src/worker-table.ts
+++ b/packages/placement/src/worker-table.ts
@@ -25,6 +25,8 @@
   coldUntilMs: number;
   /** What requests may be sent for: adapters by model. */
   models: Map<string, Set<string>>;
+  /** Percentage of the edges of a zone that may send to it; zones that are not named send freely. */
+  limits: ReadonlyMap<string, number>;
   /** Grows with every change of any row. */
   number: number;
   goneMs: number;
@@ -124,6 +126,7 @@
       gone: false,
       coldUntilMs: coldMs > 0 ? nowMs + coldMs : -Infinity,
       models,
+      limits: new Map(),
       number: 0,
       goneMs: 0,
       sure: false,
--- a/packages/router/src/balance.ts
+++ b/packages/router/src/balance.ts
@@ -28,6 +28,7 @@
   missing: Map<string, number>;
 }
 
+const EVERYONE = 100;
 const SHUN_MS = 400;
 const SHUN_MOST_MS = 6000;
 const COLD_PART = 0.8;
@@ -128,6 +129,7 @@
     const evacuated = this.#dependencies.evacuated();
     const mostHere = this.#mostHere(service.connections);
     const able: WorkerView[] = [];
+    const limited: WorkerView[] = [];
     let why: NoWorker = 'none';
     for (const worker of workers) {
       if (worker.service !== service.name || worker.leaving || evacuated.includes(worker.zone)) continue;
@@ -151,10 +153,13 @@
         why = 'full';
         continue;
       }
-      able.push(worker);
+      if (this.#maySend(worker)) able.push(worker);
+      else limited.push(worker);
     }
-    if (able.length === 0) return why;
-    const ranked = this.#ranked(passage, able);
+    // A worker that fails some of its requests is better than none.
+    const chosen = able.length > 0 ? able : limited;
+    if (chosen.length === 0) return why;
+    const ranked = this.#ranked(passage, chosen);
     return ranked.find((worker) => this.takePlace(worker, service.warmupPerS)) ?? 'cold';
   }
 
@@ -166,6 +171,12 @@
     return missing === undefined || (missing.get(`${model}/${adapter}`) ?? -1) < worker.number;
   }
 
+  /** Whether this edge is among those that may send to a worker. */
+  #maySend({ id, sharePercent }: WorkerView): boolean {
+    if (sharePercent >= EVERYONE) return true;
+    return spread(`${id} ${this.#dependencies.salt}`) % EVERYONE < sharePercent;
+  }
+
   /** This edge's part of the connections that a worker bears. */
   #mostHere(connections: number): number {
     return connections <= 0
--- a/packages/router/src/demand.ts
+++ b/packages/router/src/demand.ts
@@ -10,15 +10,19 @@
   readonly perS: number;
   /** Mean wait for a worker's first word, in parts of the target; 0 if none is known. */
   readonly pressure: number;
+  /** Mean target latency of its requests: they can wait so long without loss. 0 if unknown. */
+  readonly patienceMs: number;
 }
 
 const HALF_LIFE_S = 4;
 const PRESSURE_PART = 0.15;
+const PATIENCE_PART = 0.15;
 const SELDOM_PER_S = 0.01;
 
 interface Rate {
   perS: number;
   pressure: number;
+  patienceMs: number;
   atMs: number;
 }
 
@@ -35,10 +39,12 @@
 
   arrived(passage: Passage, nowMs: number): void {
     if (passage.ask.model === '') return;
-    const rate = this.#rates.get(passage.key) ?? { perS: 0, pressure: 0, atMs: nowMs };
+    const { targetMs } = passage.route;
+    const rate = this.#rates.get(passage.key) ?? { perS: 0, pressure: 0, patienceMs: targetMs, atMs: nowMs };
     this.#rates.set(passage.key, rate);
     fade(rate, nowMs);
     rate.perS += Math.LN2 / HALF_LIFE_S;
+    rate.patienceMs += (targetMs - rate.patienceMs) * PATIENCE_PART;
   }
 
   sent(key: string): void {
@@ -71,7 +77,8 @@
         continue;
       }
       const [service = '', model = '', adapter = ''] = key.split('/');
-      asked.push({ service, model, adapter, ...now, perS: rate.perS, pressure: rate.pressure });
+      const { perS, pressure, patienceMs } = rate;
+      asked.push({ service, model, adapter, ...now, perS, pressure, patienceMs });
     }
     return asked;
   }
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,3 +5,4 @@
 export * from './run.js';
 export * from './router.js';
 export * from './demand.js';
+export * from './outcomes.js';
--- /dev/null
+++ b/packages/router/src/outcomes.ts
@@ -0,0 +1,31 @@
+/** How requests to one worker ended. */
+export interface WorkerOutcomes {
+  readonly worker: string;
+  readonly answered: number;
+  readonly failed: number;
+}
+
+/**
+ * Counts how requests to each worker ended, between two reports to the coordinator. One edge sends a worker too
+ * little to judge it by; what all edges saw together says within a second which worker fails.
+ * @example
+ * outcomes.add('worker-1', false);
+ * outcomes.take(); // [{ worker: 'worker-1', answered: 0, failed: 1 }]
+ */
+export class Outcomes {
+  #counts = new Map<string, { answered: number; failed: number }>();
+
+  add(worker: string, well: boolean): void {
+    const counts = this.#counts.get(worker) ?? { answered: 0, failed: 0 };
+    this.#counts.set(worker, counts);
+    if (well) counts.answered += 1;
+    else counts.failed += 1;
+  }
+
+  /** Everything since the last call. */
+  take(): WorkerOutcomes[] {
+    const taken = [...this.#counts].map(([worker, counts]) => ({ worker, ...counts }));
+    this.#counts.clear();
+    return taken;
+  }
+}
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -51,6 +51,8 @@
   readonly models: ReadonlyMap<string, ReadonlySet<string>>;
   /** Grows with each change that was told of it. */
   readonly number: number;
+  /** Percentage of the edges here that may send to it: fewer than all where it failed what they sent. */
+  readonly sharePercent: number;
 }
 
 /** A request on its way through the router. */
--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -200,6 +200,7 @@
     coldUntilMs: -Infinity,
     models: new Map(),
     number: 1,
+    sharePercent: 100,
     ...change,
   };
 }
@@ -905,3 +906,55 @@
     expect(port.seen).toEqual(['refuse 404']);
   });
 });
+
+describe('a worker that fails its requests', () => {
+  it('is told of by its errors, also where the client has its answer and the request may not be repeated', () => {
+    const bench = new Bench([worker('w1')]);
+    const { port } = bench.ask('/once/x');
+    bench.last().start();
+    bench.last().answer(500, 'broken');
+    expect(port.seen).toEqual(['answer 500 broken']);
+    expect(bench.router.takeOutcomes()).toEqual([{ worker: 'w1', answered: 0, failed: 1 }]);
+    expect(bench.router.takeOutcomes()).toEqual([]);
+  });
+
+  it('is told of when a client leaves after a long silence, and not when it leaves at once', () => {
+    const bench = new Bench([worker('w1')]);
+    const patient = bench.ask('/once/x');
+    bench.last().start();
+    bench.later(1300);
+    patient.leave();
+    const hasty = bench.ask('/once/x');
+    bench.last().start();
+    bench.later(50);
+    hasty.leave();
+    expect(bench.router.takeOutcomes()).toEqual([{ worker: 'w1', answered: 0, failed: 1 }]);
+  });
+
+  it('gets no request here while others can take it and this edge is not to send to it', () => {
+    const bench = new Bench([worker('w1', { sharePercent: 0 }), worker('w2')]);
+    for (let nth = 0; nth < 4; nth += 1) bench.ask('/once/x');
+    expect(bench.link.flown.map(({ request }) => request.address)).toEqual([
+      'w2:80',
+      'w2:80',
+      'w2:80',
+      'w2:80',
+    ]);
+    bench.ask('/once/x');
+    expect(bench.last().request.address).toEqual('w1:80');
+  });
+
+  it('is tried again by a part of the edges', () => {
+    let tried = 0;
+    for (let edge = 0; edge < 100; edge += 1) {
+      const bench = new Bench(
+        [worker('w1', { sharePercent: 10 }), worker('w2', { zone: 'far' })],
+        undefined,
+        `incarnation-${edge}`,
+      );
+      bench.ask('/once/x');
+      if (bench.last().request.address === 'w1:80') tried += 1;
+    }
+    expect(tried > 2 && tried < 25).toEqual(true);
+  });
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,6 +3,7 @@
 import { fault, type Clock, type Fault } from '@rainrun/common';
 import { Balancer, type NoWorker } from './balance.js';
 import { Demand, type Asked } from './demand.js';
+import { Outcomes, type WorkerOutcomes } from './outcomes.js';
 import type { Ask, ClientPort, Passage, WorkerView } from './request.js';
 import { RouteTable } from './routes.js';
 import { Run, type RunEnd, type WireWords } from './run.js';
@@ -61,6 +62,7 @@
   #early = new Set<Early>();
   #budgets = new Map<string, RetryBudget>();
   #demand = new Demand();
+  #outcomes = new Outcomes();
   #counts = new Map<string, number>();
   /** Ids of requests under way that may not be repeated. */
   #once = new Set<string>();
@@ -214,6 +216,11 @@
     return this.#demand.asked(this.#waiting, this.#dependencies.clock.nowMs());
   }
 
+  /** How requests to workers ended since the last call. */
+  takeOutcomes(): WorkerOutcomes[] {
+    return this.#outcomes.take();
+  }
+
   /** One budget a service: the bound is the service's. */
   #budget(passage: Passage): RetryBudget {
     const name = passage.service.name;
@@ -360,7 +367,7 @@
   #over(passage: Passage, worker: WorkerView, end: RunEnd): void {
     const nowMs = this.#dependencies.clock.nowMs();
     passage.cancel = undefined;
-    this.#balancer.ended(worker, end.how === 'served');
+    this.#noteOutcome(worker, end);
     this.#count(end.how);
     if (end.how === 'failed' || end.how === 'cut') passage.ran = true;
     if (end.how === 'misdirected') this.#balancer.lacks(worker, passage.ask.model, passage.ask.adapter);
@@ -381,6 +388,14 @@
     this.#refuse(passage, end);
   }
 
+  /** What a worker's answers say of its health: to this edge's balancer, and to all edges through the coordinator. */
+  #noteOutcome(worker: WorkerView, end: RunEnd): void {
+    const isFailure = end.workerFailed === true || end.how === 'failed' || end.how === 'unreached';
+    this.#balancer.ended(worker, end.how === 'served' && !isFailure);
+    if (isFailure || end.how === 'not-run') this.#outcomes.add(worker.id, false);
+    else if (end.how === 'served') this.#outcomes.add(worker.id, true);
+  }
+
   #again(passage: Passage, worker: WorkerView, avoid: boolean, nowMs: number): void {
     if (avoid) passage.avoided.add(worker.id);
     passage.notBeforeMs = nowMs;
--- a/packages/router/src/run.ts
+++ b/packages/router/src/run.ts
@@ -32,6 +32,8 @@
     | 'failed';
   readonly why: string;
   readonly againMs?: number;
+  /** Whether the worker failed the request, though the client has its answer or has left: an error, or a long silence. */
+  readonly workerFailed?: boolean;
 }
 
 /** What a run needs of its router. */
@@ -162,7 +164,10 @@
 
   /** The client has left: the worker's connection is closed. */
   leave(): void {
-    this.#finish({ how: 'cut', why: 'the client has left' });
+    const silentMs = this.#context.nowMs() - this.#lifeMs;
+    const workerFailed =
+      this.#started && !this.#paused && silentMs > Math.max(SILENT_MS, this.#passage.route.targetMs);
+    this.#finish({ how: 'cut', why: 'the client has left', workerFailed });
     this.#send?.abort();
   }
 
@@ -217,7 +222,7 @@
     const { port } = this.#passage;
     if (this.#cutter === undefined) {
       port.answer(this.#status, this.#headers, Buffer.concat(this.#whole));
-      return this.#finish({ how: 'served', why: '' });
+      return this.#finish({ how: 'served', why: '', workerFailed: this.#status >= 500 });
     }
     if (this.#cutter.restBytes > 0) return this.#abandon('ended within an event');
     if (!this.#passage.opened) this.#open();
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -1,7 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
-import { WantSchema, type Want } from '@rainrun/messages';
+import { WantSchema, WorkerOutcomesSchema, type Want } from '@rainrun/messages';
 import { PoolLink } from '@rainrun/gateway';
 import { Follower } from '@rainrun/cluster-node';
 import type { Chance, Clock } from '@rainrun/common';
@@ -68,6 +68,7 @@
       chance: CHANCE,
       post: (address, frame) => this.#wire.post(address, frame),
       wants: () => this.#wants(),
+      outcomes: () => this.#router.takeOutcomes().map((one) => create(WorkerOutcomesSchema, one)),
       changed: (what) => this.#changed(what),
     });
     this.#router = new Router({
--- a/packages/simulator/src/system/processes.ts
+++ b/packages/simulator/src/system/processes.ts
@@ -213,6 +213,7 @@
       clock: { nowMs: () => time.nowMs() + skewMs },
       chance: dice,
       post: (to, frame) => network.post(machine, to, frame),
+      outcomes: () => [],
       wants: () => demand.wantsOf(follower),
       changed: (what) => {
         if (what === 'state')
--- a/tools/scale/src/hollow.ts
+++ b/tools/scale/src/hollow.ts
@@ -134,6 +134,7 @@
       clock: { nowMs: () => performance.now() },
       chance: { next: () => Math.random() },
       post: (address, frame) => this.#post(address, frame),
+      outcomes: () => [],
       wants: () => this.#wants(),
       changed: (what) => this.#changed(what, bornMs),
     });
