Placement: learned disk loads, trend of use, patience of requests, demand watched first

A worker loads one model at a time for 4.3 s; a load from its own disk takes 0.8 s but was taken to last 0.68 of one from the store (2.9 s); in the first seconds of traffic copies of busy models were taken for surplus and displaced, and came back from the store four seconds later; models asked for by requests that cannot wait were displaced like those whose requests can. Changes, each a setting of placement/policy.ts: (1) the time of a load from disk is learned; an order that is repeated while the worker is at it is answered 202 again and counted once (counting it twice spoilt the sequence, so that the worker was taken for busy for 2 s more); (2) wanted copies follow the trend of use one load ahead; (3) edges say how long requests of a model can wait (mean target latency): models that can wait go first, those that cannot come first; (4) copies are surplus only once demand was watched for two loads.

--- /dev/null
+++ b/packages/placement/src/copy-demand.test.ts
@@ -0,0 +1,51 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { CopyDemand, type CopyTarget } from './copy-demand.js';
+import type { Demand } from './demand-totals.js';
+import type { StockEngine } from './engine.js';
+
+const STEP_MS = 50;
+const LOAD_MS = 4000;
+
+function engine(loadMs: number): StockEngine {
+  return {
+    service: 'assist',
+    slots: 48,
+    roomMb: 100,
+    adapterPlaces: 3,
+    loadsPerS: 10,
+    models: new Map([['m', { name: 'm', sizeMb: 33, loadMs, adapterMb: 1 }]]),
+  };
+}
+
+function running(inFlight: number): Demand {
+  return { waiting: 0, inFlight, perS: 0, pressed: 0, patient: 0, adapters: new Map(), reports: 1 };
+}
+
+/** Follows a course of concurrency, given by the second, and returns each target. */
+function follow(loadMs: number, seconds: number, inFlightAt: (atS: number) => number): CopyTarget[] {
+  const copies = new CopyDemand();
+  const targets: CopyTarget[] = [];
+  for (let atMs = 0; atMs <= seconds * 1000; atMs += STEP_MS)
+    targets.push(copies.targetOf(engine(loadMs), 'm', running(inFlightAt(atMs / 1000)), atMs));
+  return targets;
+}
+
+describe('how many copies a model needs', () => {
+  it('counts what will run once a load is done while its use rises', () => {
+    // From 2 s on 5 more run with each second; at 6 s it is 20, and 40 when a load that begins then is done.
+    const [last] = follow(LOAD_MS, 6, (atS) => Math.max(0, 5 * (atS - 2))).slice(-1);
+    expect([(last?.expected ?? 0) > 24, (last?.expected ?? 0) <= 40]).toEqual([true, true]);
+  });
+
+  it('is not moved by the waves of a steady use', () => {
+    const targets = follow(LOAD_MS, 30, (atS) => 21 + 3 * Math.sin(atS * 2 * Math.PI * 0.9));
+    const wanted = targets.slice(200).map((target) => target.wanted);
+    expect(Math.max(...wanted) - Math.min(...wanted) <= 1).toEqual(true);
+  });
+
+  it('does not expect a fall', () => {
+    const [last] = follow(LOAD_MS, 6, (atS) => (atS < 5 ? 30 : 28)).slice(-1);
+    expect((last?.expected ?? 0) >= 28).toEqual(true);
+  });
+});
--- a/packages/placement/src/demand-totals.test.ts
+++ b/packages/placement/src/demand-totals.test.ts
@@ -11,6 +11,7 @@
     inFlight: 2,
     perS: 0.3,
     pressure: 0.5,
+    patienceMs: 0,
     ...change,
   };
 }
--- a/packages/placement/src/demand-totals.ts
+++ b/packages/placement/src/demand-totals.ts
@@ -15,6 +15,8 @@
   readonly perS: number;
   /** Mean wait for a worker's first word, in parts of the target; 0 if none is known. */
   readonly pressure: number;
+  /** Mean target latency of its requests: they can wait so long without loss. 0 if unknown. */
+  readonly patienceMs: number;
 }
 
 /** Requests for an adapter. */
@@ -28,6 +30,8 @@
 export interface Demand extends AdapterDemand {
   /** Sum of the pressures, each as often as it is asked for. */
   pressed: number;
+  /** Sum of the patiences, each as often as it is asked for. */
+  patient: number;
   readonly adapters: Map<string, AdapterDemand>;
   /** How many reports stand in it: with the last one it is gone, and with it all errors of rounding. */
   reports: number;
@@ -104,11 +108,12 @@
     }
     let demand = models.get(want.model);
     if (demand === undefined) {
-      demand = { waiting: 0, inFlight: 0, perS: 0, pressed: 0, adapters: new Map(), reports: 0 };
+      demand = { waiting: 0, inFlight: 0, perS: 0, pressed: 0, patient: 0, adapters: new Map(), reports: 0 };
       models.set(want.model, demand);
     }
     demand.reports += 1;
     demand.pressed += want.pressure * want.perS;
+    demand.patient += want.patienceMs * want.perS;
     accumulate(demand, want, 1);
     if (want.adapter === '') return;
     let adapter = demand.adapters.get(want.adapter);
@@ -130,6 +135,7 @@
       return;
     }
     demand.pressed -= want.pressure * want.perS;
+    demand.patient -= want.patienceMs * want.perS;
     accumulate(demand, want, -1);
     const adapter = demand.adapters.get(want.adapter);
     if (adapter !== undefined) accumulate(adapter, want, -1);
--- a/packages/placement/src/model-placement.ts
+++ b/packages/placement/src/model-placement.ts
@@ -1,11 +1,22 @@
 import type { CopyDemand } from './copy-demand.js';
 import { modelMb, usedMb } from './holdings.js';
 import type { OrderSender } from './order-sender.js';
-import { isActive, RESIDE_MS, SETTLE_MS, type CopyNeed, type PlacementRound } from './placement-round.js';
+import {
+  isActive,
+  isWatched,
+  RESIDE_MS,
+  SETTLE_MS,
+  type CopyNeed,
+  type PlacementRound,
+} from './placement-round.js';
+import { PLACEMENT_POLICY } from './policy.js';
 import type { Usage } from './usage.js';
 import { newStep } from './worker-state.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 
+const POLICY = PLACEMENT_POLICY.keeping;
+const VALUE = POLICY.value;
+
 /** Where the weights come from. */
 export type LoadSource = 'disk' | 'store';
 
@@ -18,30 +29,6 @@
 
 /** So long edges are given to learn that they may send no more for what is to go, where they do send. */
 const SETTLE_USED_MS = 50;
-const REST_MS = 400;
-/** A copy of another model gives way if what its others then carry is this part of what the needy carry. */
-const GIVES_WAY = 0.7;
-/** Idle for as long as this if it was never used. */
-const LONGEST_IDLE_MS = 60_000;
-
-/** Copies that are left may carry so many times their set point when one makes room for a model that stands nowhere. */
-const BORNE = 1.6;
-
-/** What a copy is worth where it stands; it gives way to a need that is worth more. */
-const VALUE = {
-  retired: 0.5,
-  surplus: 1,
-  surplusActive: 1.5,
-  idle: 2,
-  idleLately: 2,
-  burdened: 3.5,
-  spareForFirst: 6,
-  rested: 7.5,
-  further: 9,
-  furtherForFirst: 9.5,
-  active: 12,
-  fresh: 15,
-} as const;
 
 /**
  * Finds the worker for a copy that is wanted, and orders the copies away that
@@ -84,10 +71,11 @@
   comesFromDiskSoon({ engine, rows, nowMs }: PlacementRound, { model, ageMs }: CopyNeed): boolean {
     const loadMs = engine.models.get(model)?.loadMs ?? 0;
     if (ageMs > loadMs) return false;
+    const diskPart = this.#sender.diskPart(engine);
     return rows.some((row) => {
       const state = this.#sender.state(row);
       if (!state.onDisk.has(model) || state.planned.has(model) || state.steps.length === 0) return false;
-      return state.freeInMs(engine, nowMs) + state.loadMs(engine, model) < loadMs;
+      return state.freeInMs(engine, diskPart, nowMs) + state.loadMs(engine, model, diskPart) < loadMs;
     });
   }
 
@@ -146,18 +134,36 @@
    * two do not take turns.
    */
   #valueOf(round: PlacementRound, row: WorkerRecord, model: string, need: CopyNeed): number {
-    const { engine, nowMs } = round;
+    const { nowMs } = round;
     const state = this.#sender.state(row);
     const copies = round.copies.get(model) ?? 0;
     if (state.retired.has(model)) return VALUE.retired;
     if (state.heldMs(model, nowMs) < RESIDE_MS) return copies > 1 ? VALUE.further : VALUE.fresh;
     const active = isActive(round, model);
+    if (copies > 1) return this.#valueOfOneOfMany(round, model, copies, need);
+    if (active) return VALUE.active + Math.min(1, (round.demands.get(model)?.inFlight ?? 0) / 100);
+    return this.#valueOfIdle(round, model);
+  }
+
+  /** The longer a model was unused, and the better its requests bear that it has to be loaded again, the less. */
+  #valueOfIdle({ engine, watchedMs, nowMs }: PlacementRound, model: string): number {
+    const key = `${engine.service}/${model}`;
+    const idleMs = this.#usage.idleMs(key, nowMs);
+    if (idleMs < POLICY.restMs) return VALUE.rested;
+    const knownMs = Math.min(idleMs, watchedMs);
+    const isPatient =
+      this.#usage.patienceMs(key) >= POLICY.patientLoads * (engine.models.get(model)?.loadMs ?? Infinity);
+    const part = isPatient ? POLICY.patientPart : 1;
+    return VALUE.idle + (VALUE.idleLately * part) / (1 + knownMs / 1000);
+  }
+
+  /** A copy of a model that stands at other workers too. */
+  #valueOfOneOfMany(round: PlacementRound, model: string, copies: number, need: CopyNeed): number {
+    const active = isActive(round, model);
+    if (!isWatched(round, model)) return active ? VALUE.further : VALUE.unwatched;
     if (copies > Math.max(1, round.targets.get(model)?.kept ?? 0))
       return active ? VALUE.surplusActive : VALUE.surplus;
-    if (copies > 1) return this.#valueOfFurther(round, model, copies, need);
-    if (active) return VALUE.active + Math.min(1, (round.demands.get(model)?.inFlight ?? 0) / 100);
-    const idleMs = Math.min(LONGEST_IDLE_MS, this.#usage.idleMs(`${engine.service}/${model}`, nowMs));
-    return idleMs < REST_MS ? VALUE.rested : VALUE.idle + VALUE.idleLately / (1 + idleMs / 1000);
+    return this.#valueOfFurther(round, model, copies, need);
   }
 
   #valueOfFurther(round: PlacementRound, model: string, copies: number, need: CopyNeed): number {
@@ -165,8 +171,8 @@
     const after = this.#copyDemand.recent(round.engine, model) / (copies - 1);
     if (need.load === Infinity) {
       const each = round.targets.get(model)?.each ?? Infinity;
-      return after < each * BORNE ? VALUE.spareForFirst : VALUE.furtherForFirst;
+      return after < each * POLICY.borne ? VALUE.spareForFirst : VALUE.furtherForFirst;
     }
-    return after < need.load * GIVES_WAY ? VALUE.burdened : VALUE.further;
+    return after < need.load * POLICY.givesWay ? VALUE.burdened : VALUE.further;
   }
 }
--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -1,3 +1,4 @@
+import { DiskLoadTime } from './disk-load-time.js';
 import type { StockEngine } from './engine.js';
 import { copyOf } from './holdings.js';
 import type { ReportReply, StockOrder, StockReply, WorkerReport } from './orders.js';
@@ -57,6 +58,8 @@
   #table: WorkerTable;
   #dependencies: OrderDependencies;
   #states = new Map<string, WorkerState>();
+  /** By service. */
+  #diskTimes = new Map<string, DiskLoadTime>();
 
   constructor(table: WorkerTable, dependencies: OrderDependencies) {
     this.#table = table;
@@ -72,6 +75,17 @@
     return state;
   }
 
+  /** A load from a worker's own disk takes this part of one from the store, as far as was seen. */
+  diskPart({ service }: StockEngine): number {
+    return this.#diskTime(service).partOfStore;
+  }
+
+  #diskTime(service: string): DiskLoadTime {
+    const time = this.#diskTimes.get(service) ?? new DiskLoadTime();
+    this.#diskTimes.set(service, time);
+    return time;
+  }
+
   /** Forgets workers that are no longer in the table. */
   forgetGone(): void {
     for (const id of this.#states.keys()) if (this.#table.row(id) === undefined) this.#states.delete(id);
@@ -120,13 +134,16 @@
     const nowMs = this.#dependencies.nowMs();
     switch (reply) {
       case 'begun':
+        if (step.begun) return this.#stillAtIt(step, nowMs);
         state.accepted(nowMs);
         return this.#begun(engine, row, state, step, nowMs);
       case 'held':
+        if (state.onDisk.has(step.model)) this.#observeDisk(engine, step, nowMs);
         return this.#finish(row, state, step);
       case 'busy':
         this.counts.busy += 1;
         step.refusals += 1;
+        step.busyMs = nowMs;
         this.#sendAgain(step, nowMs + retryMs(step));
         if (nowMs - state.acceptedMs >= BUSY_LONG_MS) this.#compare(row, state);
         return;
@@ -147,6 +164,12 @@
     step.notBeforeMs = notBeforeMs;
   }
 
+  /** The worker says of an order that it has taken before that it is at it: it has not taken another one. */
+  #stillAtIt(step: Step, nowMs: number): void {
+    step.busyMs = nowMs;
+    this.#sendAgain(step, nowMs + AGAIN_MS);
+  }
+
   #begun(engine: StockEngine, row: WorkerRecord, state: WorkerState, step: Step, nowMs: number): void {
     // A worker does one order at a time: the next one is not taken before this is done.
     if (step.action === 'unload') return this.#finish(row, state, step);
@@ -154,11 +177,16 @@
       step.doneMs = nowMs + ADAPTER_MS;
       return;
     }
-    if (step.begun) return this.#sendAgain(step, nowMs + AGAIN_MS);
     step.begun = true;
+    step.begunMs = nowMs;
     this.counts.loads += 1;
     const slackMs = state.onDisk.has(step.model) ? 0 : LOAD_SLACK_MS;
-    this.#sendAgain(step, nowMs + state.loadMs(engine, step.model) + slackMs);
+    this.#sendAgain(step, nowMs + state.loadMs(engine, step.model, this.diskPart(engine)) + slackMs);
+  }
+
+  #observeDisk(engine: StockEngine, step: Step, nowMs: number): void {
+    if (step.action !== 'load' || step.adapter !== '') return;
+    this.#diskTime(engine.service).observe(step, engine.models.get(step.model)?.loadMs ?? 0, nowMs);
   }
 
   #finish(row: WorkerRecord, state: WorkerState, step: Step): void {
--- a/packages/placement/src/placement-round.ts
+++ b/packages/placement/src/placement-round.ts
@@ -1,6 +1,7 @@
 import type { CopyTarget } from './copy-demand.js';
 import type { Demand } from './demand-totals.js';
 import type { StockEngine } from './engine.js';
+import { PLACEMENT_POLICY } from './policy.js';
 import type { WorkerRecord } from './worker-table.js';
 
 /** So long edges are given to learn that they may send no more for what is to go. */
@@ -19,6 +20,8 @@
   readonly fetching: number;
   /** Copies of each model that stand or come; kept up to date with what the round decides. */
   readonly copies: Map<string, number>;
+  /** For how long this coordinator has heard what is asked for of the service. */
+  readonly watchedMs: number;
   readonly nowMs: number;
 }
 
@@ -35,6 +38,16 @@
   readonly load: number;
 }
 
+/**
+ * Whether the demand for a model was watched for long enough to know how many copies it needs. At the start of
+ * traffic, and under a new coordinator, few copies seem to be needed of any.
+ * @example
+ * isWatched(round, 'model-1');
+ */
+export function isWatched({ engine, watchedMs }: PlacementRound, model: string): boolean {
+  return watchedMs >= PLACEMENT_POLICY.keeping.watchedLoads * (engine.models.get(model)?.loadMs ?? 0);
+}
+
 /**
  * Whether a model is in use or waited for.
  * @example
--- a/packages/placement/src/planner.test.ts
+++ b/packages/placement/src/planner.test.ts
@@ -48,7 +48,7 @@
 }
 
 function want(model: string, waiting: number, inFlight = 0, adapter = ''): StockWant {
-  return { service: 'assist', model, adapter, waiting, inFlight, perS: 1, pressure: 0 };
+  return { service: 'assist', model, adapter, waiting, inFlight, perS: 1, pressure: 0, patienceMs: 0 };
 }
 
 /** Workers that take orders as the rules say, one at a time, and a planner that orders them. */
@@ -196,6 +196,25 @@
     expect([bench.wrong, bench.holders('m6').length, bench.holders('m7').length]).toEqual([[], 1, 1]);
   });
 
+  it('lets go what can be loaded again in time, before what was unused longer and cannot wait', () => {
+    const bench = new Bench(engineOf(8), [listed('w1', ['m0', 'm1', 'm2'])]);
+    const busy = { ...want('m2', 0, 1), patienceMs: 100 };
+    bench.run(1000, () => [busy, { ...want('m0', 0, 1), patienceMs: 100 }]);
+    bench.run(1000, () => [busy, { ...want('m1', 0, 1), patienceMs: 5000 }]);
+    bench.run(1000, () => [busy]);
+    bench.run(2000, () => [busy, ...steady(bench, ['m5'], 1)()]);
+    expect([bench.holders('m0'), bench.holders('m1'), bench.holders('m5')]).toEqual([['w1'], [], ['w1']]);
+  });
+
+  it('loads first what loses the most requests until it is there', () => {
+    const bench = new Bench(engineOf(8), [listed('w1')]);
+    bench.run(1000, () => [
+      { ...want('m4', 3), patienceMs: 5000 },
+      { ...want('m5', 2), perS: 20, patienceMs: 100 },
+    ]);
+    expect(bench.loads()[0]?.order.model).toEqual('m5');
+  });
+
   it('holds no more adapters than there are places, also when many are asked for at once', () => {
     const bench = new Bench(engineOf(3), [listed('w1', ['m0', 'm1', 'm2'])]);
     const adapters = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6'];
--- a/packages/placement/src/planner.ts
+++ b/packages/placement/src/planner.ts
@@ -5,12 +5,15 @@
 import { ModelPlacement, type LoadSource } from './model-placement.js';
 import { OrderSender, type OrderDependencies } from './order-sender.js';
 import type { CopyNeed, PlacementRound } from './placement-round.js';
+import { PLACEMENT_POLICY } from './policy.js';
 import { Retirement } from './retirement.js';
 import { StoreBudget, type LoadPurpose } from './store-budget.js';
 import { Unserved } from './unserved.js';
 import { Usage } from './usage.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 
+const POLICY = PLACEMENT_POLICY.needs;
+
 /** What the planner needs of its node. */
 export interface PlannerDependencies extends OrderDependencies {
   /** Called for each decision, for the logs. */
@@ -22,16 +25,6 @@
 
 /** What an edge asked for is forgotten after so long without a word from it. */
 const WANT_MS = 2000;
-/** A model that stands nowhere gains worth with each load's time, until it takes the place even of what is in use. */
-const FIRST_WORTH = 8;
-const IMPATIENT_PER_LOAD = 1.5;
-const IMPATIENT_MOST = 6;
-/** Waiting for as long as one load takes counts like so many requests that wait. */
-const URGENCY_PER_LOAD = 3;
-const FURTHER_WORTH = 4;
-/** Copies that carry so many times their set point are helped before others' idle ones. */
-const HEAVY = 1.6;
-const HEAVY_WORTH = 7.6;
 
 /**
  * Decides which worker holds which model, and orders it, while this node has
@@ -53,6 +46,8 @@
   #copyDemand = new CopyDemand();
   #usage = new Usage();
   #unserved = new Unserved();
+  /** Since when something is asked for, by service. */
+  #askedSinceMs = new Map<string, number>();
   #retirement: Retirement;
   #models: ModelPlacement;
   #adapters: AdapterPlacement;
@@ -119,10 +114,18 @@
     const targets = new Map<string, CopyTarget>();
     for (const [model, demand] of demands) {
       targets.set(model, this.#copyDemand.targetOf(engine, model, demand, nowMs));
-      if (demand.waiting + demand.inFlight > 0) this.#usage.used(`${engine.service}/${model}`, nowMs);
+      const key = `${engine.service}/${model}`;
+      if (demand.waiting + demand.inFlight > 0) this.#usage.used(key, nowMs);
+      if (demand.perS > 0) this.#usage.notePatience(key, demand.patient / demand.perS);
     }
     const rows = staying.filter((row) => row.sure);
-    return { engine, rows, demands, targets, fetching, copies, nowMs };
+    const watchedMs = this.#watchedMs(engine, demands, nowMs);
+    return { engine, rows, demands, targets, fetching, copies, watchedMs, nowMs };
+  }
+
+  #watchedMs({ service }: StockEngine, demands: ReadonlyMap<string, Demand>, nowMs: number): number {
+    if (demands.size > 0 && !this.#askedSinceMs.has(service)) this.#askedSinceMs.set(service, nowMs);
+    return nowMs - (this.#askedSinceMs.get(service) ?? nowMs);
   }
 
   /** What is asked for of the models that an engine can load. */
@@ -158,14 +161,19 @@
     return needs;
   }
 
-  /** What each request waits for counts, and how long the model was asked for in vain: so its turn comes. */
+  /**
+   * What each request waits for counts, and how long the model was asked for in vain: so its turn comes. Requests
+   * that cannot wait as long as a load takes are lost until it is done, those that are still to come too.
+   */
   #firstCopy({ engine, nowMs }: PlacementRound, model: string, demand: Demand): CopyNeed {
     const ageMs = this.#unserved.ageMs(`${engine.service}/${model}`, nowMs);
     const loadMs = engine.models.get(model)?.loadMs ?? 1000;
+    const lost =
+      this.#usage.patienceMs(`${engine.service}/${model}`) < loadMs ? demand.perS * (loadMs / 1000) : 0;
     return {
       model,
-      worth: FIRST_WORTH + Math.min(IMPATIENT_MOST, (IMPATIENT_PER_LOAD * ageMs) / loadMs),
-      urgency: demand.waiting + (URGENCY_PER_LOAD * ageMs) / loadMs,
+      worth: POLICY.firstWorth + Math.min(POLICY.impatientMost, (POLICY.impatientPerLoad * ageMs) / loadMs),
+      urgency: demand.waiting + POLICY.lostCounts * lost + (POLICY.urgencyPerLoad * ageMs) / loadMs,
       ageMs,
       load: Infinity,
     };
@@ -176,10 +184,10 @@
     const have = copies.get(model) ?? 0;
     const wanted = Math.min(rows.length, target?.wanted ?? 0);
     if (target === undefined || have >= wanted) return;
-    const { recent, each } = target;
-    const isHeavy = recent > HEAVY * have * each;
-    const worth = isHeavy ? HEAVY_WORTH : FURTHER_WORTH + (wanted - have) / wanted;
-    further.push({ model, worth, urgency: recent - have * each, ageMs: 0, load: recent / have });
+    const { recent, expected, each } = target;
+    const isHeavy = recent > POLICY.heavy * have * each;
+    const worth = isHeavy ? POLICY.heavyWorth : POLICY.furtherWorth + (wanted - have) / wanted;
+    further.push({ model, worth, urgency: expected - have * each, ageMs: 0, load: recent / have });
   }
 
   /** Takes copies back into use, then loads what workers have on their own disks, then from the store. */
--- a/packages/placement/src/retirement.ts
+++ b/packages/placement/src/retirement.ts
@@ -1,5 +1,5 @@
 import type { OrderSender } from './order-sender.js';
-import { RESIDE_MS, type PlacementRound } from './placement-round.js';
+import { isWatched, RESIDE_MS, type PlacementRound } from './placement-round.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 
 /** Copies of one model are taken out of use no sooner after each other. */
@@ -28,6 +28,7 @@
     const { engine, copies, targets, nowMs } = round;
     for (const [model, count] of copies) {
       if (count <= Math.max(1, targets.get(model)?.kept ?? 1) || !engine.models.has(model)) continue;
+      if (!isWatched(round, model)) continue;
       const key = `${engine.service}/${model}`;
       if (nowMs - (this.#retiredMs.get(key) ?? -Infinity) < RETIRE_MS) continue;
       const holders = round.rows.filter((row) => this.#mayRetire(row, model, nowMs));
--- a/packages/placement/src/testing/fleet.ts
+++ b/packages/placement/src/testing/fleet.ts
@@ -286,7 +286,7 @@
       for (const { request } of worker.running) want(request.model, request.adapter).inFlight += 1;
     return [...wants].map(([key, counts]) => {
       const [model = '', adapter = ''] = key.split('/');
-      return { service: SERVICE, model, adapter, ...counts, perS: 0.1, pressure: 0 };
+      return { service: SERVICE, model, adapter, ...counts, perS: 0.1, pressure: 0, patienceMs: 0 };
     });
   }
 
--- a/packages/placement/src/usage.ts
+++ b/packages/placement/src/usage.ts
@@ -1,18 +1,42 @@
+interface Use {
+  /** When it was last in use; endless ago if it was only asked for. */
+  usedMs: number;
+  /** How long its requests can wait without loss; 0 if unknown. */
+  patienceMs: number;
+}
+
 /**
- * When models and adapters were last in use, by `service/model` and `service/model/adapter`.
+ * When models and adapters were last in use, by `service/model` and `service/model/adapter`, and how patient the
+ * requests for a model are. It outlives the demand, and begins anew with each coordinator.
  * @example
  * usage.used('assist/model-1', nowMs);
  * usage.idleMs('assist/model-1', nowMs); // 0
  */
 export class Usage {
-  #usedMs = new Map<string, number>();
+  #uses = new Map<string, Use>();
 
   used(key: string, nowMs: number): void {
-    this.#usedMs.set(key, nowMs);
+    this.#use(key).usedMs = nowMs;
+  }
+
+  /** Takes the mean patience of the requests for a model, where it is known. */
+  notePatience(key: string, patienceMs: number): void {
+    if (patienceMs > 0) this.#use(key).patienceMs = patienceMs;
   }
 
   /** How long it has not been used; endless if it never was. */
   idleMs(key: string, nowMs: number): number {
-    return nowMs - (this.#usedMs.get(key) ?? -Infinity);
+    return nowMs - (this.#uses.get(key)?.usedMs ?? -Infinity);
+  }
+
+  /** How long the requests for a model can wait without loss; 0 if none was seen. */
+  patienceMs(key: string): number {
+    return this.#uses.get(key)?.patienceMs ?? 0;
+  }
+
+  #use(key: string): Use {
+    const use = this.#uses.get(key) ?? { usedMs: -Infinity, patienceMs: 0 };
+    this.#uses.set(key, use);
+    return use;
   }
 }
--- a/packages/placement/src/worker-state.ts
+++ b/packages/placement/src/worker-state.ts
@@ -10,6 +10,10 @@
   readonly adapter: string;
   /** Whether the worker has said that it is at it. */
   begun: boolean;
+  /** When it said so. */
+  begunMs: number;
+  /** When it was last known to be at it still. */
+  busyMs: number;
   /** Whether an answer is waited for. */
   posted: boolean;
   /** How often the worker was busy with something else. */
@@ -25,11 +29,20 @@
  * newStep('load', 'model-1', '', nowMs);
  */
 export function newStep(action: Step['action'], model: string, adapter: string, notBeforeMs: number): Step {
-  return { action, model, adapter, begun: false, posted: false, refusals: 0, notBeforeMs, doneMs: Infinity };
+  return {
+    action,
+    model,
+    adapter,
+    begun: false,
+    begunMs: Infinity,
+    busyMs: -Infinity,
+    posted: false,
+    refusals: 0,
+    notBeforeMs,
+    doneMs: Infinity,
+  };
 }
 
-/** A load from a worker's own disk takes no more than about this part of one from the store. */
-const DISK_PART = 0.68;
 /** After a refusal a worker gets no new order for so long; twice as long after each further one. */
 const REFUSED_MS = 250;
 const REFUSED_MOST_MS = 4000;
@@ -149,10 +162,10 @@
     return usedMb(engine, after) <= engine.roomMb && adapterCount(after) <= engine.adapterPlaces;
   }
 
-  /** How long a load takes, from the worker's own disk if it has held the model. */
-  loadMs(engine: StockEngine, model: string): number {
+  /** How long a load takes: from the worker's own disk, if it has held the model, a part of the time from the store. */
+  loadMs(engine: StockEngine, model: string, diskPart: number): number {
     const fromStoreMs = engine.models.get(model)?.loadMs ?? 0;
-    return this.onDisk.has(model) ? fromStoreMs * DISK_PART : fromStoreMs;
+    return this.onDisk.has(model) ? fromStoreMs * diskPart : fromStoreMs;
   }
 
   /** How long it has held a model; endless for one that it has held from the start. */
@@ -161,11 +174,11 @@
   }
 
   /** In how many milliseconds all steps will be done, as far as can be told. */
-  freeInMs(engine: StockEngine, nowMs: number): number {
+  freeInMs(engine: StockEngine, diskPart: number, nowMs: number): number {
     let sumMs = 0;
     for (const { action, model, adapter, begun, notBeforeMs } of this.#steps) {
       if (action === 'unload' || adapter !== '') continue;
-      sumMs += begun ? Math.max(0, notBeforeMs - nowMs) : this.loadMs(engine, model);
+      sumMs += begun ? Math.max(0, notBeforeMs - nowMs) : this.loadMs(engine, model, diskPart);
     }
     return sumMs;
   }
