A request whose model will come too late for it is told at once when to come back

Change: where the load is expected after the client would have given up, the request is refused as it comes, with Retry-After up to a third of its time; until then it counts as waiting, so that the model is loaded. Where the model comes in time, or only the adapter is missing, it waits as before. Requests that come before any configuration moved out of the router into their own file; behaviour unchanged.

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,8 +1,10 @@
 import { RetryBudget, type Link } from '@rainrun/gateway';
 import type { Configuration, RouteEntry } from '@rainrun/configuration';
 import { fault, type Clock, type Fault } from '@rainrun/common';
+import { AbsentModels } from './absent-models.js';
 import { Balancer, type NoWorker } from './balance.js';
 import { Demand, type Asked } from './demand.js';
+import { EarlyRequests } from './early-requests.js';
 import { Outcomes, type WorkerOutcomes } from './outcomes.js';
 import type { Ask, ClientPort, Passage, WorkerView } from './request.js';
 import { RouteTable } from './routes.js';
@@ -28,22 +30,15 @@
 
 const AGAIN_MS = 25;
 const HELD_AGAIN_S = 0.2;
-const EARLY_MS = 1500;
 const CROWD_MOST = 2000;
+const UNCONFIGURED = fault('not-admitting', 'no configuration is known here yet');
 /** A stream that is to go on elsewhere looks for a worker this often. */
 const RESUME_EVERY_MS = 250;
+/** Clients come back as told up to this part of the time that they have left. */
+const RETURN_PART = 1 / 3;
 /** Clients give a stream up after a silence of the longest of these. */
 const SILENCE_BORNE = { leastMs: 2000, targets: 4, gaps: 8 } as const;
 
-/** A request that came before any configuration. */
-interface Early {
-  readonly ask: Ask;
-  readonly port: ClientPort;
-  readonly bornMs: number;
-  readonly endMs: number;
-  leave: (() => void) | undefined;
-}
-
 /**
  * The data plane of an edge for routes and services. A request waits for a
  * worker that may take it and is sent once; again only where its route allows
@@ -59,10 +54,14 @@
   #table: { readonly configuration: Configuration; readonly routes: RouteTable } | undefined;
   #waiting = new Set<Passage>();
   #runs = new Set<Run>();
-  #early = new Set<Early>();
+  #early = new EarlyRequests({
+    take: (ask, port) => this.take(ask, port),
+    refuse: (port) => void this.#turnAway(port, UNCONFIGURED),
+  });
   #budgets = new Map<string, RetryBudget>();
   #demand = new Demand();
   #outcomes = new Outcomes();
+  #absent = new AbsentModels();
   #counts = new Map<string, number>();
   /** Ids of requests under way that may not be repeated. */
   #once = new Set<string>();
@@ -97,7 +96,10 @@
     this.#count('taken');
     if (this.#closed) return this.#turnAway(port, fault('draining', 'this node ends'));
     const configuration = this.#dependencies.configuration();
-    if (configuration === undefined) return this.#holdEarly(ask, port);
+    if (configuration === undefined) {
+      if (this.#early.size >= CROWD_MOST) return this.#turnAway(port, UNCONFIGURED);
+      return this.#early.hold(ask, port, this.#dependencies.clock.nowMs());
+    }
     if (this.#table?.configuration !== configuration)
       this.#table = { configuration, routes: new RouteTable(configuration) };
     const route = this.#table.routes.find(ask.host, ask.target);
@@ -145,56 +147,16 @@
   /** Answers whatever has no answer yet, and takes nothing more. */
   close(): void {
     this.#closed = true;
-    for (const early of this.#early)
-      this.#turnAway(early.port, fault('not-admitting', 'no configuration is known here yet'));
-    this.#early.clear();
+    this.#early.close();
     for (const run of [...this.#runs]) run.giveUp();
     for (const passage of [...this.#waiting]) this.#giveUp(passage);
   }
 
-  /** Nothing is known yet, as just after a start: the request waits a moment for it. */
-  #holdEarly(ask: Ask, port: ClientPort): () => void {
-    const nowMs = this.#dependencies.clock.nowMs();
-    const early: Early = {
-      ask,
-      port,
-      bornMs: nowMs,
-      endMs: nowMs + Math.min(EARLY_MS, ask.deadlineMs ?? EARLY_MS),
-      leave: undefined,
-    };
-    if (this.#early.size >= CROWD_MOST)
-      return this.#turnAway(port, fault('not-admitting', 'no configuration is known here yet'));
-    this.#early.add(early);
-    return () => {
-      this.#early.delete(early);
-      early.leave?.();
-    };
-  }
-
-  #takeEarly(nowMs: number): void {
-    const known = this.#dependencies.configuration() !== undefined;
-    for (const early of this.#early) {
-      const { ask, port, bornMs, endMs } = early;
-      if (!known && nowMs < endMs) continue;
-      this.#early.delete(early);
-      if (known)
-        early.leave = this.take(
-          {
-            ...ask,
-            deadlineMs:
-              ask.deadlineMs === undefined ? undefined : Math.max(0, ask.deadlineMs - (nowMs - bornMs)),
-          },
-          port,
-        );
-      else this.#turnAway(port, fault('not-admitting', 'no configuration is known here yet'));
-    }
-  }
-
   /** Gives up what has waited too long, and sends what can be sent now. */
   tick(): void {
     const nowMs = this.#dependencies.clock.nowMs();
     this.#balancer.keepOnly(this.#dependencies.workers());
-    if (this.#early.size > 0) this.#takeEarly(nowMs);
+    if (this.#early.size > 0) this.#early.release(this.#dependencies.configuration() !== undefined, nowMs);
     const order = [...this.#waiting].sort(
       (one, other) => one.route.priority - other.route.priority || one.bornMs - other.bornMs,
     );
@@ -246,15 +208,54 @@
   #dispatch(passage: Passage, nowMs: number): boolean {
     const choice = this.#choose(passage);
     if (typeof choice === 'string') {
-      this.#wait(passage, choice);
+      if (choice !== 'not-held' || !this.#sendBack(passage, nowMs)) this.#wait(passage, choice);
       return false;
     }
+    this.#absent.found(modelKeyOf(passage));
     this.#waiting.delete(passage);
     passage.waitsFor = undefined;
     this.#send(passage, choice, nowMs);
     return true;
   }
 
+  /**
+   * A request that has just come, for a model that no worker holds and that will come too late for it, is told at
+   * once when to come back; until then it counts as waiting, so that the model is loaded.
+   */
+  #sendBack(passage: Passage, nowMs: number): boolean {
+    const loadMs = this.#loadMs(passage);
+    if (loadMs === undefined || this.#isHeld(passage)) return false;
+    const key = modelKeyOf(passage);
+    this.#absent.missed(key, loadMs, nowMs);
+    if (nowMs > passage.bornMs || passage.sentTo.size > 0) return false;
+    const leftMs = passage.endMs - nowMs;
+    const expectedMs = this.#absent.expectedInMs(key, loadMs, nowMs);
+    const borneMs = passage.streamed ? Math.min(leftMs, silenceBorneMs(passage.route)) : leftMs;
+    if (expectedMs < borneMs) return false;
+    const returnMs = Math.min(expectedMs, leftMs * RETURN_PART);
+    this.#demand.sentBack(passage.key, nowMs + returnMs);
+    this.#dependencies.missing();
+    this.#once.delete(passage.ask.id);
+    this.#turnAway(passage.port, {
+      ...fault('no-worker', 'its model is not loaded yet'),
+      returnS: returnMs / 1000,
+    });
+    return true;
+  }
+
+  /** How long the model of a request takes to load; undefined where it is none that workers load. */
+  #loadMs({ ask, service }: Passage): number | undefined {
+    const loadS = service.engine?.models.find(({ name }) => name === ask.model)?.loadS;
+    return loadS === undefined ? undefined : loadS * 1000;
+  }
+
+  /** Whether a worker holds the model of a request, with its adapter or without. */
+  #isHeld({ ask, service }: Passage): boolean {
+    for (const worker of this.#dependencies.workers().values())
+      if (worker.service === service.name && this.#balancer.holds(worker, ask.model, '')) return true;
+    return false;
+  }
+
   /** Once a request was sent to as many workers as its route allows, only these are left for it. */
   #choose(passage: Passage): WorkerView | NoWorker {
     const workers = this.#dependencies.workers();
@@ -445,6 +446,10 @@
   }
 }
 
+function modelKeyOf({ service, ask }: Passage): string {
+  return `${service.name}/${ask.model}`;
+}
+
 /** How long a client bears the silence of a stream before it gives it up. */
 function silenceBorneMs({ targetMs, gapMs }: RouteEntry): number {
   const { leastMs, targets, gaps } = SILENCE_BORNE;
