Revert: requests whose model comes too late wait as before

Cause: a client that is told to come back comes to another edge, which does not know that the model is on its way, and refuses it for good. To work it needs the coordinator to tell edges which models are being loaded; that is left. The file for requests that come before a configuration stays.

--- a/packages/router/src/demand.ts
+++ b/packages/router/src/demand.ts
@@ -36,8 +36,6 @@
 export class Demand {
   #rates = new Map<string, Rate>();
   #inFlight = new Map<string, number>();
-  /** When requests that were told to come back will, by what they asked for: until then they count as waiting. */
-  #returning = new Map<string, number[]>();
 
   arrived(passage: Passage, nowMs: number): void {
     if (passage.ask.model === '') return;
@@ -49,11 +47,6 @@
     rate.patienceMs += (targetMs - rate.patienceMs) * PATIENCE_PART;
   }
 
-  /** A request was told to come back at a time. */
-  sentBack(key: string, returnMs: number): void {
-    this.#returning.set(key, [...(this.#returning.get(key) ?? []), returnMs]);
-  }
-
   sent(key: string): void {
     this.#inFlight.set(key, (this.#inFlight.get(key) ?? 0) + 1);
   }
@@ -75,12 +68,6 @@
   asked(waitingPassages: Iterable<Passage>, nowMs: number): Asked[] {
     const waiting = new Map<string, number>();
     for (const passage of waitingPassages) waiting.set(passage.key, (waiting.get(passage.key) ?? 0) + 1);
-    for (const [key, returnsMs] of this.#returning) {
-      const left = returnsMs.filter((returnMs) => returnMs > nowMs);
-      if (left.length === 0) this.#returning.delete(key);
-      else this.#returning.set(key, left);
-      waiting.set(key, (waiting.get(key) ?? 0) + left.length);
-    }
     const asked: Asked[] = [];
     for (const [key, rate] of this.#rates) {
       fade(rate, nowMs);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,7 +1,6 @@
 import { RetryBudget, type Link } from '@rainrun/gateway';
 import type { Configuration, RouteEntry } from '@rainrun/configuration';
 import { fault, type Clock, type Fault } from '@rainrun/common';
-import { AbsentModels } from './absent-models.js';
 import { Balancer, type NoWorker } from './balance.js';
 import { Demand, type Asked } from './demand.js';
 import { EarlyRequests } from './early-requests.js';
@@ -34,8 +33,6 @@
 const UNCONFIGURED = fault('not-admitting', 'no configuration is known here yet');
 /** A stream that is to go on elsewhere looks for a worker this often. */
 const RESUME_EVERY_MS = 250;
-/** Clients come back as told up to this part of the time that they have left. */
-const RETURN_PART = 1 / 3;
 /** Clients give a stream up after a silence of the longest of these. */
 const SILENCE_BORNE = { leastMs: 2000, targets: 4, gaps: 8 } as const;
 
@@ -61,7 +58,6 @@
   #budgets = new Map<string, RetryBudget>();
   #demand = new Demand();
   #outcomes = new Outcomes();
-  #absent = new AbsentModels();
   #counts = new Map<string, number>();
   /** Ids of requests under way that may not be repeated. */
   #once = new Set<string>();
@@ -208,54 +204,15 @@
   #dispatch(passage: Passage, nowMs: number): boolean {
     const choice = this.#choose(passage);
     if (typeof choice === 'string') {
-      if (choice !== 'not-held' || !this.#sendBack(passage, nowMs)) this.#wait(passage, choice);
+      this.#wait(passage, choice);
       return false;
     }
-    this.#absent.found(modelKeyOf(passage));
     this.#waiting.delete(passage);
     passage.waitsFor = undefined;
     this.#send(passage, choice, nowMs);
     return true;
   }
 
-  /**
-   * A request that has just come, for a model that no worker holds and that will come too late for it, is told at
-   * once when to come back; until then it counts as waiting, so that the model is loaded.
-   */
-  #sendBack(passage: Passage, nowMs: number): boolean {
-    const loadMs = this.#loadMs(passage);
-    if (loadMs === undefined || this.#isHeld(passage)) return false;
-    const key = modelKeyOf(passage);
-    this.#absent.missed(key, loadMs, nowMs);
-    if (nowMs > passage.bornMs || passage.sentTo.size > 0) return false;
-    const leftMs = passage.endMs - nowMs;
-    const expectedMs = this.#absent.expectedInMs(key, loadMs, nowMs);
-    const borneMs = passage.streamed ? Math.min(leftMs, silenceBorneMs(passage.route)) : leftMs;
-    if (expectedMs < borneMs) return false;
-    const returnMs = Math.min(expectedMs, leftMs * RETURN_PART);
-    this.#demand.sentBack(passage.key, nowMs + returnMs);
-    this.#dependencies.missing();
-    this.#once.delete(passage.ask.id);
-    this.#turnAway(passage.port, {
-      ...fault('no-worker', 'its model is not loaded yet'),
-      returnS: returnMs / 1000,
-    });
-    return true;
-  }
-
-  /** How long the model of a request takes to load; undefined where it is none that workers load. */
-  #loadMs({ ask, service }: Passage): number | undefined {
-    const loadS = service.engine?.models.find(({ name }) => name === ask.model)?.loadS;
-    return loadS === undefined ? undefined : loadS * 1000;
-  }
-
-  /** Whether a worker holds the model of a request, with its adapter or without. */
-  #isHeld({ ask, service }: Passage): boolean {
-    for (const worker of this.#dependencies.workers().values())
-      if (worker.service === service.name && this.#balancer.holds(worker, ask.model, '')) return true;
-    return false;
-  }
-
   /** Once a request was sent to as many workers as its route allows, only these are left for it. */
   #choose(passage: Passage): WorkerView | NoWorker {
     const workers = this.#dependencies.workers();
@@ -446,10 +403,6 @@
   }
 }
 
-function modelKeyOf({ service, ask }: Passage): string {
-  return `${service.name}/${ask.model}`;
-}
-
 /** How long a client bears the silence of a stream before it gives it up. */
 function silenceBorneMs({ targetMs, gapMs }: RouteEntry): number {
   const { leastMs, targets, gaps } = SILENCE_BORNE;
