A request that begins to wait brings the next heartbeat within 50 ms

Cause: with the longer heartbeat of an edge at rest, a request that a worker had declined waited up to 125 ms for its next try, more than the whole target of the shortest routes (120 ms).

--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -211,6 +211,7 @@
   evacuated: string[] = [];
   workers = new Map<string, WorkerView>();
   missed = 0;
+  waits = 0;
   readonly link = new FakeLink();
   readonly router: Router;
   #asked = 0;
@@ -237,6 +238,9 @@
       missing: () => {
         this.missed += 1;
       },
+      waits: () => {
+        this.waits += 1;
+      },
     });
   }
 
@@ -884,6 +888,7 @@
     bench.ask('/model/x', { model: 'm1' });
     for (let turn = 0; turn < 20; turn += 1) bench.router.tick();
     expect(bench.missed).toEqual(1);
+    expect(bench.waits).toEqual(1);
   });
 
   it('does not fall again on a worker that lacks the model, until its row is told anew', () => {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,6 +25,8 @@
   region(zone: string): string;
   /** A model is asked for that stands nowhere. */
   missing(): void;
+  /** A request begins to wait: from now on `tick` is to be called as often as it may be sent. */
+  waits(): void;
 }
 
 const AGAIN_MS = 25;
@@ -272,6 +274,7 @@
 
   #wait(passage: Passage, why: NoWorker): void {
     const isNews = passage.waitsFor !== why;
+    if (!this.#waiting.has(passage)) this.#dependencies.waits();
     this.#waiting.add(passage);
     passage.cancel = undefined;
     passage.waitsFor = why;
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -51,6 +51,8 @@
   #stopping = false;
   #wasReady = false;
   #heartbeat: NodeJS.Timeout | undefined;
+  #beatAtMs = 0;
+  #closed = false;
   #haste: NodeJS.Timeout | undefined;
 
   constructor(settings: SystemSettings, dialect: EdgeDialect, log: Log, clock = MONOTONIC) {
@@ -84,6 +86,7 @@
       incarnation: () => this.#follower.incarnation,
       region: (zone) => settings.regions[zone] ?? '',
       missing: () => this.#hasten(),
+      waits: () => this.#beatWithin(HEARTBEAT_MS),
     });
     this.#front = new FrontDoor({
       words: dialect.doorWords,
@@ -132,6 +135,7 @@
 
   /** Ends at once: timers, sockets and connections. */
   async close(): Promise<void> {
+    this.#closed = true;
     for (const timer of this.#timers) clearInterval(timer);
     clearTimeout(this.#heartbeat);
     clearTimeout(this.#haste);
@@ -142,11 +146,22 @@
   }
 
   #beat(): void {
+    this.#heartbeat = undefined;
     this.#follower.tick();
     this.#router.tick();
     this.#noteReady();
     const isResting = this.#follower.ready && this.#router.waiting === 0;
-    this.#heartbeat = setTimeout(() => this.#beat(), isResting ? RESTING_HEARTBEAT_MS : HEARTBEAT_MS);
+    this.#beatWithin(isResting ? RESTING_HEARTBEAT_MS : HEARTBEAT_MS);
+  }
+
+  /** Lets the next heartbeat come in this time at the latest. */
+  #beatWithin(waitMs: number): void {
+    if (this.#closed) return;
+    const atMs = this.#clock.nowMs() + waitMs;
+    if (this.#heartbeat !== undefined && this.#beatAtMs <= atMs) return;
+    clearTimeout(this.#heartbeat);
+    this.#beatAtMs = atMs;
+    this.#heartbeat = setTimeout(() => this.#beat(), waitMs);
   }
 
   #hasten(): void {
