Ejection counts failures only; what a full worker declines is none

A decline is the sign of a full worker, and the ejection of one burdens its peers; the grey kind 'shed' is left to each edge as before.

--- a/packages/router/src/router.test.ts
+++ b/packages/router/src/router.test.ts
@@ -936,6 +936,14 @@
     expect(bench.router.takeOutcomes()).toEqual([{ worker: 'w1', answered: 0, failed: 1 }]);
   });
 
+  it('is not told of for what it declines, as a full worker does', () => {
+    const bench = new Bench([worker('w1')]);
+    bench.ask('/once/x');
+    bench.last().start();
+    bench.last().decline(503);
+    expect(bench.router.takeOutcomes()).toEqual([]);
+  });
+
   it('gets no request here while others can take it and this edge is not to send to it', () => {
     const bench = new Bench([worker('w1', { sharePercent: 0 }), worker('w2')]);
     for (let nth = 0; nth < 4; nth += 1) bench.ask('/once/x');
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -349,11 +349,14 @@
     this.#refuse(passage, end);
   }
 
-  /** What a worker's answers say of its health: to this edge's balancer, and to all edges through the coordinator. */
+  /**
+   * What a worker's answers say of its health: to this edge's balancer, and to all edges through the coordinator.
+   * That it declines a request says that it is full, or does not hold the model any more; it says nothing of its health.
+   */
   #noteOutcome(worker: WorkerView, end: RunEnd): void {
     const isFailure = end.workerFailed === true || end.how === 'failed' || end.how === 'unreached';
     this.#balancer.ended(worker, end.how === 'served' && !isFailure);
-    if (isFailure || end.how === 'not-run') this.#outcomes.add(worker.id, false);
+    if (isFailure) this.#outcomes.add(worker.id, false);
     else if (end.how === 'served') this.#outcomes.add(worker.id, true);
   }
 
