--- a/packages/cluster-node/src/follower.ts
+++ b/packages/cluster-node/src/follower.ts
@@ -67,7 +67,7 @@
 const FOLLOW_MS = 250;
 /** A node that cannot serve yet, and that no coordinator knows of, asks this often. */
 const EAGER_MS = 80;
-const SELDOM_MS = 1000;
+const SELDOM_MS = 750;
 const HASTE_MS = 6;
 const CORE_MS = 10_000;
 const CORES_MOST = 3;
--- a/packages/cluster-node/src/subscribers.ts
+++ b/packages/cluster-node/src/subscribers.ts
@@ -19,7 +19,7 @@
 /** A configuration is parsed by each edge: in a storm of changes it is told the newest this often. */
 const STATE_MS = 200;
 /** An edge that asks and has nothing to learn is answered no more often than this. */
-const ANSWER_MS = 450;
+const ANSWER_MS = 200;
 /** An update sent so lately may still be on its way: a question that crosses it does not repeat it ... */
 const IN_FLIGHT_MS = 60;
 /** ... the longer, the more rows it brought: a row of 160 bytes takes 0.2 ms on a link of 7 Mbit/s. */
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -15,7 +15,7 @@
 /** Between two looks at what waits, and at the cores while this edge cannot serve yet. */
 const HEARTBEAT_MS = 50;
 /** The same while nothing waits here: each wake-up of a process costs more than the look itself. */
-const RESTING_HEARTBEAT_MS = 125;
+const RESTING_HEARTBEAT_MS = 100;
 /** A model that stands nowhere is asked for after this, with what else came meanwhile. */
 const HASTE_MS = 7;
 const COUNTERS_MS = 10_000;
--- a/packages/runtime/src/wire.ts
+++ b/packages/runtime/src/wire.ts
@@ -8,11 +8,8 @@
 /** A line on which nothing was acknowledged for so long, though something is due, is given up. */
 const SILENT_MS = 1000;
 const ACK = Buffer.from([1]);
-/**
- * Acknowledgements wait this long for more to acknowledge: longer than an edge takes between two questions, so that
- * one acknowledges both, and well below the silence that ends a line.
- */
-const ACK_DELAY_MS = 350;
+/** Acknowledgements wait this long for more to acknowledge: well below the silence that ends a line. */
+const ACK_DELAY_MS = 200;
 
 /** Counters of the wire. */
 export interface WireCounts {
