Elections: turns end, a term outside a view without progress ends, attempts back off

Cause: after a restart of all cores the group could wait for ever. A voter that is in touch and comes first (its disk hangs, or it reaches a quorum of voters and no majority of the old view) was waited for as long as it greeted; a coordinator elected outside a view whose base never commits never resigned; attempts that bypass the back-off deposed one another once a turn had ended; a voter by an older list that learns that it votes no longer began again at once. Change: a voter waits for those before it for 0.5 to 1.5 suspectMs, then goes by itself (the pre-vote protects a coordinator at work); a term in no view without a chosen or committed version for suspectMs (doubled for each such term) ends; the early start counts for the first attempt only.

--- a/packages/process-group/src/agreement/candidacy.ts
+++ b/packages/process-group/src/agreement/candidacy.ts
@@ -14,6 +14,9 @@
 import { disksOf, isQuorum, isLater, type VoterSets } from './quorum.js';
 import type { GroupTimes } from '../times.js';
 
+/** A disk that learns in its candidacy that it votes no longer waits so many times `suspectMs` before the next one. */
+const NON_VOTER_WAIT_FACTOR = 5;
+
 /** What a candidacy needs of the node that it runs in. */
 export interface CandidacyContext {
   readonly acceptor: Acceptor;
@@ -59,6 +62,7 @@
   #round: PrepareRound | undefined;
   #afterMs: number;
   #proposalSeenMs = -Infinity;
+  #hasFailed = false;
 
   constructor(context: CandidacyContext) {
     this.#context = context;
@@ -70,6 +74,11 @@
     return this.#round !== undefined;
   }
 
+  /** Whether a candidacy of this node, or a term that it won, has ended in vain. */
+  get hasFailed(): boolean {
+    return this.#hasFailed;
+  }
+
   /** Whether this node has waited long enough to become a candidate. */
   isDue(nowMs: number): boolean {
     return nowMs >= this.#afterMs;
@@ -83,6 +92,7 @@
   /** This node has ceased to coordinate. */
   onResigned(): void {
     const { times, random } = this.#context;
+    this.#hasFailed = true;
     this.#afterMs = this.#context.nowMs() + times.suspectMs + random.next() * 500;
   }
 
@@ -142,6 +152,7 @@
 
   #backOff(nowMs: number): void {
     this.#round = undefined;
+    this.#hasFailed = true;
     this.#afterMs = nowMs + 200 + this.#context.random.next() * 800;
   }
 
@@ -190,6 +201,12 @@
     if (!isQuorum(best.state, promises) || !isQuorum(this.#context.voters(), promises)) return;
     this.#round = undefined;
     if (best.state.voters.some((voter) => voter.disk === disk)) this.#context.becomeCoordinator(epoch, best);
+    else this.#onNotVoting();
+  }
+
+  #onNotVoting(): void {
+    this.#hasFailed = true;
+    this.#afterMs = this.#context.nowMs() + NON_VOTER_WAIT_FACTOR * this.#context.times.suspectMs;
   }
 
   #addSupporter(round: PrepareRound, disk: string): void {
--- a/packages/process-group/src/agreement/coordination.ts
+++ b/packages/process-group/src/agreement/coordination.ts
@@ -8,6 +8,7 @@
   type Submit,
   type Version,
 } from '@rainrun/messages';
+import { backoffMs } from '@rainrun/common';
 import { Coordinator } from './coordinator.js';
 import type { CoordinatorContext } from './coordinator-context.js';
 import type { CoordinatorWatch } from './coordinator-watch.js';
@@ -54,6 +55,10 @@
   #coordinator: Coordinator<S> | undefined;
   #ineligibleUntilMs = -Infinity;
   #leaseLostMs: number | undefined;
+  /** What the term outside a view has come to, and since when. */
+  #stalled: { readonly progress: number; readonly sinceMs: number } | undefined;
+  /** Terms in a row that ended without progress outside a view. */
+  #stalledTerms = 0;
 
   constructor(collaborators: CoordinationCollaborators<S>) {
     this.#collaborators = collaborators;
@@ -69,19 +74,50 @@
     return nowMs < this.#ineligibleUntilMs;
   }
 
-  /** Drives the coordinator; resigns when a majority has not renewed its lease for too long. */
+  /**
+   * Drives the coordinator. It resigns when a majority of its view has not renewed its lease for
+   * too long, and outside a view, where there is no lease to lose, when its term makes no progress.
+   */
   tick(nowMs: number): void {
-    const { dependencies, leases, local } = this.#collaborators;
-    const { resignMs } = dependencies.times;
+    const { leases, local } = this.#collaborators;
     if (!local.inView || leases.isHeld()) this.#leaseLostMs = undefined;
     else this.#leaseLostMs ??= nowMs;
-    if (this.#leaseLostMs !== undefined && nowMs - this.#leaseLostMs > resignMs) {
-      this.#ineligibleUntilMs = nowMs + 2 * resignMs;
-      return this.#resign();
-    }
+    if (this.#leaseLostMs !== undefined && nowMs - this.#leaseLostMs > this.#leaseLossMaxMs())
+      return this.#resignFor(2 * this.#leaseLossMaxMs(), nowMs);
+    if (this.#isStalledOutside(nowMs)) return this.#resignStalled(nowMs);
     this.#coordinator?.tick(nowMs);
   }
 
+  /** Whether this term, in no view, has gone without a chosen or committed version for too long. */
+  #isStalledOutside(nowMs: number): boolean {
+    const { local } = this.#collaborators;
+    const progress = this.#coordinator?.progress;
+    if (local.inView || progress === undefined) {
+      this.#stalled = undefined;
+      if (local.inView) this.#stalledTerms = 0;
+      return false;
+    }
+    if (this.#stalled?.progress !== progress) this.#stalled = { progress, sinceMs: nowMs };
+    return nowMs - this.#stalled.sinceMs > this.#stallMaxMs();
+  }
+
+  /** Grows with the terms that came to nothing: disks and links may be slow everywhere. */
+  #stallMaxMs(): number {
+    const { resignMs, suspectMs } = this.#collaborators.dependencies.times;
+    return backoffMs({ firstMs: suspectMs, maxMs: 2 * resignMs }, this.#stalledTerms);
+  }
+
+  #resignStalled(nowMs: number): void {
+    this.#resignFor(this.#stallMaxMs(), nowMs);
+    this.#stalledTerms += 1;
+  }
+
+  /** Resigns, and leaves the next elections to others for this long. */
+  #resignFor(ineligibleMs: number, nowMs: number): void {
+    this.#ineligibleUntilMs = nowMs + ineligibleMs;
+    this.#resign();
+  }
+
   /** A majority promised an epoch: this node coordinates from this version on. */
   start(epoch: number, version: Version): void {
     const { coordinatorWatch, dependencies, leases, local } = this.#collaborators;
@@ -157,8 +193,13 @@
     this.#coordinator?.onAccepted(accepted);
   }
 
+  #leaseLossMaxMs(): number {
+    return this.#collaborators.dependencies.times.resignMs;
+  }
+
   #resign(): void {
     this.#coordinator = undefined;
+    this.#stalled = undefined;
     this.#collaborators.election.candidacy?.onResigned();
     this.#collaborators.coordinatorWatch.unfollowSelf();
   }
--- a/packages/process-group/src/agreement/coordinator.ts
+++ b/packages/process-group/src/agreement/coordinator.ts
@@ -85,6 +85,11 @@
     return this.#commit.ready;
   }
 
+  /** Grows with each version that is chosen and with each that is committed: a term that does not move makes no progress. */
+  get progress(): number {
+    return this.#state.number + this.#commit.committedVersion;
+  }
+
   /** Takes an operation; an id already decided or waiting is not taken twice. */
   submit(operation: Operation, from: Member): void {
     const { id } = operation;
--- a/packages/process-group/src/agreement/election.ts
+++ b/packages/process-group/src/agreement/election.ts
@@ -12,6 +12,12 @@
 import type { Transport } from '../transport/transport.js';
 import type { Voters } from './voters.js';
 
+/**
+ * How long a voter that could be a candidate waits for the voters before it, as a part of
+ * `suspectMs`: half of it, and a random part of it beyond, so that two rarely try at once.
+ */
+const TURN_WAIT_FRACTION = 1 / 2;
+
 /** What elections need. */
 interface ElectionCollaborators<S> {
   readonly coordination: Coordination<S>;
@@ -28,13 +34,18 @@
 
 /**
  * Decides when a voter that does not coordinate becomes a candidate for the next epoch: when
- * no coordinator is heard and no voter that comes before it can be reached.
+ * no coordinator is heard and no voter that comes before it can be reached. It waits for those
+ * before it for a bounded time only: one that is in touch may still be unable to be elected,
+ * for its disk, for links to others, or because it does not know itself for a voter. The
+ * pre-vote keeps a voter that goes out of turn from deposing a coordinator at work.
  * @example
  * election.tick(nowMs); // while this node does not coordinate
  */
 export class Election<S> {
   #collaborators: ElectionCollaborators<S>;
   #candidacy: Candidacy | undefined;
+  /** When this voter goes without regard to the voters before it, while no coordinator is heard. */
+  #turnEndMs: number | undefined;
 
   constructor(collaborators: ElectionCollaborators<S>) {
     this.#collaborators = collaborators;
@@ -49,23 +60,48 @@
 
   /** Founds the group, drives the candidacy under way, or begins one if this node is the next in order. */
   tick(nowMs: number): void {
-    const { coordination, dependencies, founding } = this.#collaborators;
+    const { coordination, coordinatorWatch, dependencies, founding } = this.#collaborators;
     const { acceptor } = dependencies;
     const candidacy = this.#candidacy;
     if (acceptor === undefined || candidacy === undefined) return;
     if (founding.mayFound()) return founding.tick();
     if (candidacy.isUnderWay) return candidacy.tick(nowMs);
-    if (!candidacy.isDue(nowMs) && !this.#isEveryVoterOutside(acceptor)) return;
+    if (coordinatorWatch.live() !== undefined) this.#turnEndMs = undefined;
+    if (!candidacy.isDue(nowMs) && !this.#mayStartEarly(candidacy, acceptor)) return;
     if (coordination.isIneligible(nowMs) || acceptor.busy) return;
-    if (!candidacy.isCoordinated(undefined, nowMs) && this.#isNext(acceptor.disk, nowMs))
-      candidacy.begin(nowMs);
+    if (!this.#isTurn(acceptor.disk, nowMs) || candidacy.isCoordinated(undefined, nowMs)) return;
+    this.#turnEndMs = undefined;
+    candidacy.begin(nowMs);
   }
 
-  /** Whether every voter is there and none is in a view, as after a loss of power everywhere: nobody need be waited for. */
-  #isEveryVoterOutside(acceptor: Acceptor): boolean {
+  /** The process was suspended: the voters before this one get their time anew. */
+  onWake(nowMs: number): void {
+    this.#turnEndMs = undefined;
+    this.#candidacy?.onWake(nowMs);
+  }
+
+  /** Whether this node is the next in order, or has waited long enough for those before it. */
+  #isTurn(disk: string, nowMs: number): boolean {
+    const { coordinatorWatch, voters } = this.#collaborators;
+    if (coordinatorWatch.live() !== undefined || !voters.list().some((voter) => voter.disk === disk))
+      return false;
+    this.#turnEndMs ??= nowMs + this.#turnWaitMs();
+    return nowMs >= this.#turnEndMs || this.#isNext(disk, nowMs);
+  }
+
+  #turnWaitMs(): number {
+    const { chance, times } = this.#collaborators.dependencies;
+    return times.suspectMs * (TURN_WAIT_FRACTION + chance.next());
+  }
+
+  /**
+   * Whether every voter is there and none is in a view, as after a loss of power everywhere: nobody need be waited
+   * for. After a first attempt the back-off counts, lest candidates go on to depose one another.
+   */
+  #mayStartEarly(candidacy: Candidacy, acceptor: Acceptor): boolean {
     const { discovery, local, voters } = this.#collaborators;
     const known = voters.list();
-    if (local.inView || known.length === 0) return false;
+    if (candidacy.hasFailed || local.inView || known.length === 0) return false;
     const outside = discovery.freshContacts().filter((contact) => !contact.inView);
     return known.every(
       ({ disk }) => disk === acceptor.disk || outside.some((contact) => contact.member.disk === disk),
@@ -81,7 +117,6 @@
   #isNext(disk: string, nowMs: number): boolean {
     const { local, voters } = this.#collaborators;
     const disks = voters.list().map((voter) => voter.disk);
-    if (!disks.includes(disk)) return false;
     return local.inView ? this.#isFirstMember(disks, nowMs) : this.#isFirstOutside(disks, disk);
   }
 
--- a/packages/process-group/src/group.ts
+++ b/packages/process-group/src/group.ts
@@ -175,7 +175,7 @@
     const { diskWatch, election, liveness, transport } = this.#wiring;
     const awayMs = liveness.tick(nowMs);
     if (awayMs <= 0) return;
-    election.candidacy?.onWake(nowMs);
+    election.onWake(nowMs);
     transport.onSleep(awayMs);
     diskWatch.onSleep(awayMs);
   }
--- a/packages/process-group/src/testing/test-cluster.ts
+++ b/packages/process-group/src/testing/test-cluster.ts
@@ -18,6 +18,9 @@
 const TICK_MS = 25;
 const LINK_MS = 1;
 
+/** Between two operations that probe whether the group commits again. */
+const RECOVERY_PROBE_MS = 100;
+
 /** The state: the ids of the operations that were applied, in their order. */
 const STATE_MACHINE: StateMachine<readonly string[]> = {
   empty: () => [],
@@ -116,6 +119,23 @@
     return node;
   }
 
+  /** Kills a process and starts it again with what its disk had synced. */
+  restart(name: string): TestNode {
+    return this.start(name, this.stop(name).records);
+  }
+
+  /**
+   * Submits an operation at every running core again and again until one that
+   * was submitted from now on is acknowledged, and says how long that took.
+   */
+  recover(mostMs: number): number {
+    const earlier = this.#operations;
+    return this.runUntil(() => {
+      if (this.nowMs % RECOVERY_PROBE_MS === 0) for (const { name } of this.running) this.submit(name);
+      return [...this.acknowledged].some((id) => Number(id.slice(1)) > earlier);
+    }, mostMs);
+  }
+
   /** Submits an operation at a node; true if it was sent. */
   submit(name: string, payloadBytes = 0): boolean {
     this.#operations += 1;
