Transport, listener, record store: every wait ends; cores say what they wait for

Cause: a connection that was never acknowledged was never overdue; a core whose peer port was taken ran on and heard nobody; a callback that throws ended the chain of writes; a disk that hangs for ever was waited for; a core without a coordinator logged nothing that told why. Change: a connection is replaced once a second passes without acknowledgement, from its first byte on (builds that do not acknowledge are no longer deployed); the peer port is tried again with growing waits, 30 s at most, then exit code 5; an accepted connection that brings nothing for 60 s is closed; an error of a callback becomes uncaught and later writes go on; a disk that syncs nothing for 30 s of the process's own time ends it with code 3. While no coordinator that commits is known: CoordinatorWaitReport, logged each second, in the view (503 too) and in the counters. compatibility: names that were added are listed exactly in public-names.test.ts.

--- a/packages/cluster-node/src/core-status.ts
+++ b/packages/cluster-node/src/core-status.ts
@@ -1,5 +1,6 @@
 /** Status report: the process group as one core of the platform family sees it, for operators. */
 import type { Member } from '@rainrun/messages';
+import type { CoordinatorWait } from '@rainrun/process-group';
 import type { CoreReplica } from './core-replica.js';
 
 /** A core in the view. */
@@ -30,6 +31,8 @@
   readonly epoch: number;
   /** Null while no coordinator is known. */
   readonly coordinator: string | null;
+  /** What this core waits for; absent while a coordinator that commits is known. */
+  readonly waiting?: CoordinatorWait;
   /** Newest version in force here, and the newest known to be agreed. */
   readonly version: number;
   readonly agreed: number;
@@ -50,6 +53,7 @@
   const members = group.view?.members ?? [];
   const voters = group.state?.voters ?? [];
   const version = group.state?.number ?? 0;
+  const waiting = group.coordinatorWait();
   function versionOf(member: Member | undefined): number | null {
     if (member === undefined) return null;
     return member.incarnation === group.self.incarnation
@@ -62,6 +66,7 @@
     zone: group.self.zone,
     epoch: group.epoch,
     coordinator: members.find((member) => member.incarnation === group.coordinatorIncarnation)?.name ?? null,
+    ...(waiting === undefined ? {} : { waiting }),
     version,
     agreed: group.committedVersion,
     revision: state.revision,
--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -7,9 +7,33 @@
 import { asJson, readGolden } from './golden-files.js';
 import { PUBLIC_NAME_FIXTURES } from './public-name-fixtures.js';
 
+/** Names that later builds added, by fixture: readers of an earlier build's names miss nothing by them. */
+const ADDED_NAMES: Readonly<Record<string, readonly string[]>> = {
+  'metrics/site.json': ['rainrun_resets', 'rainrun_listenFailures', 'resets', 'listenFailures'],
+  'metrics/platform.json': ['without coordinator ms', 'disk wait ms', 'peer resets', 'listen failures'],
+};
+
+/** Takes names out of lists and objects, and notes each that was there. */
+function withoutNames(value: unknown, names: readonly string[], seen: Set<string>): unknown {
+  if (Array.isArray(value)) {
+    for (const name of names) if (value.includes(name)) seen.add(name);
+    return value.filter((one) => !names.includes(one as string)).map((one) => withoutNames(one, names, seen));
+  }
+  if (typeof value !== 'object' || value === null) return value;
+  const kept: [string, unknown][] = [];
+  for (const [key, held] of Object.entries(value)) {
+    if (names.includes(key)) seen.add(key);
+    else kept.push([key, withoutNames(held, names, seen)]);
+  }
+  return Object.fromEntries(kept);
+}
+
 for (const { name, given, then, produce } of PUBLIC_NAME_FIXTURES)
   describe(`given ${given}`, () => {
     it(`then ${then} as in an earlier build`, async () => {
-      expect(asJson(await produce())).toEqual(await readGolden(name));
+      const added = ADDED_NAMES[name] ?? [];
+      const seen = new Set<string>();
+      expect(withoutNames(asJson(await produce()), added, seen)).toEqual(await readGolden(name));
+      expect([...seen].sort()).toEqual([...added].sort());
     });
   });
--- a/packages/process-group/src/agreement/candidacy.ts
+++ b/packages/process-group/src/agreement/candidacy.ts
@@ -91,6 +91,15 @@
     return this.#hasFailed;
   }
 
+  /** Disks whose answer the attempt under way waits for, and in which phase; undefined while there is none. */
+  missing(): { readonly isPreVote: boolean; readonly disks: readonly string[] } | undefined {
+    const round = this.#round;
+    if (round === undefined) return undefined;
+    const { isPreVote, promises, supporters } = round;
+    const answered: { has(disk: string): boolean } = isPreVote ? supporters : promises;
+    return { isPreVote, disks: [...disksOf(this.#context.voters())].filter((disk) => !answered.has(disk)) };
+  }
+
   /** Whether this node has waited long enough to become a candidate. */
   isDue(nowMs: number): boolean {
     return nowMs >= this.#afterMs;
--- a/packages/process-group/src/agreement/coordinator.ts
+++ b/packages/process-group/src/agreement/coordinator.ts
@@ -19,6 +19,12 @@
 import { VersionProposer, type Proposal } from './version-proposer.js';
 import { VoterReplacement } from './voter-replacement.js';
 
+/** A step of a term, and who has not answered it: disks for a proposal, names of members for the others. */
+export interface PendingStep {
+  readonly step: 'proposal' | 'commit' | 'flush';
+  readonly missing: readonly string[];
+}
+
 /**
  * The one node that, in its epoch, changes the view and sequences the submitted
  * operations. One version at a time: chosen by a quorum of voters, then applied
@@ -95,6 +101,14 @@
     return this.#proposer.isOpposed(nowMs);
   }
 
+  /** What the version or the view change under way waits for; undefined while this term is idle. */
+  pendingStep(): PendingStep | undefined {
+    if (this.#proposer.isProposing) return { step: 'proposal', missing: this.#proposer.missingDisks() };
+    if (this.#commit.isPending) return { step: 'commit', missing: this.#commit.missingMembers() };
+    if (this.#viewChange.isCollecting) return { step: 'flush', missing: this.#viewChange.missingFlushes() };
+    return undefined;
+  }
+
   /** Takes an operation; an id already decided or waiting is not taken twice. */
   submit(operation: Operation, from: Member): void {
     const { id } = operation;
--- a/packages/process-group/src/agreement/election.ts
+++ b/packages/process-group/src/agreement/election.ts
@@ -10,6 +10,7 @@
 import type { Liveness } from '../membership/liveness.js';
 import type { LocalMember } from '../membership/local-member.js';
 import type { Transport } from '../transport/transport.js';
+import type { Member } from '@rainrun/messages';
 import type { Voters } from './voters.js';
 
 /**
@@ -73,6 +74,17 @@
       candidacy.begin(nowMs);
   }
 
+  /** The disk of the voter that this node lets go first; undefined if it is itself the next. */
+  firstInOrder(): string | undefined {
+    const { dependencies, local, voters } = this.#collaborators;
+    const disks = voters.list().map((voter) => voter.disk);
+    const ownDisk = dependencies.acceptor?.disk ?? '';
+    const first = local.inView
+      ? this.#firstMember(disks, local.nowMs())?.disk
+      : this.#firstOutside(disks, ownDisk);
+    return first === ownDisk ? undefined : first;
+  }
+
   /** The process was suspended: the voters before this one get their time anew. */
   onWake(nowMs: number): void {
     this.#turnEndMs = undefined;
@@ -112,30 +124,30 @@
   #isNext(disk: string, nowMs: number): boolean {
     const { local, voters } = this.#collaborators;
     const disks = voters.list().map((voter) => voter.disk);
-    return local.inView ? this.#isFirstMember(disks, nowMs) : this.#isFirstOutside(disks, disk);
+    if (!local.inView) return this.#firstOutside(disks, disk) === disk;
+    return this.#firstMember(disks, nowMs)?.incarnation === local.incarnation;
   }
 
-  #isFirstMember(disks: readonly string[], nowMs: number): boolean {
+  #firstMember(disks: readonly string[], nowMs: number): Member | undefined {
     const { liveness, local } = this.#collaborators;
-    const first = local.view?.members.find(
+    return local.view?.members.find(
       ({ disk, incarnation }) =>
         incarnation === local.incarnation ||
         (disks.includes(disk) && liveness.isLive(incarnation, nowMs) && !liveness.isResigning(incarnation)),
     );
-    return first?.incarnation === local.incarnation;
   }
 
-  #isFirstOutside(disks: readonly string[], ownDisk: string): boolean {
+  #firstOutside(disks: readonly string[], ownDisk: string): string | undefined {
     const { discovery, local } = this.#collaborators;
     const contacts = discovery.freshContacts();
-    if (contacts.some((contact) => contact.inView && disks.includes(contact.member.disk))) return false;
+    const member = contacts.find((contact) => contact.inView && disks.includes(contact.member.disk));
+    if (member !== undefined) return member.member.disk;
     const number = Math.max(1, local.newestVersion);
-    const first = disks.find(
+    return disks.find(
       (disk) =>
         disk === ownDisk ||
         contacts.some((contact) => contact.newestVersion >= number && contact.member.disk === disk),
     );
-    return first === ownDisk;
   }
 
   #candidacyContext(acceptor: Acceptor): CandidacyContext {
--- a/packages/process-group/src/agreement/version-commit.ts
+++ b/packages/process-group/src/agreement/version-commit.ts
@@ -49,11 +49,28 @@
     return this.#committedVersion;
   }
 
+  /** Whether a chosen version waits to be applied by its majorities. */
+  get isPending(): boolean {
+    return this.#pending !== undefined;
+  }
+
   /** Whether this epoch has committed a version of its own. */
   get ready(): boolean {
     return this.#ready;
   }
 
+  /** Members that have neither applied the chosen version nor departed, by name; empty while nothing waits. */
+  missingMembers(): readonly string[] {
+    const pending = this.#pending;
+    if (pending === undefined) return [];
+    return pending.views
+      .flatMap((view) => view.members)
+      .filter(
+        (member) => this.#applied.of(member.incarnation) < pending.number && !this.#departed.has(member),
+      )
+      .map((member) => member.name);
+  }
+
   /** Begins to commit a version that was chosen. */
   begin(state: Pick<GroupState<unknown>, 'number' | 'previousView' | 'view'>): void {
     const before = state.previousView === undefined ? [] : [state.previousView];
--- a/packages/process-group/src/agreement/version-proposer.ts
+++ b/packages/process-group/src/agreement/version-proposer.ts
@@ -56,6 +56,13 @@
     return this.#proposal !== undefined;
   }
 
+  /** Disks that have not accepted the version on its way. */
+  missingDisks(): readonly string[] {
+    const proposal = this.#proposal;
+    if (proposal === undefined) return [];
+    return [...disksOf(proposal.state)].filter((disk) => !proposal.acks.has(disk));
+  }
+
   /** Whether the version on its way holds this operation. */
   hasOperation(id: string): boolean {
     return this.#proposal?.entry.operations.some((known) => known.id === id) ?? false;
--- a/packages/process-group/src/group-wiring.ts
+++ b/packages/process-group/src/group-wiring.ts
@@ -1,6 +1,7 @@
 /** Wires the parts of a group together; no part imports this module. */
 import { Casts } from './multicast/casts.js';
 import { Coordination } from './agreement/coordination.js';
+import { CoordinatorWaitReport } from './agreement/coordinator-wait.js';
 import { CoordinatorWatch } from './agreement/coordinator-watch.js';
 import { Directory } from './membership/directory.js';
 import { Discovery } from './membership/discovery.js';
@@ -65,6 +66,8 @@
   readonly founding: Founding<S>;
   /** Claims to the next epoch. */
   readonly election: Election<S>;
+  /** What this node waits for while it knows no coordinator. */
+  readonly coordinatorWait: CoordinatorWaitReport<S>;
 
   constructor(dependencies: GroupDependencies<S>) {
     this.dependencies = dependencies;
@@ -86,5 +89,6 @@
     this.coordination = new Coordination<S>(this);
     this.founding = new Founding<S>(this);
     this.election = new Election<S>(this);
+    this.coordinatorWait = new CoordinatorWaitReport<S>(this);
   }
 }
--- a/packages/process-group/src/group.ts
+++ b/packages/process-group/src/group.ts
@@ -8,6 +8,7 @@
   type Member,
   type View,
 } from '@rainrun/messages';
+import type { CoordinatorWait } from './agreement/coordinator-wait.js';
 import type { GroupDependencies } from './group-dependencies.js';
 import { GroupWiring } from './group-wiring.js';
 import type { GroupState } from './agreement/group-state.js';
@@ -63,6 +64,18 @@
     return this.#wiring.local.epoch;
   }
 
+  /** What this node waits for while it knows no coordinator that commits; undefined while it knows one. */
+  coordinatorWait(): CoordinatorWait | undefined {
+    const { coordinatorWait, local } = this.#wiring;
+    return coordinatorWait.report(local.nowMs());
+  }
+
+  /** For how long this node's disk has synced nothing though writes wait, in milliseconds. */
+  get diskWaitMs(): number {
+    const { diskWatch, local } = this.#wiring;
+    return diskWatch.waitMs(local.nowMs());
+  }
+
   /** Casts kept until all members are known to have them. */
   get unstableCount(): number {
     return this.#wiring.casts.unstableCount;
@@ -145,8 +158,8 @@
 
   /** Does what is due now. The order counts: each step sees what the ones before it changed. */
   tick(): void {
-    const { discovery, diskWatch, heartbeats, leases, local, submissions, transport, versions, viewChange } =
-      this.#wiring;
+    const { coordinatorWait, discovery, diskWatch, heartbeats, leases, local } = this.#wiring;
+    const { submissions, transport, versions, viewChange } = this.#wiring;
     const nowMs = local.nowMs();
     this.#noteSuspension(nowMs);
     const isDiskStalled = diskWatch.isStalled(nowMs, local.inView);
@@ -158,6 +171,7 @@
     submissions.sendDue();
     transport.tick(nowMs);
     versions.tick(nowMs);
+    coordinatorWait.tick(nowMs);
   }
 
   /** Takes a frame that came from another node. */
--- a/packages/process-group/src/index.ts
+++ b/packages/process-group/src/index.ts
@@ -4,6 +4,7 @@
 export * from './agreement/candidacy.js';
 export * from './agreement/coordinator.js';
 export * from './agreement/coordinator-context.js';
+export * from './agreement/coordinator-wait.js';
 export * from './leases/lease-acknowledgements.js';
 export * from './group-dependencies.js';
 export * from './group.js';
--- a/packages/process-group/src/membership/disk-watch.ts
+++ b/packages/process-group/src/membership/disk-watch.ts
@@ -25,15 +25,16 @@
    * sooner.
    */
   isStalled(nowMs: number, inView: boolean): boolean {
-    return inView ? this.#waitMs(nowMs) > this.#times.maxLagMs : this.isSlow(nowMs);
+    return inView ? this.waitMs(nowMs) > this.#times.maxLagMs : this.isSlow(nowMs);
   }
 
   /** Whether the disk holds up this node's own promise: then the next voter becomes the candidate. */
   isSlow(nowMs: number): boolean {
-    return this.#waitMs(nowMs) > this.#times.suspectMs;
+    return this.waitMs(nowMs) > this.#times.suspectMs;
   }
 
-  #waitMs(nowMs: number): number {
+  /** For how long a write has waited without a sync; 0 while none waits. */
+  waitMs(nowMs: number): number {
     const acceptor = this.#acceptor;
     if (acceptor === undefined || !acceptor.busy) {
       this.#lastSync = undefined;
--- a/packages/process-group/src/membership/view-change-coordinator.ts
+++ b/packages/process-group/src/membership/view-change-coordinator.ts
@@ -74,6 +74,15 @@
     return this.#change !== undefined;
   }
 
+  /** Members that have not flushed for the change under way, by name. */
+  missingFlushes(): readonly string[] {
+    const change = this.#change;
+    if (change === undefined) return [];
+    return change.staying
+      .filter((member) => !change.castsByMember.has(member.incarnation))
+      .map((member) => member.name);
+  }
+
   onFlushReply(incarnation: string, reply: FlushReply): void {
     if (reply.epoch !== this.#epoch || reply.change !== this.#change?.id) return;
     this.#change.castsByMember.set(incarnation, reply.unstableCasts);
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -20,6 +20,7 @@
 import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
 import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM } from './process-environment.js';
 import { OperatorServer } from './operator-server.js';
+import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
 
 const TICK_MS = 25;
@@ -29,6 +30,10 @@
 const LIST_TIMEOUT_MS = 900;
 const ORDER_TIMEOUT_MS = 800;
 const COUNTERS_INTERVAL_MS = 10_000;
+/** A core without a coordinator says at this interval what it waits for. */
+const WAIT_LOG_INTERVAL_MS = 1000;
+/** A disk that has synced nothing for so long, while this process ran, is given up: the process ends. */
+const DISK_HANG_MAX_MS = 30_000;
 
 /** The answer of a worker. */
 interface WorkerReply {
@@ -48,6 +53,7 @@
   #settings: PlatformSettings;
   #dialect: Dialect;
   #log: Log;
+  #onFatal: (why: Fault) => void;
   #transport: PeerTransport;
   #replica: CoreReplica;
   #link = new PoolLink(WORKER_CONNECTION_TIMES);
@@ -60,11 +66,19 @@
   #stopping = false;
   #wasCoordinator = false;
   #ticks = 0;
+  #waitLoggedMs = -Infinity;
 
-  private constructor(settings: PlatformSettings, dialect: Dialect, log: Log, acceptor: Acceptor) {
+  private constructor(
+    settings: PlatformSettings,
+    dialect: Dialect,
+    log: Log,
+    acceptor: Acceptor,
+    onFatal: (why: Fault) => void,
+  ) {
     this.#settings = settings;
     this.#dialect = dialect;
     this.#log = log;
+    this.#onFatal = onFatal;
     this.#transport = new PeerTransport('system', (frame) => this.#replica.receive(frame));
     const seeds = seedAddresses(settings);
     this.#replica = new CoreReplica({
@@ -98,7 +112,10 @@
     this.#operatorServer = new OperatorServer(dialect, this.#operators, log);
   }
 
-  /** Opens the disk; a fault says why it cannot be used. */
+  /**
+   * Opens the disk; a fault says why it cannot be used. `onFatal` is told what must end the process later: a disk that
+   * fails or hangs (`disk`), or a peer port that stays taken (`bad-setting`).
+   */
   static async open(
     settings: PlatformSettings,
     dialect: Dialect,
@@ -112,15 +129,13 @@
       random: SYSTEM_RANDOM,
       onFatal,
     });
-    return acceptor.map((opened) => new CoreNode(settings, dialect, log, opened));
+    return acceptor.map((opened) => new CoreNode(settings, dialect, log, opened, onFatal));
   }
 
   /** Listens and begins to take part in the group. */
-  async start(): Promise<void> {
-    const { host, ports, listenAddresses: listen } = this.#settings;
-    const bound = await this.#transport.listen(`${host}:${ports[0]}`);
-    if (bound.isErr)
-      this.#log.error({ kind: bound.error.kind, detail: bound.error.detail }, 'peer listener failed');
+  start(): void {
+    const { host, listenAddresses: listen } = this.#settings;
+    void this.#listenForPeers();
     this.#operatorServer.listen(host, splitAddress(listen.operators).port);
     this.#timers.push(
       setInterval(() => this.#tick(), TICK_MS),
@@ -129,6 +144,12 @@
     this.#log.info({ operators: listen.operators, founding: this.#settings.founding }, 'started');
   }
 
+  async #listenForPeers(): Promise<void> {
+    const { host, ports } = this.#settings;
+    const bound = await listenForPeers(this.#transport, `${host}:${ports[0]}`, this.#log);
+    if (bound.isErr) this.#onFatal(bound.error);
+  }
+
   /** Graceful shutdown: rejects operators, takes leave of the group and stops its timers; the process is to exit then. */
   async stop(): Promise<void> {
     if (this.#stopping) return;
@@ -146,6 +167,7 @@
     const { isCoordinator: leading } = this.#replica.group;
     if (!leading && this.#ticks % NON_COORDINATOR_TICK_DIVISOR !== 0) return;
     this.#replica.tick();
+    this.#reportWaits();
     if (leading !== this.#wasCoordinator) {
       this.#wasCoordinator = leading;
       this.#listedMs = -Infinity;
@@ -154,6 +176,20 @@
     if (leading && MONOTONIC_CLOCK.nowMs() - this.#listedMs >= LIST_INTERVAL_MS) void this.#pollWorkerList();
   }
 
+  /** Says what this core waits for, and ends the process where that will hardly come. */
+  #reportWaits(): void {
+    const { group } = this.#replica;
+    const { diskWaitMs } = group;
+    if (diskWaitMs > DISK_HANG_MAX_MS)
+      return this.#onFatal(fault('disk', `no write was synced for ${Math.round(diskWaitMs)} ms`));
+    const wait = group.coordinatorWait();
+    const nowMs = MONOTONIC_CLOCK.nowMs();
+    if (wait === undefined || nowMs - this.#waitLoggedMs < WAIT_LOG_INTERVAL_MS) return;
+    this.#waitLoggedMs = nowMs;
+    const { isListening: listening } = this.#transport;
+    this.#log.warn({ wait, listening }, 'no coordinator');
+  }
+
   // The platform's list.
 
   async #pollWorkerList(): Promise<void> {
@@ -274,11 +310,15 @@
       voters: group.state?.voters.length ?? 0,
       leading: group.isCoordinator ? 1 : 0,
       granted: group.holdsLease() ? 1 : 0,
+      'without coordinator ms': group.coordinatorWait()?.waitedMs ?? 0,
+      'disk wait ms': Math.round(group.diskWaitMs),
       followers,
       // The number of the table's last change, not a count of rows; the metric keeps its name.
       rows: workerTable.number,
       ...planner.counts,
       framesIn: this.#transport.counts.framesIn,
+      'peer resets': this.#transport.counts.resets,
+      'listen failures': this.#transport.counts.listenFailures,
       bytesOut: this.#transport.counts.bytesOut,
       ...processUsage(),
     };
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -5,13 +5,14 @@
 import { ModelDemandSchema, WorkerOutcomesSchema, type ModelDemand } from '@rainrun/messages';
 import { PoolLink } from '@rainrun/gateway';
 import { EdgeReplica } from '@rainrun/cluster-node';
-import type { Clock } from '@rainrun/common';
+import type { Clock, Fault } from '@rainrun/common';
 import { Router } from '@rainrun/router';
 import type { EdgeDialect, PlatformSettings } from './dialect.js';
 import { ClientServer } from './client-server.js';
 import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
 import type { Log } from './log.js';
 import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM } from './process-environment.js';
+import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
 
 /** Interval of ticks while requests wait here, and while this edge is not ready. */
@@ -100,12 +101,13 @@
     });
   }
 
-  /** Listens for cores, clients and readiness checks, and begins to subscribe. */
-  async start(): Promise<void> {
-    const { host, ports, listenAddresses: listen } = this.#settings;
-    const bound = await this.#transport.listen(`${host}:${ports[0] + 1}`);
-    if (bound.isErr)
-      this.#log.error({ kind: bound.error.kind, detail: bound.error.detail }, 'peer listener failed');
+  /**
+   * Listens for cores, clients and readiness checks, and begins to subscribe. `onFatal` is told if the port for
+   * the cores stays taken (`bad-setting`): the process is to end then.
+   */
+  async start(onFatal: (why: Fault) => void): Promise<void> {
+    const { host, listenAddresses: listen } = this.#settings;
+    void this.#listenForCores(onFatal);
     await this.#clientServer.listen(listen.clients);
     this.#readiness.listen(splitAddress(listen.readiness).port, host);
     this.#timers.push(
@@ -115,6 +117,12 @@
     this.#log.info({ clients: listen.clients }, 'started');
   }
 
+  async #listenForCores(onFatal: (why: Fault) => void): Promise<void> {
+    const { host, ports } = this.#settings;
+    const bound = await listenForPeers(this.#transport, `${host}:${ports[0] + 1}`, this.#log);
+    if (bound.isErr) onFatal(bound.error);
+  }
+
   /** Graceful shutdown: not ready any more, then no new connections, then responses in flight within the grace period. */
   async stop(): Promise<void> {
     if (this.#stopping) return;
--- a/packages/runtime/src/peer-transport.ts
+++ b/packages/runtime/src/peer-transport.ts
@@ -1,7 +1,8 @@
 /** Frames between nodes over TCP, for both systems. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 import { FRAME_MAX_BYTES, encodeFrame, decodeFrame, type Frame } from '@rainrun/messages';
-import { fault, type Fault } from '@rainrun/common';
+import { backoffMs, fault, type BackoffPolicy, type Fault } from '@rainrun/common';
 import { Result, type Unit } from 'true-myth';
 
 const BACKLOG_MAX_BYTES = 16 * 1024 * 1024;
@@ -11,6 +12,12 @@
 const ACK = Buffer.from([1]);
 /** Acknowledgements wait this long for more to acknowledge: well below the time-out of the sender. */
 const ACK_DELAY_MS = 200;
+/** An accepted connection that brings nothing for so long is closed: its sender has gone without a word. */
+const ACCEPTED_IDLE_MS = 60_000;
+/** Waits between two attempts to listen. */
+const LISTEN_RETRY: BackoffPolicy = { firstMs: 100, maxMs: 2000 };
+/** A port that is not free for so long will hardly become so. */
+export const LISTEN_GIVE_UP_MS = 30_000;
 
 /** Counters of the transport. */
 export interface TransportCounts {
@@ -21,15 +28,16 @@
   malformed: number;
   foreign: number;
   dropped: number;
+  /** Connections made anew since nothing on them was acknowledged. */
+  resets: number;
+  /** Attempts to listen that failed. */
+  listenFailures: number;
 }
 
 interface PeerConnection {
-  socket: Socket;
-  open: boolean;
+  readonly socket: Socket;
   /** Since when something is unacknowledged; the other end says so by a byte for each lot that it read. */
   unacknowledgedSinceMs: number | undefined;
-  /** Whether the other end acknowledges at all: earlier builds do not. */
-  acknowledges: boolean;
 }
 
 /**
@@ -57,6 +65,8 @@
     malformed: 0,
     foreign: 0,
     dropped: 0,
+    resets: 0,
+    listenFailures: 0,
   };
 
   constructor(deployment: string, take: (frame: Frame) => void) {
@@ -77,13 +87,39 @@
     const server = createServer((socket) => this.#accept(socket));
     this.#server = server;
     return new Promise((resolve) => {
-      server.once('error', (thrown) =>
+      server.on('error', (thrown) =>
         resolve(Result.err(fault('bad-setting', `bind ${address}: ${thrown.message}`))),
       );
       server.listen(port, host, () => resolve(Result.ok()));
     });
   }
 
+  /**
+   * Listens like `listen`, again with growing waits where that fails, for `giveUpMs` at most; `onFailure` is told
+   * of each attempt but the last. A process that hears nobody must not run on without a word.
+   */
+  async listenPersistently(
+    address: string,
+    onFailure: (why: Fault) => void,
+    giveUpMs = LISTEN_GIVE_UP_MS,
+  ): Promise<Result<Unit, Fault>> {
+    const endMs = performance.now() + giveUpMs;
+    for (let failures = 0; ; failures += 1) {
+      const bound = await this.listen(address);
+      if (bound.isOk || this.#closed) return bound;
+      this.counts.listenFailures += 1;
+      const waitMs = backoffMs(LISTEN_RETRY, failures);
+      if (performance.now() + waitMs > endMs) return bound;
+      onFailure(bound.error);
+      await pause(waitMs);
+    }
+  }
+
+  /** Whether the listener for peers is bound. */
+  get isListening(): boolean {
+    return this.#server?.listening ?? false;
+  }
+
   /** Sends a frame, or drops and counts it where the peer is not connected or its backlog is full. */
   send(address: string, frame: Frame): void {
     const connection = this.#connectionTo(address);
@@ -113,24 +149,16 @@
     const known = this.#connections.get(address);
     if (known !== undefined && !isAckOverdue(known, nowMs)) return known;
     if (known !== undefined) {
+      this.counts.resets += 1;
       this.#connections.delete(address);
       known.socket.resetAndDestroy();
     }
     if (this.#closed || nowMs - (this.#failedMs.get(address) ?? -Infinity) < RECONNECT_DELAY_MS)
       return undefined;
     const socket = createConnection({ ...splitAddress(address), localAddress: this.#host, noDelay: true });
-    const connection: PeerConnection = {
-      socket,
-      open: false,
-      unacknowledgedSinceMs: undefined,
-      acknowledges: false,
-    };
+    const connection: PeerConnection = { socket, unacknowledgedSinceMs: undefined };
     this.#connections.set(address, connection);
-    socket.on('connect', () => {
-      connection.open = true;
-    });
     socket.on('data', () => {
-      connection.acknowledges = true;
       connection.unacknowledgedSinceMs = undefined;
     });
     socket.on('error', () => undefined);
@@ -153,6 +181,7 @@
     }
     this.#acceptedSockets.add(socket);
     socket.setNoDelay(true);
+    socket.setTimeout(ACCEPTED_IDLE_MS, () => socket.destroy());
     socket.on('error', () => undefined);
     socket.on('close', () => {
       clearTimeout(acking);
@@ -193,13 +222,13 @@
   }
 }
 
-/** A partition delays bytes without an error, and TCP retransmits at growing intervals: a new connection recovers sooner. */
-function isAckOverdue(connection: PeerConnection, nowMs: number): boolean {
-  return (
-    connection.unacknowledgedSinceMs !== undefined &&
-    nowMs - connection.unacknowledgedSinceMs > ACK_TIMEOUT_MS &&
-    (connection.acknowledges || !connection.open)
-  );
+/**
+ * A partition delays bytes without an error, and TCP retransmits at growing intervals: a new connection recovers
+ * sooner. It counts from the first byte: a peer that loses power just after the connection came up has never
+ * acknowledged anything, and never will.
+ */
+function isAckOverdue({ unacknowledgedSinceMs }: PeerConnection, nowMs: number): boolean {
+  return unacknowledgedSinceMs !== undefined && nowMs - unacknowledgedSinceMs > ACK_TIMEOUT_MS;
 }
 
 /**
--- a/packages/runtime/src/platform-program.ts
+++ b/packages/runtime/src/platform-program.ts
@@ -9,7 +9,7 @@
 import type { Log } from './log.js';
 
 /** Exit codes of the programs on a platform. */
-const EXIT_CODES = { success: 0, badSetting: 2, badDisk: 3 } as const;
+const EXIT_CODES = { success: 0, badSetting: 2, badDisk: 3, noListener: 5 } as const;
 
 /** A program's settings, and the log that it writes to. */
 interface ProgramSetup {
@@ -27,7 +27,7 @@
   if (setup === undefined) return;
   const node = new EdgeNode(setup.settings, dialect, setup.log);
   onStop(() => node.stop());
-  return node.start();
+  return node.start(endOn);
 }
 
 /**
@@ -38,15 +38,13 @@
 export async function runCore(dialect: Dialect, path: string): Promise<void> {
   const setup = setUp(dialect, path);
   if (setup === undefined) return;
-  const opened = await CoreNode.open(setup.settings, dialect, setup.log, (why) => {
-    end(EXIT_CODES.badDisk, [why]);
-  });
+  const opened = await CoreNode.open(setup.settings, dialect, setup.log, endOn);
   if (opened.isErr) {
     end(EXIT_CODES.badDisk, [opened.error]);
     return;
   }
   onStop(() => opened.value.stop());
-  return opened.value.start();
+  opened.value.start();
 }
 
 /** Reads the settings and opens the log; where the settings are bad the program ends, and nothing is returned. */
@@ -77,6 +75,11 @@
   process.on('SIGINT', handle);
 }
 
+/** Ends the process on what a running node cannot go on without: its disk, or its port for the other nodes. */
+function endOn(why: Fault): void {
+  end(why.kind === 'bad-setting' ? EXIT_CODES.noListener : EXIT_CODES.badDisk, [why]);
+}
+
 function end(code: number, why: readonly Fault[]): void {
   for (const { kind, detail } of why) console.error(`${kind}: ${detail}`);
   process.exit(code);
--- a/packages/runtime/src/testing/edge-under-test.ts
+++ b/packages/runtime/src/testing/edge-under-test.ts
@@ -271,7 +271,9 @@
     const ready = new AwaitingLog('readiness');
     const edge = new EdgeUnderTest(core, ports, options, ready);
     void core.list(workers.map(({ name, address }) => ({ id: name, address })));
-    await edge.node.start();
+    await edge.node.start((why) => {
+      throw new Error(`${why.kind}: ${why.detail}`);
+    });
     await ready.seen;
     return edge;
   }
--- a/packages/storage/src/record-store.ts
+++ b/packages/storage/src/record-store.ts
@@ -119,7 +119,10 @@
   }
 
   store(kind: RecordKind, bytes: Uint8Array, done: (result: Result<Unit, Fault>) => void): void {
-    this.#tail = this.#tail.then(() => this.#write(kind, bytes)).then(done);
+    this.#tail = this.#tail
+      .then(() => this.#write(kind, bytes))
+      // An error of `done` is its caller's: it becomes uncaught, and later writes still go on.
+      .then((result) => queueMicrotask(() => done(result)));
   }
 
   async #write(kind: RecordKind, bytes: Uint8Array): Promise<Result<Unit, Fault>> {
--- a/packages/storage/src/storage.test.ts
+++ b/packages/storage/src/storage.test.ts
@@ -61,6 +61,23 @@
     expect(opened.isOk && opened.value.records.version).toEqual(new Uint8Array([3]));
   });
 
+  it('goes on writing though a caller fails on what it is told, and the error is not lost', async () => {
+    const opened = await RecordStore.open(await folder());
+    if (opened.isErr) throw new Error(opened.error.detail);
+    const { recordStore } = opened.value;
+    const uncaught = new Promise<unknown>((resolve) => {
+      process.setUncaughtExceptionCaptureCallback(resolve);
+    });
+    recordStore.store('promise', new Uint8Array([1]), () => {
+      throw new Error('a defect');
+    });
+    const later = await new Promise<boolean>((resolve) => {
+      recordStore.store('promise', new Uint8Array([2]), (result) => resolve(result.isOk));
+    });
+    expect([String(await uncaught), later]).toEqual(['Error: a defect', true]);
+    process.setUncaughtExceptionCaptureCallback(null);
+  });
+
   it('refuses a torn newest version instead of going back to an older one', async () => {
     const path = await folder();
     await filled(path);
