--- a/packages/process-group/src/agreement/candidacy.ts
+++ b/packages/process-group/src/agreement/candidacy.ts
@@ -17,6 +17,9 @@
 /** Voters that lose a coordinator at the same moment become candidates within this time of one another. */
 const START_JITTER_MS = 300;
 
+/** The part of `suspectMs` for which a voter that promised an epoch leaves the candidate time to make something of it. */
+const PROMISE_HOLD_FRACTION = 1 / 2;
+
 /** A disk that learns in its candidacy that it votes no longer waits so many times `suspectMs` before the next one. */
 const NON_VOTER_WAIT_FACTOR = 5;
 
@@ -67,6 +70,8 @@
   #round: PrepareRound | undefined;
   #afterMs: number;
   #proposalSeenMs = -Infinity;
+  /** The candidate that was promised an epoch last, and when. */
+  #promised: { readonly candidate: string; readonly atMs: number } | undefined;
   #hasFailed = false;
   #jitter: number;
 
@@ -132,8 +137,16 @@
   isCoordinated(candidate: string | undefined, nowMs: number): boolean {
     const following = this.#context.followedCoordinator();
     if (following !== undefined && following !== candidate) return true;
+    const { suspectMs } = this.#context.times;
     const ownDelayMs = candidate === undefined ? this.#jitter * START_JITTER_MS : 0;
-    return nowMs - this.#proposalSeenMs < this.#context.times.suspectMs + ownDelayMs;
+    return nowMs - this.#proposalSeenMs < suspectMs + ownDelayMs;
+  }
+
+  /** Whether another candidate was promised an epoch so lately that it is left time to make something of it. */
+  isHoldingPromise(candidate: string | undefined, nowMs: number): boolean {
+    const promised = this.#promised;
+    if (promised === undefined || promised.candidate === candidate) return false;
+    return nowMs - promised.atMs < this.#context.times.suspectMs * PROMISE_HOLD_FRACTION;
   }
 
   /** Starts a candidacy for the epoch after the newest known: the pre-vote, then the prepare phase. */
@@ -186,9 +199,11 @@
     const { acceptor } = this.#context;
     const member = this.#context.member(from);
     if (member === undefined) return;
-    const taken = this.isCoordinated(from, this.#context.nowMs());
+    const nowMs = this.#context.nowMs();
+    const taken = this.isCoordinated(from, nowMs);
     if (taken || prepare.preVote) {
-      const granted = !taken && prepare.epoch > acceptor.promisedEpoch;
+      const isFree = !taken && !this.isHoldingPromise(from, nowMs);
+      const granted = isFree && prepare.epoch > acceptor.promisedEpoch;
       const { epoch, preVote: isPreVote } = prepare;
       const value = create(PromiseSchema, {
         epoch,
@@ -199,7 +214,10 @@
       });
       return this.#context.send(member, { case: 'promise', value });
     }
-    acceptor.prepare(prepare, (promise) => this.#context.send(member, { case: 'promise', value: promise }));
+    acceptor.prepare(prepare, (promise) => {
+      if (promise.granted) this.#promised = { candidate: from, atMs: this.#context.nowMs() };
+      this.#context.send(member, { case: 'promise', value: promise });
+    });
   }
 
   /** Takes the answer to this node's own pre-vote or prepare. */
@@ -214,13 +232,14 @@
   }
 
   /**
-   * A voter that knows this epoch or a newer one ends the round. One that only hears a coordinator
-   * does not, as long as the others are a quorum: a coordinator at work is heard by more than one.
+   * A voter that knows a newer epoch ends the round. One that hears a coordinator, or promised this
+   * epoch to another candidate, does not as long as the others are a quorum: a coordinator at work is
+   * heard by more than one.
    */
   #onRefusal(round: PrepareRound, { disk, seenEpoch }: Promised): void {
     round.refusers.add(disk);
     const voters = this.#context.voters();
-    const isOutdated = seenEpoch >= round.epoch;
+    const isOutdated = seenEpoch > round.epoch;
     if (isOutdated || !isQuorum(voters, without(disksOf(voters), round.refusers)))
       this.#backOff(this.#context.nowMs());
   }
--- a/packages/process-group/src/agreement/election.ts
+++ b/packages/process-group/src/agreement/election.ts
@@ -70,8 +70,9 @@
     if (coordinatorWatch.live() !== undefined) this.#turnEndMs = undefined;
     if (!candidacy.isDue(nowMs) && !this.#mayStartEarly(candidacy, acceptor)) return;
     if (coordination.isIneligible(nowMs) || acceptor.busy) return;
-    if (this.#isTurn(candidacy, acceptor.disk, nowMs) && !candidacy.isCoordinated(undefined, nowMs))
-      candidacy.begin(nowMs);
+    if (!this.#isTurn(candidacy, acceptor.disk, nowMs)) return;
+    if (candidacy.isCoordinated(undefined, nowMs) || candidacy.isHoldingPromise(undefined, nowMs)) return;
+    candidacy.begin(nowMs);
   }
 
   /** The disk of the voter that this node lets go first; undefined if it is itself the next. */
