--- /dev/null
+++ b/packages/process-group/src/membership/waits.test.ts
@@ -0,0 +1,71 @@
+/** Waits inside a view, and what ends them when what is waited for never comes. */
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { TestCluster, type TestNode } from '../testing/test-cluster.js';
+
+const CORES = ['a', 'b', 'c', 'd', 'e'];
+
+function founded(): { cluster: TestCluster; leader: TestNode; followers: TestNode[] } {
+  const cluster = new TestCluster(CORES, 2);
+  cluster.found();
+  const leader = cluster.leader();
+  if (leader === undefined) throw new Error('no leader after the founding');
+  return { cluster, leader, followers: cluster.running.filter((node) => node !== leader) };
+}
+
+function viewNames(node: TestNode): string[] {
+  return (node.group.view?.members ?? []).map((member) => member.name);
+}
+
+describe('a wait inside a view', () => {
+  it('for a member whose disk hangs ends as it leaves the view; changes go on meanwhile', () => {
+    const { cluster, leader, followers } = founded();
+    const [hung] = followers;
+    if (hung === undefined) return;
+    hung.stalled = true;
+    expect(cluster.recover(10_000)).toSatisfy((ms: number) => ms < 1000);
+    const tookMs = cluster.runUntil(() => !viewNames(leader).includes(hung.name), 20_000);
+    expect(tookMs).toSatisfy((ms: number) => ms < 7000);
+  });
+
+  it('for the disks of a majority ends when they sync again, and nothing acknowledged is lost', () => {
+    const { cluster, leader, followers } = founded();
+    for (const node of followers.slice(0, 3)) node.stalled = true;
+    cluster.submit(leader.name);
+    cluster.run(6000);
+    for (const node of followers) node.stalled = false;
+    expect(cluster.recover(10_000)).toSatisfy((ms: number) => ms < 3000);
+    cluster.run(2000);
+    expect(cluster.missingOperations(cluster.leader()?.name ?? '')).toEqual([]);
+  });
+
+  it('for a member that left without being heard ends by its silence', () => {
+    const { cluster, leader, followers } = founded();
+    const [left] = followers;
+    if (left === undefined) return;
+    cluster.setIsolated(left.name, true);
+    left.group.leave();
+    cluster.stop(left.name);
+    const tookMs = cluster.runUntil(() => !viewNames(leader).includes(left.name), 10_000);
+    expect(tookMs).toSatisfy((ms: number) => ms < 3000);
+  });
+
+  it('for a coordinator that left without being heard ends by an election', () => {
+    const { cluster, leader } = founded();
+    cluster.setIsolated(leader.name, true);
+    leader.group.leave();
+    cluster.stop(leader.name);
+    expect(cluster.recover(10_000)).toSatisfy((ms: number) => ms < 4000);
+  });
+
+  it('for flushes of members that cannot answer ends with a view without them', () => {
+    const { cluster, leader, followers } = founded();
+    const [lost, deaf] = followers;
+    if (lost === undefined || deaf === undefined) return;
+    cluster.stop(lost.name);
+    cluster.severedLinks.add(`${deaf.name} ${leader.name}`);
+    const tookMs = cluster.runUntil(() => viewNames(leader).length === CORES.length - 2, 20_000);
+    expect(tookMs).toSatisfy((ms: number) => ms < 6000);
+    expect(cluster.recover(10_000)).toSatisfy((ms: number) => ms < 1000);
+  });
+});
--- a/packages/router/src/streams.test.ts
+++ b/packages/router/src/streams.test.ts
@@ -46,6 +46,24 @@
     ]);
   });
 
+  it('that is taken up a second later is handed what is left of its time, not what there was', () => {
+    const harness = new RouterHarness([worker('w1'), worker('w2')]);
+    harness.earn(5);
+    harness.submit('/talk/x', { deadlineMs: 2500 });
+    const first = harness.last();
+    first.start();
+    first.openStream('s1');
+    first.events('id: 1\ndata: a\n\n');
+    harness.nowMs += 1000;
+    first.handler.failed(true, 'reset');
+    const times = [first, harness.last()].map(({ request }) =>
+      valueOf(request.headers, HEADER_NAMES.deadlineMs),
+    );
+    const atMost = [2500, 1500];
+    expect(times.every((time, place) => Number(time) <= (atMost[place] ?? 0))).toEqual(true);
+    expect(Number(times[0]) - Number(times[1])).toEqual(1000);
+  });
+
   it('that may be resumed begins after the event that the client names', () => {
     const harness = new RouterHarness([worker('w1')]);
     harness.submit('/talk/x', { lastEventId: '12' });
--- a/packages/router/src/testing/router-harness.ts
+++ b/packages/router/src/testing/router-harness.ts
@@ -217,6 +217,8 @@
   workers = new Map<string, WorkerView>();
   missed = 0;
   waits = 0;
+  /** False: this edge knows no configuration yet. */
+  configured = true;
   readonly link = new RecordingLink();
   readonly router: Router;
   #asked = 0;
@@ -234,7 +236,7 @@
       link: this.link,
       headerNames: HEADER_NAMES,
       retries,
-      configuration: () => configuration,
+      configuration: () => (this.configured ? configuration : undefined),
       evacuated: () => this.evacuated,
       workers: () => this.workers,
       edges: () => this.edges,
