--- a/packages/process-group/src/agreement/candidacy.ts
+++ b/packages/process-group/src/agreement/candidacy.ts
@@ -238,10 +238,19 @@
    */
   #onRefusal(round: PrepareRound, { disk, seenEpoch }: Promised): void {
     round.refusers.add(disk);
+    if (seenEpoch > round.epoch || !this.#mayFindQuorum(round)) this.#backOff(this.#context.nowMs());
+  }
+
+  /** Whether the voters that are in touch and have not refused are a quorum. */
+  #mayFindQuorum(round: PrepareRound): boolean {
+    const { acceptor } = this.#context;
     const voters = this.#context.voters();
-    const isOutdated = seenEpoch > round.epoch;
-    if (isOutdated || !isQuorum(voters, without(disksOf(voters), round.refusers)))
-      this.#backOff(this.#context.nowMs());
+    const open = [...disksOf(voters)].filter(
+      (disk) =>
+        !round.refusers.has(disk) &&
+        (disk === acceptor.disk || this.#context.memberOfVoter(disk) !== undefined),
+    );
+    return isQuorum(voters, new Set(open));
   }
 
   /**
@@ -274,10 +283,6 @@
   }
 }
 
-function without(disks: ReadonlySet<string>, removed: ReadonlySet<string>): Set<string> {
-  return new Set([...disks].filter((disk) => !removed.has(disk)));
-}
-
 /** The newest version that a voter accepted, of those that promised. */
 function bestOf(round: PrepareRound): Version | undefined {
   let best: Version | undefined;
--- a/packages/process-group/src/agreement/coordination.ts
+++ b/packages/process-group/src/agreement/coordination.ts
@@ -24,6 +24,9 @@
 import type { Voters } from './voters.js';
 import { fromVersion } from './group-state.js';
 
+/** In a view a term may stand still for longer: its members have a coordinator, and slow disks are the usual cause. */
+const STALL_FACTOR_IN_VIEW = 2;
+
 /** What a coordinator's term needs. */
 interface CoordinationCollaborators<S> {
   readonly coordinatorWatch: CoordinatorWatch<S>;
@@ -55,9 +58,9 @@
   #coordinator: Coordinator<S> | undefined;
   #ineligibleUntilMs = -Infinity;
   #leaseLostMs: number | undefined;
-  /** What the term outside a view has come to, and since when. */
+  /** What the term has come to, and since when, while it waits for a version. */
   #stalled: { readonly progress: number; readonly sinceMs: number } | undefined;
-  /** Terms in a row that ended without progress outside a view. */
+  /** Terms in a row that ended without progress. */
   #stalledTerms = 0;
 
   constructor(collaborators: CoordinationCollaborators<S>) {
@@ -85,30 +88,36 @@
 
   /**
    * Drives the coordinator. It resigns when a majority of its view has not renewed its lease for
-   * too long, and outside a view, where there is no lease to lose, when its term makes no progress.
+   * too long, and when its term makes no progress.
    */
   tick(nowMs: number): void {
-    const { leases, local } = this.#collaborators;
+    const { dependencies, leases, local } = this.#collaborators;
+    const { resignMs } = dependencies.times;
     if (!local.inView || leases.isHeld()) this.#leaseLostMs = undefined;
     else this.#leaseLostMs ??= nowMs;
-    if (this.#leaseLostMs !== undefined && nowMs - this.#leaseLostMs > this.#leaseLossMaxMs())
-      return this.#resignFor(2 * this.#leaseLossMaxMs(), nowMs);
-    if (this.#isStalledOutside(nowMs)) return this.#resignStalled(nowMs);
+    if (this.#leaseLostMs !== undefined && nowMs - this.#leaseLostMs > resignMs)
+      return this.#resignFor(2 * resignMs, nowMs);
+    if (this.#isStalled(nowMs)) return this.#resignStalled(nowMs);
     if (this.#coordinator?.isOpposed(nowMs) === true) return this.#resign();
     this.#coordinator?.tick(nowMs);
   }
 
-  /** Whether this term, in no view, has gone without a chosen or committed version for too long. */
-  #isStalledOutside(nowMs: number): boolean {
+  /**
+   * Whether this term has gone without a chosen or committed version for too long, though it is in no view or a
+   * proposal is under way. A lease does not tell: the members that renew it need not be the voters that are missing.
+   */
+  #isStalled(nowMs: number): boolean {
     const { local } = this.#collaborators;
-    const progress = this.#coordinator?.progress;
-    if (local.inView || progress === undefined) {
+    const coordinator = this.#coordinator;
+    if (coordinator === undefined || (local.inView && !coordinator.isProposing)) {
       this.#stalled = undefined;
-      if (local.inView) this.#stalledTerms = 0;
+      if (coordinator !== undefined) this.#stalledTerms = 0;
       return false;
     }
+    const { progress } = coordinator;
     if (this.#stalled?.progress !== progress) this.#stalled = { progress, sinceMs: nowMs };
-    return nowMs - this.#stalled.sinceMs > this.#stallMaxMs();
+    const factor = local.inView ? STALL_FACTOR_IN_VIEW : 1;
+    return nowMs - this.#stalled.sinceMs > factor * this.#stallMaxMs();
   }
 
   /** Grows with the terms that came to nothing: disks and links may be slow everywhere. */
@@ -203,10 +212,6 @@
     this.#coordinator?.onAccepted(accepted);
   }
 
-  #leaseLossMaxMs(): number {
-    return this.#collaborators.dependencies.times.resignMs;
-  }
-
   #endTerm(): void {
     this.#coordinator = undefined;
     this.#leaseLostMs = undefined;
--- a/packages/process-group/src/agreement/coordinator.ts
+++ b/packages/process-group/src/agreement/coordinator.ts
@@ -96,6 +96,11 @@
     return this.#state.number + this.#commit.committedVersion;
   }
 
+  /** Whether a version waits for a quorum of voters. */
+  get isProposing(): boolean {
+    return this.#proposer.isProposing;
+  }
+
   /** Whether a voter that promised this epoch to another candidate keeps a proposal from a quorum for too long. */
   isOpposed(nowMs: number): boolean {
     return this.#proposer.isOpposed(nowMs);
--- a/packages/process-group/src/membership/waits.test.ts
+++ b/packages/process-group/src/membership/waits.test.ts
@@ -1,8 +1,12 @@
 /** Waits inside a view, and what ends them when what is waited for never comes. */
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { RECOVERY_BOUND_MS, runRestartTrial } from '../testing/restart-trial.js';
 import { TestCluster, type TestNode } from '../testing/test-cluster.js';
 
+/** Five members and four voters: the coordinator's lease is renewed by members that are not the voters it lacks. */
+const LEASE_WITHOUT_QUORUM_SEED = 11_107;
+
 const CORES = ['a', 'b', 'c', 'd', 'e'];
 
 function founded(): { cluster: TestCluster; leader: TestNode; followers: TestNode[] } {
@@ -39,6 +43,11 @@
     expect(cluster.missingOperations(cluster.leader()?.name ?? '')).toEqual([]);
   });
 
+  it('for voters that a coordinator with a lease does not reach ends by an election', () => {
+    const { lost, recoveredMs } = runRestartTrial(LEASE_WITHOUT_QUORUM_SEED);
+    expect([recoveredMs < RECOVERY_BOUND_MS, lost]).toEqual([true, []]);
+  });
+
   it('for a member that left without being heard ends by its silence', () => {
     const { cluster, leader, followers } = founded();
     const [left] = followers;
