--- a/eslint.config.js
+++ b/eslint.config.js
@@ -97,7 +97,7 @@
   },
   {
     files: [
-      'packages/{common,messages,failure-detector,storage,process-group,configuration,placement,gateway,cluster-node,workloads}/src/**/*.ts',
+      'packages/{common,messages,failure-detector,storage,process-group,configuration,placement,gateway,cluster-node,quotas,workloads}/src/**/*.ts',
     ],
     ignores: ['**/*.test.ts'],
     rules: {
--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -5,6 +5,7 @@
   | 'bad-request'
   | 'bad-spec'
   | 'bad-setting'
+  | 'unauthenticated'
   | 'unknown-group'
   | 'unknown-model'
   | 'not-found'
@@ -13,6 +14,7 @@
   | 'deadline-past'
   | 'conflict'
   | 'over-share'
+  | 'over-quota'
   | 'no-worker'
   | 'not-admitting'
   | 'draining'
@@ -41,6 +43,7 @@
   'bad-request': { status: 400, ran: 'no', retryAfterS: 0 },
   'bad-spec': { status: 422, ran: 'no', retryAfterS: 0 },
   'bad-setting': { status: 400, ran: 'no', retryAfterS: 0 },
+  unauthenticated: { status: 401, ran: 'no', retryAfterS: 0 },
   'unknown-group': { status: 403, ran: 'no', retryAfterS: 0 },
   'unknown-model': { status: 404, ran: 'no', retryAfterS: 0 },
   'not-found': { status: 404, ran: 'no', retryAfterS: 0 },
@@ -49,6 +52,7 @@
   'deadline-past': { status: 400, ran: 'no', retryAfterS: 0 },
   conflict: { status: 409, ran: 'no', retryAfterS: 0 },
   'over-share': { status: 429, ran: 'no', retryAfterS: 2 },
+  'over-quota': { status: 429, ran: 'no', retryAfterS: 1 },
   'no-worker': { status: 503, ran: 'no', retryAfterS: 2 },
   'not-admitting': { status: 503, ran: 'no', retryAfterS: 1 },
   draining: { status: 503, ran: 'no', retryAfterS: 1 },
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -47,6 +47,15 @@
   regions: v.optional(v.nullable(v.array(v.string()))),
   affinity: v.optional(v.boolean(), false),
   resumable: v.optional(v.boolean(), false),
+  public: v.optional(v.boolean(), false),
+});
+
+const TenantSchema = v.looseObject({
+  name: NonEmptyText,
+  apiKeys: v.optional(v.nullable(v.array(NonEmptyText)), []),
+  ratePerS: v.optional(v.nullable(Count), 0),
+  burst: v.optional(v.nullable(Count), 0),
+  priority: v.optional(v.nullable(Count)),
 });
 
 const LimitsSchema = v.looseObject({
@@ -60,14 +69,16 @@
   revision: v.pipe(v.number(), v.safeInteger(), v.minValue(1)),
   routes: v.array(RouteSchema),
   services: v.array(ServiceSchema),
+  tenants: v.optional(v.nullable(v.array(TenantSchema))),
   limits: v.optional(v.nullable(LimitsSchema)),
 });
 
-/** The same, with routes and services left to be checked one by one. */
+/** The same, with routes, services and tenants left to be checked one by one. */
 const OutlineSchema = v.looseObject({
   ...ConfigurationSchema.entries,
   routes: v.array(v.unknown()),
   services: v.array(v.unknown()),
+  tenants: v.optional(v.nullable(v.array(v.unknown()))),
 });
 
 /** A checked configuration of routes and services. Fields that are not known are kept. */
@@ -80,6 +91,8 @@
 export type EngineEntry = v.InferOutput<typeof EngineSchema>;
 /** A model that the workers of a service may hold. */
 export type ModelEntry = v.InferOutput<typeof ModelSchema>;
+/** A tenant: the keys of its clients, its priority, and its quota over all edges together. */
+export type TenantEntry = v.InferOutput<typeof TenantSchema>;
 /** Bounds on what a client may send, and for how long. */
 export type Limits = v.InferOutput<typeof LimitsSchema>;
 
@@ -103,6 +116,25 @@
   }
   if (services.size !== configuration.services.length)
     faults.push('services: a name stands here a second time');
+  faults.push(...tenantFaults(configuration.tenants ?? []));
+  return faults;
+}
+
+/** Faults across tenants. Names the tenants concerned and never a key. */
+function tenantFaults(tenants: readonly TenantEntry[]): string[] {
+  const holders = new Map<string, string>();
+  const names = new Set<string>();
+  const faults: string[] = [];
+  for (const [at, { name, apiKeys }] of tenants.entries()) {
+    if (names.has(name)) faults.push(`tenants.${at} (${name}): the name stands here a second time`);
+    names.add(name);
+    for (const key of apiKeys ?? []) {
+      const holder = holders.get(key);
+      if (holder !== undefined && holder !== name)
+        faults.push(`tenants.${at} (${name}): shares a key with "${holder}"`);
+      holders.set(key, name);
+    }
+  }
   return faults;
 }
 
@@ -167,6 +199,7 @@
 
 const ROUTE_CHECK = new ItemCheck(RouteSchema);
 const SERVICE_CHECK = new ItemCheck(ServiceSchema);
+const TENANT_CHECK = new ItemCheck(TenantSchema);
 
 /**
  * Checks a complete configuration; a fault names each place and what is wrong there.
@@ -181,11 +214,20 @@
     ...outline.output,
     routes: ROUTE_CHECK.items(outline.output.routes, 'routes', faults),
     services: SERVICE_CHECK.items(outline.output.services, 'services', faults),
+    tenants: checkedTenants(outline.output.tenants, faults),
   };
   if (faults.length === 0) faults.push(...crossFaults(configuration));
   return faults.length > 0 ? refusal(faults) : Result.ok(configuration);
 }
 
+/** Tenants as checked; null or undefined where the configuration has none, so that requests need no key. */
+function checkedTenants(
+  list: readonly unknown[] | null | undefined,
+  faults: string[],
+): TenantEntry[] | null | undefined {
+  return list === null || list === undefined ? list : TENANT_CHECK.items(list, 'tenants', faults);
+}
+
 function refusal(faults: readonly string[]): Result<Configuration, Fault> {
   return Result.err(fault('bad-spec', faults.slice(0, REPORTED_FAULTS_MAX).join('\n')));
 }
--- /dev/null
+++ b/packages/quotas/src/index.ts
@@ -0,0 +1,2 @@
+export * from './allocator-choice.js';
+export * from './permits.js';
