Quotas: the allocator of a core and the client of an edge

Nothing counted the requests of a tenant over all edges. A core now allocates each tenant's quota from a token bucket, and edges draw permits from it, one draw in flight for each allocator.

onViewCommitted is needed besides onView: a member may install a view while the allocator of the view before has not, and goes on renewing its lease with members that have not either. Only once a majority of both views has applied the view (Group.committedVersion reaches the version that installed it) does that lease end within leaseMs. So onView stops at once, and the wait of a takeover starts at the commit.

--- /dev/null
+++ b/packages/quotas/src/allocator.test.ts
@@ -0,0 +1,190 @@
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import {
+  MemberSchema,
+  QuotaHandoverSchema,
+  QuotaNeedSchema,
+  type Member,
+  type QuotaAnswer,
+} from '@rainrun/messages';
+import { expect } from 'earl';
+import { allocatorOf } from './allocator-choice.js';
+import { QuotaAllocator, type QuotaView } from './allocator.js';
+import { quotaBudget } from './quota-budget.js';
+
+const BOUNDS = { windowMs: 5000, overshoot: 0.1, slack: 20 };
+const LIMIT = { name: 'tenant-1', ratePerS: 10, burst: 10 };
+const LEASE_MS = 600;
+const WAIT_MS = 660;
+const BUDGET = quotaBudget(LIMIT, BOUNDS, 2);
+const RESERVE = Math.floor(BUDGET.reserve);
+
+function core(name: string, incarnation = name): Member {
+  return create(MemberSchema, { name, incarnation, disk: `disk-${name}` });
+}
+
+const ALL = ['a', 'b', 'c'].map((name) => core(name));
+/** The core that ranks highest for the tenant, and the one that follows if it leaves. */
+const FIRST = allocatorOf(LIMIT.name, ALL) ?? core('none');
+const WITHOUT_FIRST = ALL.filter((member) => member !== FIRST);
+const SECOND = allocatorOf(LIMIT.name, WITHOUT_FIRST) ?? core('none');
+
+function view(number: number, members: readonly Member[] = ALL): QuotaView {
+  return { epoch: 1, number, members };
+}
+
+function allocatorAt(nowMs: number): QuotaAllocator {
+  const allocator = new QuotaAllocator({ bounds: BOUNDS, leaseMs: LEASE_MS, startedMs: nowMs });
+  allocator.updateLimits([LIMIT], nowMs);
+  return allocator;
+}
+
+/** An allocator that has the tenant since moment 0, and whose bucket is full. */
+function settledAllocator(member = FIRST, members: readonly Member[] = ALL): QuotaAllocator {
+  const allocator = allocatorAt(0);
+  allocator.onView(view(1, members), member.incarnation, 0);
+  allocator.onViewCommitted(view(1), 0);
+  return allocator;
+}
+
+function ask(allocator: QuotaAllocator, permits: number, nowMs: number, holdsLease = true): QuotaAnswer {
+  const need = create(QuotaNeedSchema, { tenant: LIMIT.name, permits });
+  const [answer] = allocator.answer([need], holdsLease, nowMs);
+  expect(answer).not.toEqual(undefined);
+  return answer as QuotaAnswer;
+}
+
+describe('quota allocator', () => {
+  it('grants the burst and the grace, then one permit at a time, and says when', () => {
+    const allocator = settledAllocator();
+    const depth = Math.floor(BUDGET.bucket.depth);
+    expect(ask(allocator, 100, 20_000).granted).toEqual(depth);
+    const refused = ask(allocator, 1, 20_000);
+    expect([refused.granted, refused.unavailable]).toEqual([0, false]);
+    expect(refused.retryAfterMs).toSatisfy((ms: number) => ms > 0 && ms <= 100);
+    expect(ask(allocator, 1, 20_000 + refused.retryAfterMs).granted).toEqual(1);
+  });
+
+  it('grants nothing without the lease, for unknown tenants and for those of others', () => {
+    expect(ask(settledAllocator(), 1, 20_000, false).unavailable).toEqual(true);
+    expect(ask(settledAllocator(SECOND), 1, 20_000).unavailable).toEqual(true);
+    const other = create(QuotaNeedSchema, { tenant: 'unknown', permits: 1 });
+    expect(settledAllocator().answer([other], true, 20_000)[0]?.unavailable).toEqual(true);
+  });
+
+  it('grants all that is asked for a tenant without a limit', () => {
+    const allocator = settledAllocator();
+    allocator.updateLimits([{ ...LIMIT, ratePerS: 0 }], 20_000);
+    expect(ask(allocator, 500, 20_000).granted).toEqual(500);
+  });
+
+  it('waits after a takeover until the view is committed and a lease has passed, then starts empty', () => {
+    const allocator = settledAllocator(SECOND);
+    const { incarnation } = SECOND;
+    expect(allocator.onView(view(2, WITHOUT_FIRST), incarnation, 20_000)).toEqual([]);
+    expect(ask(allocator, 100, 20_100).granted).toEqual(RESERVE);
+    expect(ask(allocator, 1, 29_000)).toLooseEqual({ ...ask(allocator, 1, 29_000), unavailable: true });
+    allocator.onViewCommitted(view(2), 30_000);
+    expect(ask(allocator, 1, 30_000 + WAIT_MS).granted).toEqual(0);
+    const later = ask(allocator, 100, 30_000 + WAIT_MS + 1000);
+    expect(later.granted).toSatisfy((count: number) => count >= 10 && count <= 11);
+    expect(later.unavailable).toEqual(true);
+  });
+
+  it('calls nothing over the quota for two seconds after a takeover, while the bucket was never full', () => {
+    const allocator = settledAllocator(SECOND);
+    allocator.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, 20_000);
+    allocator.onViewCommitted(view(2), 20_000);
+    for (let afterMs = 0; afterMs < 2000; afterMs += 500)
+      expect(ask(allocator, 100, 20_000 + WAIT_MS + afterMs).unavailable).toEqual(true);
+    const after = ask(allocator, 100, 20_000 + WAIT_MS + 2000);
+    expect(after.unavailable).toEqual(false);
+    expect(after.retryAfterMs).toSatisfy((ms: number) => ms > 0);
+  });
+
+  it('has no reserve while its process is young, and one in a window', () => {
+    const young = allocatorAt(20_000);
+    young.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, 20_000);
+    expect(ask(young, 100, 20_100).granted).toEqual(0);
+
+    const allocator = settledAllocator(SECOND);
+    allocator.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, 20_000);
+    expect(ask(allocator, 100, 20_100).granted).toEqual(RESERVE);
+    allocator.onView(view(3), SECOND.incarnation, 20_200);
+    allocator.onView(view(4, WITHOUT_FIRST), SECOND.incarnation, 20_300);
+    expect(ask(allocator, 100, 20_400).granted).toEqual(0);
+  });
+
+  it('stops and hands its level over when a core joins that ranks higher', () => {
+    const allocator = settledAllocator(SECOND, WITHOUT_FIRST);
+    ask(allocator, 3, 20_000);
+    const orders = allocator.onView(view(2), SECOND.incarnation, 20_000);
+    expect(orders.map(({ to }) => to.name)).toEqual([FIRST.name]);
+    expect(ask(allocator, 1, 20_000).unavailable).toEqual(true);
+
+    const joined = allocatorAt(19_000);
+    joined.onView(view(2), FIRST.incarnation, 20_010);
+    expect(ask(joined, 1, 20_020).granted).toEqual(0);
+    for (const { handover } of orders) joined.onHandover(handover, 20_030);
+    expect(ask(joined, 100, 20_030).granted).toEqual(Math.floor(BUDGET.bucket.depth - 3));
+  });
+
+  it('keeps a handover that comes before its view, and takes none for another view', () => {
+    const levels = [{ tenant: LIMIT.name, level: 4 }];
+    const handover = create(QuotaHandoverSchema, { viewEpoch: 1, viewNumber: 2, levels });
+    const early = allocatorAt(0);
+    early.onHandover(handover, 10);
+    early.onView(view(2), FIRST.incarnation, 20);
+    expect(ask(early, 100, 20).granted).toEqual(4);
+
+    const later = allocatorAt(0);
+    later.onView(view(3), FIRST.incarnation, 20);
+    later.onHandover(handover, 30);
+    expect(ask(later, 100, 40).granted).toEqual(0);
+  });
+
+  it('hands nothing over while it waits itself', () => {
+    const allocator = allocatorAt(0);
+    allocator.onView(view(1, WITHOUT_FIRST), SECOND.incarnation, 0);
+    allocator.onViewCommitted(view(1), 0);
+    expect(allocator.onView(view(2), SECOND.incarnation, WAIT_MS - 1)).toEqual([]);
+  });
+
+  it('starts anew after a gap in the views and under another incarnation', () => {
+    const gap = settledAllocator();
+    gap.onView(view(3), FIRST.incarnation, 3000);
+    expect(ask(gap, 100, 3000).granted).toEqual(0);
+    const again = settledAllocator();
+    const members = ALL.map((member) => (member === FIRST ? core(FIRST.name, 'again') : member));
+    again.onView(view(2, members), 'again', 3000);
+    expect(ask(again, 100, 3000).granted).toEqual(0);
+  });
+
+  it('goes on without a wait where the next view leaves the tenant with it', () => {
+    const allocator = settledAllocator();
+    allocator.onView(view(2, [...ALL, core('d-edge')]), FIRST.incarnation, 20_000);
+    expect(ask(allocator, 3, 20_000).granted).toEqual(3);
+  });
+
+  it('caps the level when the limit is lowered, and gives no fresh burst to a tenant removed and added again', () => {
+    const allocator = settledAllocator();
+    const lower = { ...LIMIT, ratePerS: 1, burst: 1 };
+    allocator.updateLimits([lower], 20_000);
+    const depth = Math.floor(quotaBudget(lower, BOUNDS, 3).bucket.depth);
+    expect(ask(allocator, 100, 20_000).granted).toEqual(depth);
+    allocator.updateLimits([], 20_010);
+    expect(ask(allocator, 1, 20_010).unavailable).toEqual(true);
+    allocator.updateLimits([LIMIT], 20_020);
+    expect(ask(allocator, 100, 20_020).granted).toEqual(0);
+  });
+
+  it('starts a new tenant empty and without a wait in a settled view', () => {
+    const allocator = allocatorAt(0);
+    allocator.updateLimits([], 0);
+    allocator.onView(view(1), FIRST.incarnation, 0);
+    allocator.onViewCommitted(view(1), 0);
+    allocator.updateLimits([LIMIT], 4000);
+    expect(ask(allocator, 100, 4000).granted).toEqual(0);
+    expect(ask(allocator, 100, 4500).granted).toEqual(5);
+  });
+});
