--- a/packages/cluster-node/src/core-replica.ts
+++ b/packages/cluster-node/src/core-replica.ts
@@ -5,15 +5,19 @@
 import { EMPTY_DEPLOYMENT, type Deployment } from '@rainrun/configuration';
 import { randomId, type Fault } from '@rainrun/common';
 import type { ListedWorker, PlacementPlanner, WorkerTable } from '@rainrun/placement';
+import type { AllocationStats, QuotaBounds } from '@rainrun/quotas';
 import type { Result } from 'true-myth';
 import { DEPLOYMENT_STATE_MACHINE } from './deployment-state-machine.js';
 import { PendingOperations, type AnswerCallback } from './pending-operations.js';
 import { PlacementLoop, type PlacementEffects } from './placement-loop.js';
+import { QuotaAllocation } from './quota-allocation.js';
 import { UpdatePublisher } from './update-publisher.js';
 
 /** What a core is given by its program, or by the simulator. */
 export interface CoreReplicaDependencies
   extends Omit<GroupDependencies<Deployment>, 'stateMachine' | 'listener'>, PlacementEffects {
+  /** How far requests of tenants may go above their limits. */
+  readonly quota: QuotaBounds;
   /** Called when another edition came into force here. */
   onStateChange(state: Deployment): void;
   /** Called when this node was dropped from the view and goes on as a new incarnation. */
@@ -35,6 +39,7 @@
   #group: Group<Deployment>;
   #placement: PlacementLoop;
   #publisher: UpdatePublisher;
+  #quotas: QuotaAllocation;
   #operations = new PendingOperations();
 
   constructor(dependencies: CoreReplicaDependencies) {
@@ -53,6 +58,14 @@
       send: (address, frame) => dependencies.send(address, frame),
     });
     this.#placement = new PlacementLoop(dependencies, this.#group, () => this.state);
+    this.#quotas = new QuotaAllocation({
+      deployment: dependencies.deployment,
+      clock: dependencies.clock,
+      bounds: dependencies.quota,
+      leaseMs: dependencies.times.leaseMs,
+      group: this.#group,
+      send: (address, frame) => dependencies.send(address, frame),
+    });
     this.#publisher = new UpdatePublisher({
       deployment: dependencies.deployment,
       group: this.#group,
@@ -83,6 +96,11 @@
     return this.#publisher.subscriberCount;
   }
 
+  /** The tenants whose quota this core allocates now. */
+  get quotaStats(): AllocationStats[] {
+    return this.#quotas.stats();
+  }
+
   receive(frame: Frame): void {
     this.#group.receive(frame);
   }
@@ -90,6 +108,7 @@
   tick(): void {
     const nowMs = this.#dependencies.clock.nowMs();
     this.#group.tick();
+    this.#quotas.tick(nowMs);
     this.#publisher.expire(nowMs);
     this.#placement.openTable();
     if (this.#group.isCoordinator) this.#placement.tick(nowMs);
@@ -123,6 +142,7 @@
 
   #onFrame(body: Frame['body']): void {
     if (body.case === 'subscribe') this.#onSubscribe(body.value);
+    else this.#quotas.onFrame(body);
   }
 
   #onSubscribe(subscribe: Subscribe): void {
@@ -139,6 +159,7 @@
   }
 
   #onVersion(state: GroupState<Deployment>): void {
+    this.#quotas.onState(state);
     this.#dependencies.onStateChange(state.application);
     this.#publisher.sendDueUpdates(this.#dependencies.clock.nowMs());
   }
--- /dev/null
+++ b/packages/cluster-node/src/edge-quota.ts
@@ -0,0 +1,75 @@
+/** Quotas on an edge: draws to the cores that allocate, and their grants. Platform family. */
+import { create } from '@bufbuild/protobuf';
+import { FrameSchema, WIRE_VERSION, type Frame, type Member, type StateUpdate } from '@rainrun/messages';
+import type { Clock, RandomSource } from '@rainrun/common';
+import { QuotaClient, type PermitSource, type QuotaBounds, type QuotaClientStats } from '@rainrun/quotas';
+
+/** What quotas on an edge need of its replica. */
+export interface EdgeQuotaDependencies {
+  readonly deployment: string;
+  readonly clock: Clock;
+  readonly chance: RandomSource;
+  readonly bounds: QuotaBounds;
+  readonly self: Member;
+  send(address: string, frame: Frame): void;
+}
+
+/**
+ * Permits for the requests of one edge.
+ * @example
+ * quotas.onStateUpdate(update); // learns which cores there are
+ * quotas.permits.acquire('tenant-1', (answer) => proceed(answer));
+ */
+export class EdgeQuota {
+  #dependencies: EdgeQuotaDependencies;
+  #client: QuotaClient;
+
+  constructor(dependencies: EdgeQuotaDependencies) {
+    const { clock, chance, bounds, self } = dependencies;
+    this.#dependencies = dependencies;
+    this.#client = new QuotaClient({
+      clock,
+      chance,
+      bounds,
+      self: () => self,
+      send: (to, draw) => this.#send(to, { case: 'quotaDraw', value: draw }),
+    });
+  }
+
+  get permits(): PermitSource {
+    return this.#client;
+  }
+
+  get stats(): QuotaClientStats {
+    return this.#client.stats();
+  }
+
+  /** Learns the newest view of the cores from an update that tells it. */
+  onStateUpdate({ cores, viewEpoch, viewNumber }: StateUpdate): void {
+    if (cores.length === 0 || viewNumber === 0) return;
+    this.#client.learnView({ epoch: viewEpoch, number: viewNumber, members: cores });
+  }
+
+  /** Takes a frame that is addressed to this edge; false: it is not about quotas. */
+  receive(body: Frame['body']): boolean {
+    if (body.case !== 'quotaGrant') return false;
+    this.#client.receive(body.value, this.#dependencies.clock.nowMs());
+    return true;
+  }
+
+  tick(nowMs: number): void {
+    this.#client.tick(nowMs);
+  }
+
+  #send(to: Member, body: Frame['body']): void {
+    const { deployment, self, send } = this.#dependencies;
+    const frame = create(FrameSchema, {
+      wire: WIRE_VERSION,
+      deployment,
+      from: self.incarnation,
+      to: to.incarnation,
+    });
+    frame.body = body;
+    send(to.address, frame);
+  }
+}
--- a/packages/cluster-node/src/edge-replica.ts
+++ b/packages/cluster-node/src/edge-replica.ts
@@ -18,9 +18,11 @@
   type Deployment,
 } from '@rainrun/configuration';
 import { randomId, type Clock, type RandomSource } from '@rainrun/common';
+import type { PermitSource, QuotaBounds, QuotaClientStats } from '@rainrun/quotas';
 import { CoreSelection, type Core } from './core-selection.js';
 import { DemandReporter } from './demand-reporter.js';
 import { EdgeCount } from './edge-count.js';
+import { EdgeQuota } from './edge-quota.js';
 import { EdgeWorkerTable, type WorkerSnapshot } from './edge-worker-table.js';
 import { decodeStateUpdate } from './state-update.js';
 
@@ -34,6 +36,8 @@
   readonly seeds: readonly string[];
   readonly clock: Clock;
   readonly chance: RandomSource;
+  /** How far requests of tenants may go above their limits. */
+  readonly quota: QuotaBounds;
   send(address: string, frame: Frame): void;
   /** The demand for models at this edge now. */
   demands(): readonly ModelDemand[];
@@ -77,6 +81,7 @@
   #table: EdgeWorkerTable;
   #edgeCount = new EdgeCount();
   #demandReporter: DemandReporter;
+  #quota: EdgeQuota;
   /** Since when urgent demand is to be reported. */
   #urgentSinceMs: number | undefined;
   #readySinceMs: number | undefined;
@@ -89,6 +94,14 @@
     this.#cores = new CoreSelection({ incarnation, address, seeds });
     this.#table = new EdgeWorkerTable(zone);
     this.#demandReporter = new DemandReporter(() => dependencies.demands());
+    this.#quota = new EdgeQuota({
+      deployment: dependencies.deployment,
+      clock: dependencies.clock,
+      chance: dependencies.chance,
+      bounds: dependencies.quota,
+      self: this.#self,
+      send: (to, frame) => dependencies.send(to, frame),
+    });
   }
 
   /** The newest committed state that is known here. */
@@ -110,6 +123,16 @@
     return this.#self.incarnation;
   }
 
+  /** Permits to send requests of tenants with a limit. */
+  get permits(): PermitSource {
+    return this.#quota.permits;
+  }
+
+  /** Permits drawn and held here. */
+  get quotaStats(): QuotaClientStats {
+    return this.#quota.stats;
+  }
+
   /** How many edges there are, as far as the coordinator knows. */
   get edgeCount(): number {
     return this.#edgeCount.value;
@@ -143,6 +166,7 @@
         this.#send(core.address, { demands: this.#demandReporter.increment(), incremental: true });
     }
     if (isUrgent) this.#urgentSinceMs = undefined;
+    this.#quota.tick(nowMs);
   }
 
   /** Ends the subscriptions: this node leaves. */
@@ -151,8 +175,8 @@
   }
 
   receive(frame: Frame): void {
-    if (frame.body.case !== 'stateUpdate' || frame.to !== this.#self.incarnation) return;
-    this.#onStateUpdate(frame.body.value, frame.from);
+    if (frame.to !== this.#self.incarnation || this.#quota.receive(frame.body)) return;
+    if (frame.body.case === 'stateUpdate') this.#onStateUpdate(frame.body.value, frame.from);
   }
 
   #intervalMs(isCoordinator: boolean): number {
@@ -189,6 +213,7 @@
   #onStateUpdate(update: StateUpdate, from: string): void {
     const nowMs = this.#dependencies.clock.nowMs();
     this.#cores.learnMembers(update.cores, nowMs);
+    this.#quota.onStateUpdate(update);
     this.#cores.onContact(from, update.hasLease, nowMs);
     if (update.hasLease && update.coordinator !== undefined) this.#cores.learnCoordinator(update.coordinator);
     this.#edgeCount.apply(update, nowMs);
--- a/packages/cluster-node/src/older-disk.test.ts
+++ b/packages/cluster-node/src/older-disk.test.ts
@@ -10,6 +10,7 @@
 import { fault, type RandomSource, type Fault } from '@rainrun/common';
 import { PROTOCOL_LEVELS } from '@rainrun/messages';
 import { Acceptor, GROUP_TIMES, readRecords } from '@rainrun/process-group';
+import { STRICT_QUOTA_BOUNDS } from '@rainrun/quotas';
 import { RecordStore, type RecordKind, type Records, type RecordWriter } from '@rainrun/storage';
 import { expect } from 'earl';
 import { Result, type Unit } from 'true-myth';
@@ -96,6 +97,7 @@
     const acceptor = acceptorOf(await openFixture('core-disk.json'), 'system');
     const replica = new CoreReplica({
       ...lone.dependencies(acceptor, 'system'),
+      quota: STRICT_QUOTA_BOUNDS,
       order: () => undefined,
       report: () => undefined,
       onPlacementDecision: () => undefined,
--- /dev/null
+++ b/packages/cluster-node/src/quota-allocation.ts
@@ -0,0 +1,135 @@
+/** Quotas on a core: the allocator, driven by the views, the state and the frames that reach the core. Platform family. */
+import { create } from '@bufbuild/protobuf';
+import {
+  FrameSchema,
+  QuotaGrantSchema,
+  WIRE_VERSION,
+  type Frame,
+  type Member,
+  type QuotaDraw,
+  type QuotaHandover,
+  type View,
+} from '@rainrun/messages';
+import { tenantLimitsOf, type Deployment } from '@rainrun/configuration';
+import type { Clock } from '@rainrun/common';
+import { QuotaAllocator, type AllocationStats, type QuotaBounds } from '@rainrun/quotas';
+
+/** The process group, as far as it decides who allocates quotas. */
+export interface QuotaGroup {
+  readonly self: Member;
+  /** Newest version that this node knows to be committed. */
+  readonly committedVersion: number;
+  holdsLease(): boolean;
+}
+
+/** The replicated state at one version, as far as quotas depend on it. */
+export interface QuotaState {
+  /** Number of the version. */
+  readonly number: number;
+  readonly view: View;
+  readonly application: Deployment;
+}
+
+/** What quotas on a core need of their node. */
+export interface QuotaAllocationDependencies {
+  readonly deployment: string;
+  readonly clock: Clock;
+  readonly bounds: QuotaBounds;
+  /** Length of the group's leases, in milliseconds. */
+  readonly leaseMs: number;
+  readonly group: QuotaGroup;
+  send(address: string, frame: Frame): void;
+}
+
+/** A view that was installed here, and the version that brought it. */
+interface InstalledView {
+  readonly epoch: number;
+  readonly number: number;
+  readonly incarnation: string;
+  readonly version: number;
+}
+
+/**
+ * Allocates the quotas that fall to one core, by the state and the view that are in force there.
+ * @example
+ * quotas.onState(state); // for each version that comes into force
+ * quotas.tick(nowMs);
+ * quotas.onFrame(body); // draws of edges, handovers of cores
+ */
+export class QuotaAllocation {
+  #dependencies: QuotaAllocationDependencies;
+  #allocator: QuotaAllocator;
+  #installed: InstalledView | undefined;
+  #isCommitted = false;
+  #document: unknown;
+
+  constructor(dependencies: QuotaAllocationDependencies) {
+    this.#dependencies = dependencies;
+    const { bounds, leaseMs, clock } = dependencies;
+    this.#allocator = new QuotaAllocator({ bounds, leaseMs, startedMs: clock.nowMs() });
+  }
+
+  /** A version has come into force here. */
+  onState({ number, view, application }: QuotaState): void {
+    const nowMs = this.#dependencies.clock.nowMs();
+    this.#installView(view, number, nowMs);
+    if (this.#document !== application.document) {
+      this.#document = application.document;
+      this.#allocator.updateLimits(tenantLimitsOf(application), nowMs);
+    }
+    this.tick(nowMs);
+  }
+
+  /** Tells the allocator once the view is committed. */
+  tick(nowMs: number): void {
+    if (this.#installed === undefined || this.#isCommitted) return;
+    if (this.#dependencies.group.committedVersion < this.#installed.version) return;
+    this.#isCommitted = true;
+    this.#allocator.onViewCommitted(this.#installed, nowMs);
+  }
+
+  /** Answers draws of edges and takes handovers; other frames are not its own. */
+  onFrame(body: Frame['body']): void {
+    if (body.case === 'quotaDraw') this.#answerDraw(body.value);
+    else if (body.case === 'quotaHandover') this.#onHandover(body.value);
+  }
+
+  /** The tenants whose quota this core allocates now. */
+  stats(): AllocationStats[] {
+    return this.#allocator.stats(this.#dependencies.clock.nowMs());
+  }
+
+  #installView(view: View, version: number, nowMs: number): void {
+    const { epoch, number, members } = view;
+    const { incarnation } = this.#dependencies.group.self;
+    const known = this.#installed;
+    if (known?.epoch === epoch && known.number === number && known.incarnation === incarnation) return;
+    this.#installed = { epoch, number, incarnation, version };
+    this.#isCommitted = false;
+    for (const { to, handover } of this.#allocator.onView({ epoch, number, members }, incarnation, nowMs))
+      this.#send(to, { case: 'quotaHandover', value: handover });
+  }
+
+  #answerDraw({ edge, draw, needs }: QuotaDraw): void {
+    if (edge === undefined) return;
+    const { clock, group } = this.#dependencies;
+    const answers = this.#allocator.answer(needs, group.holdsLease(), clock.nowMs());
+    this.#send(edge, { case: 'quotaGrant', value: create(QuotaGrantSchema, { draw, answers }) });
+  }
+
+  #onHandover(handover: QuotaHandover): void {
+    this.#allocator.onHandover(handover, this.#dependencies.clock.nowMs());
+  }
+
+  #send(to: Member, body: Frame['body']): void {
+    const { deployment, group, send } = this.#dependencies;
+    const frame = create(FrameSchema, {
+      wire: WIRE_VERSION,
+      deployment,
+      from: group.self.incarnation,
+      to: to.incarnation,
+    });
+    frame.body = body;
+    send(to.address, frame);
+  }
+}
--- a/packages/cluster-node/src/update-publisher.ts
+++ b/packages/cluster-node/src/update-publisher.ts
@@ -20,7 +20,8 @@
 export interface PublishedGroup {
   readonly isCoordinator: boolean;
   readonly self: { readonly incarnation: string };
-  readonly view: { readonly number: number; readonly members: readonly Member[] } | undefined;
+  readonly view:
+    { readonly epoch: number; readonly number: number; readonly members: readonly Member[] } | undefined;
   readonly coordinatorIncarnation: string | undefined;
   holdsLease(): boolean;
 }
@@ -126,6 +127,8 @@
     if (coordinator !== undefined) update.coordinator = coordinator;
     if (view === undefined || !this.#subscribers.isViewDue(subscriber, view.number, nowMs)) return;
     update.cores = [...view.members];
+    update.viewEpoch = view.epoch;
+    update.viewNumber = view.number;
     this.#subscribers.recordViewSent(subscriber, view.number, nowMs);
   }
 
--- a/packages/compatibility/src/core-replica-script.ts
+++ b/packages/compatibility/src/core-replica-script.ts
@@ -1,5 +1,6 @@
 /** What happens to the cores of a deployment whose data folders are fixtures. */
 import { CoreReplica, coreStatus } from '@rainrun/cluster-node';
+import { STRICT_QUOTA_BOUNDS } from '@rainrun/quotas';
 import { FOUNDERS, ScriptedGroup, SEEDS, type CommonDependencies } from './scripted-group.js';
 
 const FOUNDING_MS = 6000;
@@ -46,6 +47,7 @@
 function makeCore(common: CommonDependencies): CoreReplica {
   return new CoreReplica({
     ...common,
+    quota: STRICT_QUOTA_BOUNDS,
     order: () => undefined,
     report: () => undefined,
     onStateChange: () => undefined,
--- a/packages/quotas/src/permits.ts
+++ b/packages/quotas/src/permits.ts
@@ -39,3 +39,6 @@
    */
   acquire(tenant: string, done: (answer: PermitAnswer) => void): () => void;
 }
+
+/** Bounds that allow nothing above a limit: where no others are given. */
+export const STRICT_QUOTA_BOUNDS: QuotaBounds = { windowMs: 5000, overshoot: 0, slack: 0 };
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -91,6 +91,7 @@
       desiredVoterCount: 2 * settings.toleratedLosses + 1,
       clock: MONOTONIC_CLOCK,
       chance: SYSTEM_RANDOM,
+      quota: settings.quota,
       times: PLATFORM_TIMES,
       acceptor,
       protocolLevels: PROTOCOL_LEVELS,
--- a/packages/runtime/src/dialect.ts
+++ b/packages/runtime/src/dialect.ts
@@ -3,6 +3,7 @@
 import type { Fault } from '@rainrun/common';
 import type { HeaderNames } from '@rainrun/router';
 import type { ListedWorker, ReportReply, WorkerOrder, WorkerOrderReply } from '@rainrun/placement';
+import type { QuotaBounds } from '@rainrun/quotas';
 import type { Result } from 'true-myth';
 
 export type { OperatorCall } from '@rainrun/cluster-node';
@@ -32,6 +33,8 @@
   };
   readonly provider: { readonly address: string; readonly callsPerS: number; readonly lagMs: number };
   readonly retries: { readonly ratio: number; readonly extra: number };
+  /** How far requests of tenants may go above their limits. */
+  readonly quota: QuotaBounds;
   readonly graceMs: number;
   readonly memoryMb: number;
 }
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -68,6 +68,7 @@
       seeds: settings.seeds.map((host) => `${host}:${settings.ports[0]}`),
       clock,
       chance: SYSTEM_RANDOM,
+      quota: settings.quota,
       send: (address, frame) => this.#transport.send(address, frame),
       demands: () => this.#demands(),
       outcomes: () => this.#router.takeOutcomes().map((one) => create(WorkerOutcomesSchema, one)),
--- a/packages/runtime/src/testing/edge-under-test.ts
+++ b/packages/runtime/src/testing/edge-under-test.ts
@@ -315,6 +315,7 @@
       operators: '127.0.0.1:0',
     },
     provider: { address: '', callsPerS: 1, lagMs: 1000 },
+    quota: { windowMs: 5000, overshoot: 0.1, slack: 20 },
     retries: { ratio: 1, extra: 20 },
     graceMs,
     memoryMb: 256,
--- a/packages/simulator/src/system-seeds.ts
+++ b/packages/simulator/src/system-seeds.ts
@@ -12,7 +12,8 @@
     --from    first seed (default 1)
     --count   how many seeds (default 20)
     --size    small or five (default small)
-    --profile what the days are about: mixed, changes, partitions, membership, power, placement (default by seed)
+    --profile what the days are about: mixed, changes, partitions, membership, power, placement
+              (default by seed), quotas
     --span    whole, short, or long with hundreds of changes (default whole)
     --show    print the timeline of every seed, not only of failing ones
     --brief   print no timeline at all
@@ -23,7 +24,7 @@
       from: { type: 'number', default: 1 },
       count: { type: 'number', default: 20 },
       size: { type: 'string', default: 'small', choices: Object.keys(SYSTEMS) },
-      profile: { type: 'string', choices: [...PROFILES] },
+      profile: { type: 'string', choices: [...PROFILES, 'quotas'] },
       span: { type: 'string', default: 'whole', choices: Object.keys(SPANS) },
       show: { type: 'boolean', default: false },
       brief: { type: 'boolean', default: false },
--- a/packages/simulator/src/system-trial.ts
+++ b/packages/simulator/src/system-trial.ts
@@ -30,8 +30,8 @@
 
 /** What a day is mostly about. */
 export const PROFILES = ['mixed', 'changes', 'partitions', 'membership', 'power', 'placement'] as const;
-/** A kind of simulated day. */
-export type Profile = (typeof PROFILES)[number];
+/** A kind of simulated day. Days of quotas are played where they are asked for. */
+export type Profile = (typeof PROFILES)[number] | 'quotas';
 
 /** What a day injects, by its weight. */
 type Act =
@@ -111,6 +111,19 @@
     'power during change': 20,
     'power after acknowledgement': 10,
   },
+  quotas: {
+    core: 30,
+    edge: 14,
+    order: 6,
+    'long cut': 8,
+    'zone cut': 4,
+    'zone loss': 3,
+    'second loss': 5,
+    planned: 8,
+    lossy: 2,
+    'all killed': 4,
+    'all without power': 3,
+  },
   placement: {
     core: 14,
     worker: 8,
@@ -161,6 +174,7 @@
     if (system.acked.revision === 0)
       system.breach('late answer', 'the first configuration is not acknowledged');
     this.#shiftDemand();
+    if (this.#profile === 'quotas') system.quotaLoad.open();
     if (this.#profile === 'changes') this.load.storm(STORM_MS, troubleMs);
     for (let atMs = trafficMs + STEP_MS; atMs < trafficMs + troubleMs; atMs += 400 + this.#roll(1600)) {
       time.runUntil(atMs);
--- a/packages/simulator/src/system.ts
+++ b/packages/simulator/src/system.ts
@@ -11,6 +11,7 @@
 import { OperatorClient, type OrderEnd } from './system/operator-client.js';
 import type { OperatorRequest } from './system/operator-desk.js';
 import { Processes } from './system/processes.js';
+import { QuotaLoad } from './system/quota-load.js';
 import { BOUNDS, type SystemSize } from './system/size.js';
 import { WorkerCalls } from './system/worker-calls.js';
 import { WorkerPool } from './system/workers.js';
@@ -50,6 +51,8 @@
   readonly edges: Machine[] = [];
   readonly breaches: SystemBreach[] = [];
   readonly timeline: TimelineEvent[] = [];
+  /** Requests of tenants; none before it is opened. */
+  readonly quotaLoad: QuotaLoad;
   #demand: Demand;
   #directory: CoreDirectory;
   #processes: Processes;
@@ -96,6 +99,7 @@
     this.#demand = demand;
     this.#directory = directory;
     workers.counted = () => this.settled();
+    this.quotaLoad = new QuotaLoad(seed, { time, edges, breach, settled: () => this.settled() });
     this.#populate();
   }
 
@@ -244,6 +248,7 @@
 
   checkEnd(): void {
     this.#invariants.checkEnd();
+    this.quotaLoad.checkEnd();
   }
 
   // Operators.
--- a/packages/simulator/src/system/configuration.ts
+++ b/packages/simulator/src/system/configuration.ts
@@ -1,4 +1,5 @@
 /** Configurations that simulated operators send, and what a change makes of one. */
+import { sampleTenants } from './quota-load.js';
 import { ENGINE, SERVICE, sizeOf } from './workers.js';
 
 /** A configuration in our terms. */
@@ -55,6 +56,7 @@
     mark,
     routes: [routeOf('ask', '/ask/', mark), ...further],
     services: [{ name: SERVICE, engine }],
+    tenants: sampleTenants(),
   };
 }
 
--- a/packages/simulator/src/system/processes.ts
+++ b/packages/simulator/src/system/processes.ts
@@ -8,6 +8,7 @@
 import type { Machine, Process } from './machine.js';
 import type { Network } from './network.js';
 import { newOperatorService } from './operator-desk.js';
+import { QUOTA_BOUNDS } from './quota-load.js';
 import type { SystemSize } from './size.js';
 import type { WorkerCalls } from './worker-calls.js';
 import { type WorkerPool } from './workers.js';
@@ -187,6 +188,7 @@
       desiredVoterCount: 2 * size.lossesBorne + 1,
       clock: { nowMs: () => time.nowMs() + skewMs },
       chance: dice,
+      quota: QUOTA_BOUNDS,
       times: PLATFORM_TIMES,
       acceptor,
       protocolLevels: PROTOCOL_LEVELS,
@@ -212,6 +214,7 @@
       seeds: this.#seeds(),
       clock: { nowMs: () => time.nowMs() + skewMs },
       chance: dice,
+      quota: QUOTA_BOUNDS,
       send: (to, frame) => network.post(machine, to, frame),
       outcomes: () => [],
       demands: () => demand.wantsOf(follower),
--- a/tools/scale/src/hollow.ts
+++ b/tools/scale/src/hollow.ts
@@ -1,6 +1,7 @@
 import { create } from '@bufbuild/protobuf';
 import { ModelDemandSchema, type Frame, type ModelDemand, type WorkerRow } from '@rainrun/messages';
 import { EdgeReplica } from '@rainrun/cluster-node';
+import { STRICT_QUOTA_BOUNDS } from '@rainrun/quotas';
 import { PeerTransport } from '@rainrun/runtime';
 import { sharedMs } from './ipc.js';
 import { adapterName, heldModels, modelName, SERVICE, SLOTS, zoneOf, type Size } from './site.js';
@@ -133,6 +134,7 @@
       seeds,
       clock: { nowMs: () => performance.now() },
       chance: { next: () => Math.random() },
+      quota: STRICT_QUOTA_BOUNDS,
       send: (address, frame) => this.#post(address, frame),
       outcomes: () => [],
       demands: () => this.#wants(),
