Configuration: no refusal, log line or damage report shows a key

Cause: messages of valibot quote a value of the wrong type (ApiKeys written as one text, a tenant that is only its key, a rate that is a key), those of JSON.parse quote ten characters around the fault, If-Match was shown whole, and the log of an operator call held the fault with its cause.

--- a/packages/common/src/errors.ts
+++ b/packages/common/src/errors.ts
@@ -123,3 +123,16 @@
 export function isFaultKind(text: string): text is FaultKind {
   return Object.hasOwn(FAULT_RESPONSES, text);
 }
+
+/**
+ * Why a text is not JSON, without any part of the text: what the JavaScript engine says quotes it, and there may be
+ * keys in it.
+ * @example
+ * describeJsonError(thrown); // 'SyntaxError: at position 17'
+ */
+export function describeJsonError(thrown: unknown): string {
+  if (!(thrown instanceof SyntaxError)) return thrown instanceof Error ? thrown.name : typeof thrown;
+  const position = /in JSON at position (\d+)$/.exec(thrown.message)?.[1];
+  if (position !== undefined) return `${thrown.name}: at position ${position}`;
+  return thrown.message === 'Unexpected end of JSON input' ? `${thrown.name}: it ends early` : thrown.name;
+}
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -2,6 +2,7 @@
 import { fault, type Fault } from '@rainrun/common';
 import { Result } from 'true-myth';
 import * as v from 'valibot';
+import { issueMessage } from './issue-text.js';
 
 const Count = v.pipe(v.number(), v.minValue(0));
 const NonEmptyText = v.pipe(v.string(), v.minLength(1));
@@ -159,7 +160,7 @@
 
 function issueText(issue: v.BaseIssue<unknown>, place: string): string {
   const path = [place, v.getDotPath(issue) ?? ''].filter((part) => part !== '').join('.');
-  return `${path === '' ? 'configuration' : path}: ${issue.message}`;
+  return `${path === '' ? 'configuration' : path}: ${issueMessage(issue)}`;
 }
 
 /**
--- a/packages/configuration/src/deployment-codec.ts
+++ b/packages/configuration/src/deployment-codec.ts
@@ -1,10 +1,11 @@
 /** A deployment's state as bytes, for disks, joiners and subscribed edges. */
-import { describeError, fault, type Fault } from '@rainrun/common';
+import { describeJsonError, fault, type Fault } from '@rainrun/common';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
 import * as v from 'valibot';
 import type { Deployment } from './deployment.js';
 import { documentText } from './document-text.js';
+import { issueMessage } from './issue-text.js';
 import { DIGEST_CHARS, NO_ACCEPTED_CHANGES, type AcceptedChanges } from './accepted-changes.js';
 
 /** Revisions beside each other and digests in one text, since there may be thousands. */
@@ -83,13 +84,13 @@
  */
 export function decodeDeployment(bytes: Uint8Array): Result<Deployment, Fault> {
   return tryOrElse(
-    (thrown) => fault('damaged', `the deployment's state: ${describeError(thrown)}`, { cause: thrown }),
+    (thrown) => fault('damaged', `the deployment's state: ${describeJsonError(thrown)}`),
     () => JSON.parse(new TextDecoder().decode(bytes)) as unknown,
   ).andThen((data) => {
     const parsed = v.safeParse(StoredSchema, data);
     if (!parsed.success)
       return Result.err<Deployment, Fault>(
-        fault('damaged', `the deployment's state: ${parsed.issues[0].message}`),
+        fault('damaged', `the deployment's state: ${issueMessage(parsed.issues[0])}`),
       );
     const { edition, document, revision, evacuated, zones, taken } = parsed.output;
     return Result.ok<Deployment, Fault>({ edition, document, revision, evacuated, zones, accepted: taken });
--- a/packages/configuration/src/deployment.ts
+++ b/packages/configuration/src/deployment.ts
@@ -2,12 +2,13 @@
  * The agreed state of a deployment, and the operations that change it: pure
  * functions, the same on every core.
  */
-import { describeError, fault, type Fault, type FaultKind } from '@rainrun/common';
+import { describeJsonError, fault, type Fault, type FaultKind } from '@rainrun/common';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
 import * as v from 'valibot';
 import { checkConfiguration } from './configuration.js';
 import { documentText } from './document-text.js';
+import { issueMessage } from './issue-text.js';
 import {
   digestOfChange,
   mayBeEvictedChange,
@@ -76,12 +77,21 @@
 const Base = v.optional(v.pipe(v.number(), v.safeInteger(), v.minValue(0)));
 const PutSchema = v.object({ base: Base, document: v.record(v.string(), v.unknown()) });
 const ItemsSchema = v.record(v.string(), v.unknown());
+/** Checked as a whole, so that no name which a caller made up stands in the message. */
+const DropSchema = v.pipe(
+  v.record(v.string(), v.unknown()),
+  v.check(
+    (lists) => Object.values(lists).every((names) => names === null || isListOfNames(names)),
+    'lists of names',
+  ),
+  v.transform((lists) => lists as Readonly<Record<string, readonly string[] | null>>),
+);
 const PatchSchema = v.object({
   base: Base,
   patch: v.object({
     revision: Revision,
     set: v.optional(v.nullable(ItemsSchema), {}),
-    drop: v.optional(v.nullable(v.record(v.string(), v.array(v.string()))), {}),
+    drop: v.optional(v.nullable(DropSchema), {}),
   }),
 });
 const ZoneSchema = v.object({
@@ -89,6 +99,10 @@
   seen: v.optional(v.number()),
 });
 
+function isListOfNames(value: unknown): value is string[] {
+  return Array.isArray(value) && value.every((name) => typeof name === 'string');
+}
+
 function parsed<S extends v.GenericSchema>(
   schema: S,
   payload: unknown,
@@ -97,7 +111,7 @@
   const read = v.safeParse(schema, payload);
   if (read.success) return Result.ok(read.output);
   const [issue] = read.issues;
-  return Result.err(fault(kind, `${v.getDotPath(issue) ?? 'payload'}: ${issue.message}`));
+  return Result.err(fault(kind, `${v.getDotPath(issue) ?? 'payload'}: ${issueMessage(issue)}`));
 }
 
 function checkedSize(document: ConfigurationDocument): Result<ConfigurationDocument, Fault> {
@@ -168,12 +182,12 @@
 function patched(
   document: ConfigurationDocument,
   set: Readonly<Record<string, unknown>>,
-  drop: Readonly<Record<string, readonly string[]>>,
+  drop: Readonly<Record<string, readonly string[] | null>>,
 ): Record<string, unknown> {
   const next: Record<string, unknown> = { ...document };
   for (const [key, names] of Object.entries(drop)) {
     const list = next[key];
-    const dropped = new Set(names);
+    const dropped = new Set(names ?? []);
     if (Array.isArray(list)) next[key] = list.filter((item) => !dropped.has(String(nameOf(item))));
   }
   for (const [key, value] of Object.entries(set)) {
@@ -238,7 +252,8 @@
 /** An invalid change was never accepted, however old it is. */
 function applyPut(state: Deployment, base: number | undefined, document: ConfigurationDocument): Applied {
   const revision = v.safeParse(Revision, document['revision']);
-  if (!revision.success) return refused(state, fault('bad-spec', `revision: ${revision.issues[0].message}`));
+  if (!revision.success)
+    return refused(state, fault('bad-spec', `revision: ${issueMessage(revision.issues[0])}`));
   if (mayBeEvictedChange(state.accepted, revision.output, base)) {
     const checked = checkedDocument(document);
     if (checked.isErr) return refused(state, checked.error);
@@ -296,7 +311,7 @@
   const known = parsedPayloads.find((earlier) => earlier.kind === kind && earlier.payload === payload);
   if (known !== undefined) return known.read;
   const read = tryOrElse(
-    (thrown) => fault('bad-request', describeError(thrown), { cause: thrown }),
+    (thrown) => fault('bad-request', `not JSON: ${describeJsonError(thrown)}`),
     () => JSON.parse(payload) as unknown,
   ).andThen((data) => readOperation(kind, data));
   parsedPayloads.push({ kind, payload, read });
--- /dev/null
+++ b/packages/configuration/src/tenants.test.ts
@@ -0,0 +1,231 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { checkConfiguration } from './configuration.js';
+import { applyToDeployment, checkOperation, EMPTY_DEPLOYMENT, type Deployment } from './deployment.js';
+import { decodeDeployment } from './deployment-codec.js';
+
+type Document = Record<string, unknown>;
+type Applied = ReturnType<typeof applyToDeployment>;
+
+/** Stands in every key of these tests, so that no answer may hold it. */
+const SECRET = 'sk-secret';
+const KEY_1 = `${SECRET}-1`;
+const KEY_2 = `${SECRET}-2`;
+const KEY_3 = `${SECRET}-3`;
+
+function tenant(name: string, apiKeys: unknown, change: Document = {}): Document {
+  return { name, apiKeys, ratePerS: 10, burst: 5, ...change };
+}
+
+function document(revision: number, tenants: unknown): Document {
+  const route = { name: 'one', host: 'a.example', prefix: '/', service: 'assist', timeoutMs: 1000 };
+  return { revision, routes: [route], services: [{ name: 'assist' }], tenants };
+}
+
+function put(state: Deployment, base: number, sent: Document): Applied {
+  const payload = JSON.stringify({ base, document: sent });
+  return applyToDeployment(state, { kind: 'configuration.put', payload });
+}
+
+function patch(state: Deployment, change: Document): Applied {
+  const payload = JSON.stringify({
+    base: state.revision,
+    patch: { revision: state.revision + 1, ...change },
+  });
+  return applyToDeployment(state, { kind: 'configuration.patch', payload });
+}
+
+/** Revision 5 with tenants `north` and `south`, a key each. */
+function first(): Deployment {
+  return put(EMPTY_DEPLOYMENT, 0, document(5, [tenant('north', [KEY_1]), tenant('south', [KEY_2])])).state;
+}
+
+function faultOf(tenants: unknown): string {
+  const checked = checkConfiguration(document(1, tenants));
+  return checked.isOk ? 'none' : `${checked.error.kind}: ${checked.error.detail}`;
+}
+
+function keysOf(state: Deployment): unknown[] {
+  return (state.document?.['tenants'] as Document[]).map(({ name, apiKeys }) => [name, apiKeys]);
+}
+
+describe('a configuration with tenants: two tenants with one key accepted', () => {
+  it('is refused by PUT, naming both tenants and no key', () => {
+    const { state, outcome } = put(
+      first(),
+      5,
+      document(6, [tenant('north', [KEY_1, KEY_2]), tenant('south', [KEY_3, KEY_2])]),
+    );
+    expect([outcome.kind, state.revision]).toEqual(['bad-spec', 5]);
+    expect(outcome.detail).toEqual('tenants.1 (south): shares a key with "north"');
+  });
+
+  it('is refused before it is proposed', () => {
+    const sent = document(6, [tenant('north', [KEY_1]), tenant('south', [KEY_1])]);
+    expect(checkOperation('configuration.put', { base: 5, document: sent }).isErr).toEqual(true);
+  });
+
+  it('is refused by a PATCH that adds the key of another tenant', () => {
+    const { state, outcome } = patch(first(), { set: { tenants: [tenant('west', [KEY_3, KEY_1])] } });
+    expect([outcome.kind, outcome.detail]).toEqual([
+      'bad-spec',
+      'tenants.2 (west): shares a key with "north"',
+    ]);
+    expect(state.revision).toEqual(5);
+  });
+
+  it('is refused by a PATCH that changes a tenant to hold the key of another', () => {
+    const { outcome } = patch(first(), { set: { tenants: [tenant('south', [KEY_2, KEY_1])] } });
+    expect(outcome.kind).toEqual('bad-spec');
+  });
+
+  it('is refused by a PATCH that upserts two tenants with one new key', () => {
+    const set = { tenants: [tenant('west', [KEY_3]), tenant('east', [KEY_3])] };
+    expect(patch(first(), { set }).outcome.kind).toEqual('bad-spec');
+  });
+
+  it('is refused where three tenants or more share', () => {
+    const fault = faultOf([tenant('a', [KEY_1]), tenant('b', [KEY_1]), tenant('c', [KEY_1])]);
+    expect(fault.split('\n').length).toEqual(2);
+  });
+
+  it('is not found in a PATCH that moves a key from one tenant to another', () => {
+    const moved = patch(first(), {
+      set: { tenants: [tenant('north', []), tenant('south', [KEY_2, KEY_1])] },
+    });
+    expect([moved.outcome.kind, keysOf(moved.state)]).toEqual([
+      'agreed',
+      [
+        ['north', []],
+        ['south', [KEY_2, KEY_1]],
+      ],
+    ]);
+  });
+
+  it('is not found in a PATCH that lets two tenants swap their keys', () => {
+    const set = { tenants: [tenant('south', [KEY_1]), tenant('north', [KEY_2])] };
+    expect(patch(first(), { set }).outcome.kind).toEqual('agreed');
+  });
+
+  it('is not found in a PATCH that removes the holder and adds the key elsewhere', () => {
+    const change = { set: { tenants: [tenant('west', [KEY_1])] }, drop: { tenants: ['north'] } };
+    const { state, outcome } = patch(first(), change);
+    expect([outcome.kind, keysOf(state)]).toEqual([
+      'agreed',
+      [
+        ['south', [KEY_2]],
+        ['west', [KEY_1]],
+      ],
+    ]);
+  });
+
+  it('is not found where one tenant names a key twice: it has one holder, and is read back as sent', () => {
+    const { state, outcome } = put(EMPTY_DEPLOYMENT, 0, document(5, [tenant('north', [KEY_1, KEY_1])]));
+    expect([outcome.kind, keysOf(state)]).toEqual(['agreed', [['north', [KEY_1, KEY_1]]]]);
+  });
+
+  it('is refused where keys differ in nothing, and not where they differ in case or spaces', () => {
+    const others = [tenant('north', ['Key']), tenant('south', ['key']), tenant('west', [' key'])];
+    expect(faultOf(others)).toEqual('none');
+  });
+});
+
+describe('a configuration with tenants: an invalid configuration is taken', () => {
+  const invalid: [what: string, tenants: unknown, says: RegExp][] = [
+    ['an empty key', [tenant('a', [''])], /tenants\.0\.apiKeys\.0/],
+    ['a key that is a number', [tenant('a', [7_654_321])], /tenants\.0\.apiKeys\.0/],
+    ['a key that is null', [tenant('a', [null])], /tenants\.0\.apiKeys\.0/],
+    ['a key that is an object', [tenant('a', [{ [SECRET]: SECRET }])], /tenants\.0\.apiKeys\.0/],
+    ['a key in place of the list', [tenant('a', SECRET)], /tenants\.0\.apiKeys/],
+    ['keys by name', [tenant('a', { [SECRET]: SECRET })], /tenants\.0\.apiKeys/],
+    ['a key in place of a tenant', [SECRET], /tenants\.0/],
+    ['a key in place of all tenants', SECRET, /tenants/],
+    ['tenants by name', { a: tenant('a', [SECRET]) }, /tenants/],
+    ['a tenant without a name', [{ apiKeys: [KEY_1] }], /tenants\.0\.name/],
+    ['a tenant with an empty name', [tenant('', [KEY_1])], /tenants\.0\.name/],
+    ['a tenant named by a number', [tenant('a', [KEY_1], { name: 5 })], /tenants\.0\.name/],
+    ['two tenants of one name', [tenant('a', [KEY_1]), tenant('a', [KEY_2])], /tenants\.1 \(a\)/],
+    ['two tenants of one name and one key', [tenant('a', [KEY_1]), tenant('a', [KEY_1])], /tenants\.1 \(a\)/],
+    ['a rate below 0', [tenant('a', [KEY_1], { ratePerS: -1 })], /tenants\.0\.ratePerS/],
+    ['a rate that is no number', [tenant('a', [KEY_1], { ratePerS: SECRET })], /tenants\.0\.ratePerS/],
+    ['a rate of NaN', [tenant('a', [KEY_1], { ratePerS: NaN })], /tenants\.0\.ratePerS/],
+    ['a burst below 0', [tenant('a', [KEY_1], { burst: -0.5 })], /tenants\.0\.burst/],
+    ['a burst that is a list', [tenant('a', [KEY_1], { burst: [SECRET] })], /tenants\.0\.burst/],
+    ['a priority below 0', [tenant('a', [KEY_1], { priority: -1 })], /tenants\.0\.priority/],
+  ];
+  for (const [what, tenants, says] of invalid) {
+    it(`is refused with ${what}, without showing a key`, () => {
+      const fault = faultOf(tenants);
+      expect([says.test(fault), fault.startsWith('bad-spec'), fault.includes(SECRET)]).toEqual([
+        true,
+        true,
+        false,
+      ]);
+      expect(fault.includes('7654321')).toEqual(false);
+    });
+  }
+
+  it('is refused by PATCH for the same reasons, and what is in force stays', () => {
+    const state = first();
+    const ends = [
+      { set: { tenants: [tenant('north', [''])] } },
+      { set: { tenants: [tenant('north', [KEY_1], { burst: -1 })] } },
+      { set: { tenants: [{ apiKeys: [KEY_3] }] } },
+      { set: { tenants: SECRET } },
+      { set: { tenants: { [SECRET]: SECRET } } },
+      { drop: { tenants: SECRET } },
+      { drop: { [SECRET]: SECRET } },
+      { drop: SECRET },
+      { set: SECRET },
+    ].map((change) => patch(state, change));
+    expect(ends.map(({ outcome }) => outcome.kind)).toEqual(ends.map(() => 'bad-spec'));
+    expect(ends.every((end) => end.state === state)).toEqual(true);
+    expect(ends.filter(({ outcome }) => outcome.detail.includes(SECRET))).toEqual([]);
+  });
+
+  it('shows no key where an operation or a stored state cannot be read', () => {
+    for (const cut of [`{"base":5,"x":["${SECRET}",]}`, `{"base":"${SECRET}" 1}`, SECRET]) {
+      const { outcome } = applyToDeployment(first(), { kind: 'configuration.put', payload: cut });
+      expect([outcome.kind, outcome.detail.includes('secret')]).toEqual(['bad-request', false]);
+      const read = decodeDeployment(new TextEncoder().encode(cut));
+      expect(read.isErr && !read.error.detail.includes('secret')).toEqual(true);
+    }
+    const wrong = decodeDeployment(new TextEncoder().encode(`{"edition":"${SECRET}"}`));
+    expect(wrong.isErr && !wrong.error.detail.includes(SECRET)).toEqual(true);
+  });
+});
+
+describe('the tenants of a configuration', () => {
+  function tenantsIn(tenants: unknown): unknown {
+    const checked = checkConfiguration(document(1, tenants));
+    return checked.isOk ? checked.value.tenants : checked.error.detail;
+  }
+
+  it('may be absent or null: no request needs a key', () => {
+    expect([tenantsIn(undefined), tenantsIn(null)]).toEqual([undefined, null]);
+  });
+
+  it('may be an empty list, which is kept: no key is known', () => {
+    expect(tenantsIn([])).toEqual([]);
+  });
+
+  it('have no limit with a rate of 0, of null or without one, and no burst without one', () => {
+    const found = tenantsIn([
+      { name: 'none' },
+      { name: 'null', apiKeys: null, ratePerS: null, burst: null, priority: null },
+      { name: 'large', apiKeys: [KEY_1], ratePerS: 1e15, burst: Number.MAX_SAFE_INTEGER, priority: 0 },
+      { name: 'part', ratePerS: 0.25 },
+    ]);
+    expect(found).toEqual([
+      { name: 'none', apiKeys: [], ratePerS: 0, burst: 0 },
+      { name: 'null', apiKeys: null, ratePerS: null, burst: null, priority: null },
+      { name: 'large', apiKeys: [KEY_1], ratePerS: 1e15, burst: Number.MAX_SAFE_INTEGER, priority: 0 },
+      { name: 'part', apiKeys: [], ratePerS: 0.25, burst: 0 },
+    ]);
+  });
+
+  it('stay a list once the last is removed, so that no key is known', () => {
+    const { state, outcome } = patch(first(), { drop: { tenants: ['north', 'south'] } });
+    expect([outcome.kind, state.document?.['tenants']]).toEqual(['agreed', []]);
+  });
+});
--- a/packages/runtime/src/operator-server.test.ts
+++ b/packages/runtime/src/operator-server.test.ts
@@ -1,8 +1,9 @@
 import { describe, it } from 'node:test';
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { inspect } from 'node:util';
 import type { OperatorCall, OperatorReply } from '@rainrun/cluster-node';
-import { FAULT_RESPONSES, type Fault } from '@rainrun/common';
+import { FAULT_RESPONSES, fault, type Fault } from '@rainrun/common';
 import { expect } from 'earl';
 import { Result } from 'true-myth';
 import { request } from 'undici';
@@ -28,7 +29,10 @@
 const SILENT = { info: () => undefined, error: () => undefined } as unknown as Log;
 
 /** A server whose calls are answered with 200 and listed. */
-async function open(): Promise<{ server: OperatorServer; calls: OperatorCall[]; address: string }> {
+async function open(
+  dialect: Pick<Dialect, 'readCall'> = { readCall },
+  log: Log = SILENT,
+): Promise<{ server: OperatorServer; calls: OperatorCall[]; address: string }> {
   const calls: OperatorCall[] = [];
   const answers = {
     answer(call: OperatorCall, done: (reply: OperatorReply) => void): void {
@@ -37,7 +41,7 @@
     },
     failure,
   };
-  const server = new OperatorServer({ readCall } as unknown as Dialect, answers, SILENT);
+  const server = new OperatorServer(dialect as Dialect, answers, log);
   await new Promise<void>((resolve) => server.listen('127.0.0.1', 0, resolve));
   return { server, calls, address: `127.0.0.1:${server.port}` };
 }
@@ -80,6 +84,29 @@
   });
 });
 
+describe('the log of operator calls', () => {
+  it('holds nothing of the body, nor of what was thrown when it could not be read', async () => {
+    const lines: string[] = [];
+    function keep(...line: unknown[]): void {
+      lines.push(inspect(line, { depth: 9 }));
+    }
+    const refusing = {
+      readCall: (method: string, path: string, headers: unknown, body: string) =>
+        path === '/refused'
+          ? Result.err<OperatorCall, Fault>(fault('bad-request', 'not JSON', { cause: new Error(body) }))
+          : readCall(method, path, headers, body),
+    };
+    const { server, address } = await open(refusing, { info: keep, error: keep } as unknown as Log);
+    const statuses = [
+      await send(address, '/refused', '{"tenants":["sk-secret",]}'),
+      await send(address, '/', '{"tenants":["sk-secret"]}'),
+    ];
+    server.close();
+    expect(statuses).toEqual([400, 200]);
+    expect([lines.length, lines.filter((line) => line.includes('secret'))]).toEqual([2, []]);
+  });
+});
+
 describe('the depth of a JSON text', () => {
   it('counts lists and objects, not what stands in texts', () => {
     expect(['1', '{}', '{"a":[{"b":"[[["}]}', '"\\"[["', '[[]'].map(jsonDepth)).toEqual([0, 1, 3, 0, 2]);
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -76,10 +76,7 @@
       this.#dialect.readCall(req.method ?? '', req.url ?? '', req.headers, text),
     );
     const reply = call.isOk ? await this.#execute(call.value, req) : this.#answers.failure(call.error);
-    this.#log.info(
-      call.isOk ? logFields(call.value, reply) : { refused: call.error, status: reply.status },
-      'operator',
-    );
+    this.#log.info(call.isOk ? logFields(call.value, reply) : refusalFields(call.error, reply), 'operator');
     return reply;
   }
 
@@ -92,6 +89,11 @@
   return { call: call.kind, base: 'base' in call ? call.base : undefined, status };
 }
 
+/** Never the cause of the fault: what was thrown may quote the body. */
+function refusalFields({ kind, detail }: Fault, { status }: OperatorReply): Record<string, unknown> {
+  return { refused: { kind, detail }, status };
+}
+
 /**
  * Whether the caller has closed its connection. What it sent may have waited
  * here, in a process that was frozen or behind a cut that healed.
