Configuration: a figure that JSON cannot write again is refused

Cause: JSON.parse reads 1e400 as Infinity, the schema took it, and JSON.stringify wrote null into the agreed document: a rate of 1e400 came to mean no limit, and what was read back differed from what was sent. Change: figures of a configuration must be finite. Result: 'an endless rate' and 'an endless burst' in tenants.test.ts, red before.

--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -4,7 +4,8 @@
 import * as v from 'valibot';
 import { issueMessage } from './issue-text.js';
 
-const Count = v.pipe(v.number(), v.minValue(0));
+/** JSON reads 1e400 as endless and writes that as null, which has another meaning. */
+const Count = v.pipe(v.number(), v.finite(), v.minValue(0));
 const NonEmptyText = v.pipe(v.string(), v.minLength(1));
 
 const ModelSchema = v.looseObject({
@@ -40,7 +41,7 @@
   service: v.optional(v.nullable(v.string())),
   split: v.optional(v.nullable(v.array(v.looseObject({ service: NonEmptyText, weight: Count })))),
   kind: v.optional(v.picklist(['idempotent', 'non_idempotent', 'streaming']), 'non_idempotent'),
-  timeoutMs: v.pipe(v.number(), v.gtValue(0, 'a time-out above 0')),
+  timeoutMs: v.pipe(v.number(), v.finite(), v.gtValue(0, 'a time-out above 0')),
   targetMs: v.optional(Count, 1000),
   gapMs: v.optional(Count, 0),
   attempts: v.optional(Count, 1),
--- a/packages/configuration/src/tenants.test.ts
+++ b/packages/configuration/src/tenants.test.ts
@@ -148,8 +148,10 @@
     ['two tenants of one name and one key', [tenant('a', [KEY_1]), tenant('a', [KEY_1])], /tenants\.1 \(a\)/],
     ['a rate below 0', [tenant('a', [KEY_1], { ratePerS: -1 })], /tenants\.0\.ratePerS/],
     ['a rate that is no number', [tenant('a', [KEY_1], { ratePerS: SECRET })], /tenants\.0\.ratePerS/],
+    ['an endless rate', [tenant('a', [KEY_1], { ratePerS: Infinity })], /tenants\.0\.ratePerS/],
     ['a rate of NaN', [tenant('a', [KEY_1], { ratePerS: NaN })], /tenants\.0\.ratePerS/],
     ['a burst below 0', [tenant('a', [KEY_1], { burst: -0.5 })], /tenants\.0\.burst/],
+    ['an endless burst', [tenant('a', [KEY_1], { burst: Infinity })], /tenants\.0\.burst/],
     ['a burst that is a list', [tenant('a', [KEY_1], { burst: [SECRET] })], /tenants\.0\.burst/],
     ['a priority below 0', [tenant('a', [KEY_1], { priority: -1 })], /tenants\.0\.priority/],
   ];
