Configuration: null in place of a list of a PATCH changes nothing

Cause: Upsert with Tenants null replaced the list by null, which means that no request needs a key: a caller that writes an empty list as null opened every route. Change: null in Upsert or Remove leaves the list that is held as it is; an empty list stays an empty list, by which no key is known. Result: 'are not opened to everyone by a PATCH with null in their place', red before.

--- a/packages/configuration/src/deployment.ts
+++ b/packages/configuration/src/deployment.ts
@@ -178,7 +178,7 @@
   return typeof item === 'object' && item !== null ? (item as Record<string, unknown>)['name'] : undefined;
 }
 
-/** Lists are changed item by item, by name; anything else is replaced. */
+/** Lists are changed item by item, by name; null in place of a list changes nothing; anything else is replaced. */
 function patched(
   document: ConfigurationDocument,
   set: Readonly<Record<string, unknown>>,
@@ -191,6 +191,7 @@
     if (Array.isArray(list)) next[key] = list.filter((item) => !dropped.has(String(nameOf(item))));
   }
   for (const [key, value] of Object.entries(set)) {
+    if (value === null && Array.isArray(next[key])) continue;
     next[key] = Array.isArray(value) ? upserted(next[key], value) : value;
   }
   return next;
--- a/packages/configuration/src/tenants.test.ts
+++ b/packages/configuration/src/tenants.test.ts
@@ -230,4 +230,15 @@
     const { state, outcome } = patch(first(), { drop: { tenants: ['north', 'south'] } });
     expect([outcome.kind, state.document?.['tenants']]).toEqual(['agreed', []]);
   });
+
+  it('are not opened to everyone by a PATCH with null in their place, nor changed', () => {
+    const state = first();
+    const ends = [
+      patch(state, { set: { tenants: null } }),
+      patch(state, { drop: { tenants: null } }),
+      patch(state, { set: { routes: null, services: null, tenants: null }, drop: null }),
+    ];
+    expect(ends.map(({ outcome }) => outcome.kind)).toEqual(['agreed', 'agreed', 'agreed']);
+    for (const end of ends) expect(end.state.document?.['tenants']).toEqual(state.document?.['tenants']);
+  });
 });
