--- a/packages/runtime/src/dialect.ts
+++ b/packages/runtime/src/dialect.ts
@@ -2,6 +2,7 @@
 import type { OperatorCall, OperatorFormat } from '@rainrun/cluster-node';
 import type { Fault } from '@rainrun/common';
 import type { HeaderNames } from '@rainrun/router';
+import type { QuotaBounds } from '@rainrun/quotas';
 import type { ListedWorker, ReportReply, WorkerOrder, WorkerOrderReply } from '@rainrun/placement';
 import type { Result } from 'true-myth';
 
@@ -32,10 +33,21 @@
   };
   readonly provider: { readonly address: string; readonly callsPerS: number; readonly lagMs: number };
   readonly retries: { readonly ratio: number; readonly extra: number };
+  /** How far the requests of a tenant, over all edges, may go above its limit. */
+  readonly quota: QuotaBounds;
+  readonly revocation: RevocationBounds;
   readonly graceMs: number;
   readonly memoryMb: number;
 }
 
+/** When a key that was taken away must no longer be served. */
+export interface RevocationBounds {
+  /** Whether an edge that is not in touch with the cores must stop serving by the keys that it holds. */
+  readonly strict: boolean;
+  /** Milliseconds from the acknowledgement of the change that took the key away. */
+  readonly withinMs: number;
+}
+
 /** Names of the headers that an edge reads from its clients, lower case. */
 export interface ClientHeaderNames {
   readonly requestId: string;
--- a/packages/runtime/src/testing/edge-under-test.ts
+++ b/packages/runtime/src/testing/edge-under-test.ts
@@ -316,6 +316,8 @@
     },
     provider: { address: '', callsPerS: 1, lagMs: 1000 },
     retries: { ratio: 1, extra: 20 },
+    quota: { windowMs: 5000, overshoot: 0, slack: 0 },
+    revocation: { strict: false, withinMs: 2000 },
     graceMs,
     memoryMb: 256,
   };
--- a/tools/scale/src/testbed.ts
+++ b/tools/scale/src/testbed.ts
@@ -299,6 +299,8 @@
       },
       provider: { address: `127.77.2.1:${port + 3}`, callsPerS: 10, lagMs: 1000 },
       retries: { ratio: 0.2, extra: 200 },
+      quota: { windowMs: 5000, overshoot: 0.1, slack: 20 },
+      revocation: { strict: false, withinMs: 2500 },
       graceMs: 8000,
       memoryMb: 256,
     };
