--- a/packages/cluster-node/src/index.ts
+++ b/packages/cluster-node/src/index.ts
@@ -11,3 +11,4 @@
 export * from './plan-pacer.js';
 export * from './operator-service.js';
 export * from './core-status.js';
+export * from './revocation-guard.js';
