View: tenants with their limits, number of keys and the state of their quota

Change: GET of the view has a row for each tenant: name, rate, burst, priority, how many keys, the allocator by this core's view, and TenantQuotaStatus where the core gives it (coreStatus takes a function by tenant; without one the column is null). Each field is named, so neither a key nor a field that is not known can come into it.

--- a/packages/cluster-node/src/core-status.ts
+++ b/packages/cluster-node/src/core-status.ts
@@ -2,6 +2,7 @@
 import type { Member } from '@rainrun/messages';
 import type { CoordinatorWait } from '@rainrun/process-group';
 import type { CoreReplica } from './core-replica.js';
+import { tenantStatuses, type QuotaStatusOf, type TenantStatus } from './tenant-status.js';
 
 /** A core in the view. */
 export interface MemberStatus {
@@ -41,19 +42,22 @@
   readonly edges: number;
   readonly members: readonly MemberStatus[];
   readonly voters: readonly VoterStatus[];
+  /** Absent where the configuration has no tenants. */
+  readonly tenants?: readonly TenantStatus[];
 }
 
 /**
- * What a core knows of its group at this moment, current or not.
+ * What a core knows of its group and its tenants at this moment, current or not.
  * @example
  * coreStatus(replica).coordinator; // 'core-1'
  */
-export function coreStatus(replica: CoreReplica): CoreStatus {
+export function coreStatus(replica: CoreReplica, quotaStatusOf: QuotaStatusOf = () => undefined): CoreStatus {
   const { group, state } = replica;
   const members = group.view?.members ?? [];
   const voters = group.state?.voters ?? [];
   const version = group.state?.number ?? 0;
   const waiting = group.coordinatorWait();
+  const tenants = tenantStatuses(state, members, quotaStatusOf);
   function versionOf(member: Member | undefined): number | null {
     if (member === undefined) return null;
     return member.incarnation === group.self.incarnation
@@ -87,5 +91,6 @@
       const member = members.find((known) => known.disk === disk);
       return { name, disk, member: member !== undefined, version: versionOf(member) };
     }),
+    ...(tenants === undefined ? {} : { tenants }),
   };
 }
--- a/packages/cluster-node/src/index.ts
+++ b/packages/cluster-node/src/index.ts
@@ -12,3 +12,4 @@
 export * from './operator-service.js';
 export * from './core-status.js';
 export * from './revocation-guard.js';
+export * from './tenant-status.js';
