--- a/packages/cluster-node/src/index.ts
+++ b/packages/cluster-node/src/index.ts
@@ -11,3 +11,5 @@
 export * from './plan-pacer.js';
 export * from './operator-service.js';
 export * from './core-status.js';
+export * from './revocation-guard.js';
+export * from './tenant-status.js';
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -2,8 +2,10 @@
 import { fault, type Fault } from '@rainrun/common';
 import { Result } from 'true-myth';
 import * as v from 'valibot';
+import { issueMessage } from './issue-text.js';
 
-const Count = v.pipe(v.number(), v.minValue(0));
+/** JSON reads 1e400 as endless and writes that as null, which has another meaning. */
+const Count = v.pipe(v.number(), v.finite(), v.minValue(0));
 const NonEmptyText = v.pipe(v.string(), v.minLength(1));
 
 const ModelSchema = v.looseObject({
@@ -39,7 +41,7 @@
   service: v.optional(v.nullable(v.string())),
   split: v.optional(v.nullable(v.array(v.looseObject({ service: NonEmptyText, weight: Count })))),
   kind: v.optional(v.picklist(['idempotent', 'non_idempotent', 'streaming']), 'non_idempotent'),
-  timeoutMs: v.pipe(v.number(), v.gtValue(0, 'a time-out above 0')),
+  timeoutMs: v.pipe(v.number(), v.finite(), v.gtValue(0, 'a time-out above 0')),
   targetMs: v.optional(Count, 1000),
   gapMs: v.optional(Count, 0),
   attempts: v.optional(Count, 1),
@@ -159,7 +161,7 @@
 
 function issueText(issue: v.BaseIssue<unknown>, place: string): string {
   const path = [place, v.getDotPath(issue) ?? ''].filter((part) => part !== '').join('.');
-  return `${path === '' ? 'configuration' : path}: ${issue.message}`;
+  return `${path === '' ? 'configuration' : path}: ${issueMessage(issue)}`;
 }
 
 /**
