Tenants by key: TenantDirectory holds keys as keyed hashes; the edge's replica keeps none in plain

The configuration in force lists the keys of tenants, and an edge kept it whole.

An edge now builds a directory from each state: HMAC-SHA256 of each key under a secret of the process, looked up by digest and compared in constant time. Neither its state nor its configuration holds a key after that; the document is checked again without them, since the checker remembers the items that it saw last. The secret is drawn when the first tenants come, so nodes without tenants take nothing from their source of chance.

--- /dev/null
+++ b/packages/cluster-node/src/edge-holds-key.test.ts
@@ -0,0 +1,98 @@
+import { describe, it } from 'node:test';
+import { inspect } from 'node:util';
+import { create } from '@bufbuild/protobuf';
+import { EMPTY_DEPLOYMENT, encodeForSubscribers } from '@rainrun/configuration';
+import { SeededRandom } from '@rainrun/common';
+import { FrameSchema, StateUpdateSchema, WIRE_VERSION, type Frame } from '@rainrun/messages';
+import { expect } from 'earl';
+import { EdgeReplica } from './edge-replica.js';
+
+const KEY = 'key-in-plain';
+
+/** An edge's replica that a test sends states as a core does. */
+class ReplicaTrial {
+  readonly sent: Frame[] = [];
+  changes = 0;
+  #edition = 0;
+  readonly replica = new EdgeReplica({
+    name: 'edge-1',
+    zone: 'north',
+    address: '10.0.0.1:7001',
+    deployment: 'system',
+    seeds: ['10.0.0.2:7000'],
+    clock: { nowMs: () => 1000 },
+    chance: new SeededRandom(4),
+    send: (_address, frame) => void this.sent.push(frame),
+    demands: () => [],
+    outcomes: () => [],
+    onChange: () => {
+      this.changes += 1;
+    },
+  });
+
+  hear(document: Readonly<Record<string, unknown>>): void {
+    this.#edition += 1;
+    const edition = this.#edition;
+    const state = encodeForSubscribers({ ...EMPTY_DEPLOYMENT, edition, revision: edition, document });
+    const frame = create(FrameSchema, {
+      wire: WIRE_VERSION,
+      deployment: 'system',
+      from: 'core-1',
+      to: this.replica.incarnation,
+    });
+    frame.body = { case: 'stateUpdate', value: create(StateUpdateSchema, { edition, state }) };
+    this.replica.receive(frame);
+  }
+
+  holder(key: string): string | undefined {
+    return this.replica.tenants?.holderOf(key)?.name;
+  }
+}
+
+function document(tenants?: unknown): Readonly<Record<string, unknown>> {
+  return { revision: 1, routes: [], services: [], ...(tenants === undefined ? {} : { tenants }) };
+}
+
+describe('an edge that holds a key in plain', () => {
+  it('is not there: neither its state nor its configuration nor anything else of its replica shows one', () => {
+    const trial = new ReplicaTrial();
+    trial.hear(document([{ name: 'one', apiKeys: [KEY], note: 'kept' }]));
+    trial.replica.tick();
+    const { replica, sent } = trial;
+    const shown = [replica, replica.state, replica.configuration, replica.tenants, sent].map((value) =>
+      inspect(value, { depth: null, showHidden: true }),
+    );
+    expect([shown.filter((text) => text.includes(KEY)), trial.holder(KEY)]).toEqual([[], 'one']);
+    expect(replica.state.document?.['tenants']).toEqual([{ name: 'one', note: 'kept' }]);
+  });
+
+  it('is not there after a state that cannot be a configuration either', () => {
+    const trial = new ReplicaTrial();
+    trial.hear({ tenants: [{ name: 'one', apiKeys: [KEY] }] });
+    const shown = inspect(trial.replica.state, { depth: null });
+    expect([shown.includes(KEY), trial.replica.configuration]).toEqual([false, undefined]);
+  });
+});
+
+describe('an edge that goes by the keys of an older configuration', () => {
+  it('is not there: a key that moves, is dropped or comes counts from the state that says so', () => {
+    const trial = new ReplicaTrial();
+    trial.hear(document([{ name: 'one', apiKeys: ['a', 'b'] }]));
+    const before = ['a', 'b', 'c'].map((key) => trial.holder(key));
+    trial.hear(document([{ name: 'two', apiKeys: ['a', 'c'] }]));
+    const after = ['a', 'b', 'c'].map((key) => trial.holder(key));
+    expect([before, after]).toEqual([
+      ['one', 'one', undefined],
+      ['two', undefined, 'two'],
+    ]);
+  });
+
+  it('needs keys where the list of tenants is empty, and none where there is no list', () => {
+    const trial = new ReplicaTrial();
+    const seen = [document(), document([]), document(null), document([])].map((next) => {
+      trial.hear(next);
+      return trial.replica.tenants !== undefined;
+    });
+    expect(seen).toEqual([false, true, false, true]);
+  });
+});
--- a/packages/cluster-node/src/edge-replica.ts
+++ b/packages/cluster-node/src/edge-replica.ts
@@ -14,10 +14,14 @@
 import {
   checkConfiguration,
   EMPTY_DEPLOYMENT,
+  TENANT_SECRET_BYTES,
+  TenantDirectory,
+  withoutApiKeys,
   type Configuration,
+  type ConfigurationDocument,
   type Deployment,
 } from '@rainrun/configuration';
-import { randomId, type Clock, type RandomSource } from '@rainrun/common';
+import { randomBytes, randomId, type Clock, type RandomSource } from '@rainrun/common';
 import { CoreSelection, type Core } from './core-selection.js';
 import { DemandReporter } from './demand-reporter.js';
 import { EdgeCount } from './edge-count.js';
@@ -33,6 +37,7 @@
   /** Addresses of cores to begin with. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
+  /** The keys of tenants are hashed under a secret drawn from it, so on a real machine it is to be unpredictable. */
   readonly chance: RandomSource;
   send(address: string, frame: Frame): void;
   /** The demand for models at this edge now. */
@@ -73,6 +78,9 @@
   #self: Member;
   #state: Deployment = EMPTY_DEPLOYMENT;
   #configuration: Configuration | undefined;
+  #tenants: TenantDirectory | undefined;
+  /** Drawn when the first tenants come. */
+  #tenantSecret: Uint8Array | undefined;
   #cores: CoreSelection;
   #table: EdgeWorkerTable;
   #edgeCount = new EdgeCount();
@@ -91,16 +99,21 @@
     this.#demandReporter = new DemandReporter(() => dependencies.demands());
   }
 
-  /** The newest committed state that is known here. */
+  /** The newest committed state that is known here, without the keys of tenants. */
   get state(): Deployment {
     return this.#state;
   }
 
-  /** The newest valid configuration; undefined before the first. */
+  /** The newest valid configuration, without the keys of tenants; undefined before the first. */
   get configuration(): Configuration | undefined {
     return this.#configuration;
   }
 
+  /** The tenants of that configuration; undefined where it has none, so that requests need no key. */
+  get tenants(): TenantDirectory | undefined {
+    return this.#tenants;
+  }
+
   /** Workers by id. */
   get workers(): ReadonlyMap<string, WorkerSnapshot> {
     return this.#table.workers;
@@ -202,9 +215,32 @@
     if (update.edition <= this.#state.edition) return;
     const state = decodeStateUpdate(update);
     if (state === undefined || state.isErr) return;
-    this.#state = state.value;
-    const checked = state.value.document === undefined ? undefined : checkConfiguration(state.value.document);
-    if (checked?.isOk === true) this.#configuration = checked.value;
+    const { document } = state.value;
+    this.#state = {
+      ...state.value,
+      document: document === undefined ? undefined : this.#applyDocument(document),
+    };
     this.#dependencies.onChange('state');
   }
+
+  /**
+   * Takes over a document that is valid, and returns it without the keys of tenants. It is checked a second time
+   * without them: the checker remembers the items that it saw last.
+   */
+  #applyDocument(document: ConfigurationDocument): ConfigurationDocument {
+    const checked = checkConfiguration(document);
+    const hasTenants = checked.isOk && Array.isArray(checked.value.tenants);
+    const keyless = withoutApiKeys(document);
+    const kept = hasTenants ? checkConfiguration(keyless) : checked;
+    if (!checked.isOk || !kept.isOk) return keyless;
+    this.#configuration = kept.value;
+    this.#tenants = this.#directoryOf(checked.value);
+    return keyless;
+  }
+
+  #directoryOf({ tenants }: Configuration): TenantDirectory | undefined {
+    if (tenants === undefined || tenants === null) return undefined;
+    this.#tenantSecret ??= randomBytes(this.#dependencies.chance, TENANT_SECRET_BYTES);
+    return new TenantDirectory(tenants, this.#tenantSecret);
+  }
 }
--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -36,3 +36,12 @@
   for (let digit = 0; digit < 12; digit += 1) text += Math.floor(random.next() * 16).toString(16);
   return text;
 }
+
+/**
+ * Random bytes, as unpredictable as their source.
+ * @example
+ * randomBytes(new SeededRandom(1), 32).length; // 32
+ */
+export function randomBytes(random: RandomSource, count: number): Uint8Array {
+  return Uint8Array.from({ length: count }, () => Math.floor(random.next() * 256));
+}
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -4,3 +4,4 @@
 export * from './configuration.js';
 export * from './deployment.js';
 export * from './deployment-codec.js';
+export * from './tenant-directory.js';
--- a/packages/runtime/src/process-environment.ts
+++ b/packages/runtime/src/process-environment.ts
@@ -1,4 +1,5 @@
 /** What a process takes from its surroundings: clock, chance and its own use of the machine. */
+import { randomInt } from 'node:crypto';
 import type { Clock, RandomSource } from '@rainrun/common';
 
 /** Milliseconds since the process began; never goes back. */
@@ -7,6 +8,12 @@
 /** Not for secrets. */
 export const SYSTEM_RANDOM: RandomSource = { next: () => Math.random() };
 
+/** How many different numbers the source for secrets gives: the most that one call of the system allows. */
+const SECURE_STEPS = 2 ** 48 - 1;
+
+/** For secrets: unpredictable, and slower. */
+export const SECURE_RANDOM: RandomSource = { next: () => randomInt(SECURE_STEPS) / SECURE_STEPS };
+
 /** Processor time since the process began, in milliseconds, and resident memory, in MiB. */
 export interface ProcessUsage {
   readonly cpuMs: number;
