Quotas: the reserve of a takeover depends on how long the view before was committed

The reserve was shared by as many processes as a view has cores, since any of them might take a tenant over within one window. Now an allocator has one only if the view before was known as committed for a window, the lifetimes of permits and a lease. All that had the tenant before that view have stopped by then, so two allocators at the most spend a reserve in one window, and each gets a half of what is free instead of a sixth. Nothing is noted by process any more: QuotaAllocator takes {bounds, leaseMs}, without startedMs.

--- a/packages/quotas/src/allocator.test.ts
+++ b/packages/quotas/src/allocator.test.ts
@@ -10,13 +10,14 @@
 import { expect } from 'earl';
 import { allocatorOf } from './allocator-choice.js';
 import { QuotaAllocator, type QuotaView } from './allocator.js';
-import { quotaBudget } from './quota-budget.js';
+import { quotaBudget, reserveIntervalMs } from './quota-budget.js';
 
 const BOUNDS = { windowMs: 5000, overshoot: 0.1, slack: 20 };
 const LIMIT = { name: 'tenant-1', ratePerS: 10, burst: 10 };
 const LEASE_MS = 600;
 const WAIT_MS = 660;
-const BUDGET = quotaBudget(LIMIT, BOUNDS, 2);
+const BUDGET = quotaBudget(LIMIT, BOUNDS);
+const INTERVAL_MS = reserveIntervalMs(BOUNDS, LEASE_MS);
 const RESERVE = Math.floor(BUDGET.reserve);
 
 function core(name: string, incarnation = name): Member {
@@ -34,7 +35,7 @@
 }
 
 function allocatorAt(nowMs: number): QuotaAllocator {
-  const allocator = new QuotaAllocator({ bounds: BOUNDS, leaseMs: LEASE_MS, startedMs: nowMs });
+  const allocator = new QuotaAllocator({ bounds: BOUNDS, leaseMs: LEASE_MS });
   allocator.updateLimits([LIMIT], nowMs);
   return allocator;
 }
@@ -102,17 +103,30 @@
     expect(after.retryAfterMs).toSatisfy((ms: number) => ms > 0);
   });
 
-  it('has no reserve while its process is young, and one in a window', () => {
+  it('has a reserve only if the view before was committed for longer than a window', () => {
     const young = allocatorAt(20_000);
     young.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, 20_000);
     expect(ask(young, 100, 20_100).granted).toEqual(0);
 
+    const early = settledAllocator(SECOND);
+    early.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, INTERVAL_MS - 1);
+    expect(ask(early, 100, INTERVAL_MS).granted).toEqual(0);
+
+    const allocator = settledAllocator(SECOND);
+    allocator.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, INTERVAL_MS);
+    expect(ask(allocator, 100, INTERVAL_MS + 100).granted).toEqual(RESERVE);
+    allocator.onView(view(3), SECOND.incarnation, INTERVAL_MS + 200);
+    allocator.onView(view(4, WITHOUT_FIRST), SECOND.incarnation, 20_000);
+    expect(ask(allocator, 100, 20_100).granted).toEqual(0);
+  });
+
+  it('gives no reserve by the configuration, however often a limit comes and goes', () => {
     const allocator = settledAllocator(SECOND);
     allocator.onView(view(2, WITHOUT_FIRST), SECOND.incarnation, 20_000);
-    expect(ask(allocator, 100, 20_100).granted).toEqual(RESERVE);
-    allocator.onView(view(3), SECOND.incarnation, 20_200);
-    allocator.onView(view(4, WITHOUT_FIRST), SECOND.incarnation, 20_300);
-    expect(ask(allocator, 100, 20_400).granted).toEqual(0);
+    ask(allocator, 100, 20_000);
+    allocator.updateLimits([{ ...LIMIT, ratePerS: 0 }], 20_010);
+    allocator.updateLimits([LIMIT], 20_020);
+    expect(ask(allocator, 100, 20_030).granted).toEqual(0);
   });
 
   it('stops and hands its level over when a core joins that ranks higher', () => {
@@ -170,7 +184,7 @@
     const allocator = settledAllocator();
     const lower = { ...LIMIT, ratePerS: 1, burst: 1 };
     allocator.updateLimits([lower], 20_000);
-    const depth = Math.floor(quotaBudget(lower, BOUNDS, 3).bucket.depth);
+    const depth = Math.floor(quotaBudget(lower, BOUNDS).bucket.depth);
     expect(ask(allocator, 100, 20_000).granted).toEqual(depth);
     allocator.updateLimits([], 20_010);
     expect(ask(allocator, 1, 20_010).unavailable).toEqual(true);
--- a/packages/quotas/src/allocator.ts
+++ b/packages/quotas/src/allocator.ts
@@ -43,8 +43,6 @@
   readonly bounds: QuotaBounds;
   /** Leases of the process group, in milliseconds. */
   readonly leaseMs: number;
-  /** The present moment of the monotonic clock. */
-  readonly startedMs: number;
   /**
    * How long a takeover waits once the view is committed.
    * @default leaseMs and a tenth, for clocks that drift
@@ -75,28 +73,23 @@
  */
 export class QuotaAllocator {
   #bounds: QuotaBounds;
-  #startedMs: number;
   #takeoverWaitMs: number;
   #reserveIntervalMs: number;
   #limits = new Map<string, TenantLimit>();
   #allocations = new Map<string, Allocation>();
   /** When tenants were removed whose allocations are kept for a while, by name. */
   #removedMs = new Map<string, number>();
-  /** When this process last had a reserve in use, by tenant. Outlives views and incarnations. */
-  #reserveUsedMs = new Map<string, number>();
   #view: QuotaView | undefined;
   #incarnation = '';
-  /** When predecessors of the present view can no longer grant; undefined until the view is committed. */
-  #viewStartMs: number | undefined;
+  /** Since when the present view is known to be committed. */
+  #committedMs: number | undefined;
   /** Handovers that came for the newest view heard of. */
   #handovers: QuotaHandover[] = [];
-  #coresMost = 0;
 
   constructor(options: QuotaAllocatorOptions) {
     this.#bounds = options.bounds;
-    this.#startedMs = options.startedMs;
     this.#takeoverWaitMs = options.takeoverWaitMs ?? options.leaseMs * (1 + LEASE_MARGIN_PART);
-    this.#reserveIntervalMs = reserveIntervalMs(options.bounds);
+    this.#reserveIntervalMs = reserveIntervalMs(options.bounds, options.leaseMs);
   }
 
   /** Takes the limits of the configuration in force. Tenants without a limit may be among them or not. */
@@ -105,7 +98,7 @@
     this.#limits = new Map();
     for (const limit of limits) this.#limits.set(limit.name, limit);
     for (const name of known.keys()) if (!this.#limits.has(name)) this.#removedMs.set(name, nowMs);
-    for (const limit of this.#limits.values()) this.#applyLimit(limit, nowMs);
+    for (const limit of this.#limits.values()) this.#applyLimit(limit, false, nowMs);
     this.#forgetRemoved(nowMs);
   }
 
@@ -119,12 +112,13 @@
       view.number === this.#view.number + 1 &&
       selfIncarnation === this.#incarnation;
     if (!isNext) this.#allocations.clear();
+    const settledForMs = this.#committedMs === undefined ? 0 : nowMs - this.#committedMs;
+    const mayUseReserve = isNext && settledForMs >= this.#reserveIntervalMs;
     this.#view = view;
     this.#incarnation = selfIncarnation;
-    this.#viewStartMs = undefined;
-    this.#coresMost = Math.max(this.#coresMost, view.members.filter(({ disk }) => disk !== '').length);
+    this.#committedMs = undefined;
     const orders = this.#handOver(view, nowMs);
-    for (const limit of this.#limits.values()) this.#applyLimit(limit, nowMs);
+    for (const limit of this.#limits.values()) this.#applyLimit(limit, mayUseReserve, nowMs);
     this.#takeHandovers(nowMs);
     this.#forgetRemoved(nowMs);
     return orders;
@@ -132,10 +126,10 @@
 
   /** The view is known to be committed: a majority of its members, and of those of the view before, installed it. */
   onViewCommitted(place: ViewPlace, nowMs: number): void {
-    if (this.#viewStartMs !== undefined || !this.#isPresent(place)) return;
-    this.#viewStartMs = nowMs + this.#takeoverWaitMs;
-    for (const [name, allocation] of this.#allocations)
-      if (allocation.startMs === undefined) this.#startAt(name, allocation, this.#viewStartMs);
+    if (this.#committedMs !== undefined || !this.#isPresent(place)) return;
+    this.#committedMs = nowMs;
+    for (const allocation of this.#allocations.values())
+      if (allocation.startMs === undefined) allocation.startAt(nowMs + this.#takeoverWaitMs);
   }
 
   /** A predecessor has stopped and left these levels. May come before the view that it belongs to. */
@@ -173,7 +167,6 @@
     if (limit === undefined || allocation === undefined || !holdsLease)
       return create(QuotaAnswerSchema, { tenant, unavailable: true });
     const { granted, retryAfterMs } = allocation.answer(permits, nowMs);
-    if (granted > 0 && !allocation.hasStarted(nowMs)) this.#noteReserveUse(tenant, nowMs);
     if (granted === permits) return create(QuotaAnswerSchema, { tenant, granted });
     if (retryAfterMs === undefined) return create(QuotaAnswerSchema, { tenant, granted, unavailable: true });
     const wholeMs = Math.max(1, Math.ceil(Math.min(retryAfterMs, RETRY_AFTER_MOST_MS)));
@@ -206,15 +199,13 @@
     if (first === undefined || !this.#isPresent({ epoch: first.viewEpoch, number: first.viewNumber })) return;
     for (const { tenant, level } of this.#handovers.flatMap(({ levels }) => levels)) {
       const allocation = this.#allocations.get(tenant);
-      if (allocation === undefined || allocation.hasStarted(nowMs)) continue;
-      allocation.takeOver(level, nowMs);
-      this.#noteReserveUse(tenant, nowMs);
+      if (allocation?.hasStarted(nowMs) === false) allocation.takeOver(level, nowMs);
     }
     this.#handovers = [];
   }
 
   /** Begins, changes or ends the allocation of a tenant by its limit. */
-  #applyLimit(limit: TenantLimit, nowMs: number): void {
+  #applyLimit(limit: TenantLimit, mayUseReserve: boolean, nowMs: number): void {
     const { name } = limit;
     this.#removedMs.delete(name);
     if (this.#view === undefined) return;
@@ -223,33 +214,18 @@
       this.#allocations.delete(name);
       return;
     }
-    const budget = quotaBudget(limit, this.#bounds, this.#coresMost);
+    const budget = quotaBudget(limit, this.#bounds);
     const known = this.#allocations.get(name);
-    if (known === undefined) this.#begin(name, budget, nowMs);
+    if (known === undefined) this.#begin(name, budget, mayUseReserve ? budget.reserve : 0, nowMs);
     else known.reshape(budget, nowMs);
   }
 
-  #begin(name: string, budget: QuotaBudget, nowMs: number): void {
-    const allocation = new Allocation(budget, this.#takeReserve(name, budget, nowMs));
+  /** A tenant that is new here, by a view or by the configuration. */
+  #begin(name: string, budget: QuotaBudget, reserve: number, nowMs: number): void {
+    const allocation = new Allocation(budget, reserve);
     this.#allocations.set(name, allocation);
-    if (this.#viewStartMs !== undefined) this.#startAt(name, allocation, Math.max(nowMs, this.#viewStartMs));
-  }
-
-  #startAt(name: string, allocation: Allocation, startMs: number): void {
-    allocation.startAt(startMs);
-    this.#noteReserveUse(name, startMs);
-  }
-
-  /** The reserve for a takeover, at most once in an interval and not in a process that may have forgotten a use. */
-  #takeReserve(name: string, budget: QuotaBudget, nowMs: number): number {
-    const usedMs = Math.max(this.#startedMs, this.#reserveUsedMs.get(name) ?? -Infinity);
-    if (nowMs - usedMs < this.#reserveIntervalMs) return 0;
-    this.#noteReserveUse(name, nowMs);
-    return budget.reserve;
-  }
-
-  #noteReserveUse(name: string, nowMs: number): void {
-    this.#reserveUsedMs.set(name, Math.max(nowMs, this.#reserveUsedMs.get(name) ?? -Infinity));
+    if (this.#committedMs === undefined) return;
+    allocation.startAt(Math.max(nowMs, this.#committedMs + this.#takeoverWaitMs));
   }
 
   #forgetRemoved(nowMs: number): void {
@@ -258,8 +234,6 @@
       this.#removedMs.delete(name);
       this.#allocations.delete(name);
     }
-    for (const [name, usedMs] of this.#reserveUsedMs)
-      if (nowMs - usedMs >= this.#reserveIntervalMs) this.#reserveUsedMs.delete(name);
   }
 
   #isPresent(place: ViewPlace): boolean {
--- a/packages/quotas/src/quota-budget.ts
+++ b/packages/quotas/src/quota-budget.ts
@@ -17,8 +17,8 @@
 /** The part of what stays free that deepens the bucket, so that jitter on the way refuses nothing. */
 const GRACE_PART = 0.25;
 
-/** Processes that may spend a reserve within one window, at the least. */
-const RESERVE_HOLDERS_LEAST = 6;
+/** Allocators that may spend a reserve within one window: the last two that had the tenant, see `reserveIntervalMs`. */
+const RESERVE_HOLDERS_MOST = 2;
 
 /** How a tenant's allowance is divided. */
 export interface QuotaBudget {
@@ -36,9 +36,13 @@
   return Math.max(PERMIT_LIFETIME_LEAST_MS, LIFETIME_PART * bounds.overshoot * bounds.windowMs);
 }
 
-/** Between two uses of a reserve in one process, and from its start to the first. Longer than all that one window sees. */
-export function reserveIntervalMs(bounds: QuotaBounds): number {
-  return (bounds.windowMs + 2 * permitLifetimeMs(bounds)) * (1 + 2 * CLOCK_DRIFT_MOST);
+/**
+ * For how long a view must be known to be committed, so that a takeover in the next one may use a reserve. All that
+ * had the tenant before that view have stopped a lease after its commit, so what they spent lies in no window with
+ * what is spent now; only the last one may have spent a reserve in the same window.
+ */
+export function reserveIntervalMs(bounds: QuotaBounds, leaseMs: number): number {
+  return (bounds.windowMs + 2 * permitLifetimeMs(bounds) + leaseMs) * (1 + 2 * CLOCK_DRIFT_MOST);
 }
 
 /** The most requests of a tenant that may be sent in any window. */
@@ -47,17 +51,20 @@
   return allowed * (1 + bounds.overshoot) + bounds.slack;
 }
 
-/** Divides a tenant's allowance, where up to `cores` processes allocate. */
-export function quotaBudget(limit: TenantLimit, bounds: QuotaBounds, cores: number): QuotaBudget {
+/**
+ * Divides a tenant's allowance.
+ * @example
+ * quotaBudget({ name: 'tenant-1', ratePerS: 5, burst: 5 }, { windowMs: 5000, overshoot: 0.1, slack: 20 }).reserve; // 7.7
+ */
+export function quotaBudget(limit: TenantLimit, bounds: QuotaBounds): QuotaBudget {
   // Requests sent in a window were granted within this time, on a clock that may run fast.
   const grantSpanMs =
     (bounds.windowMs + permitLifetimeMs(bounds) * (1 + 2 * CLOCK_DRIFT_MOST)) * (1 + CLOCK_DRIFT_MOST);
   const available = windowBound(limit, bounds) - limit.burst;
   const tokensPerMs = Math.max(0, Math.min(limit.ratePerS / 1000, available / grantSpanMs));
   const free = Math.max(0, available - tokensPerMs * grantSpanMs);
-  const holders = Math.max(RESERVE_HOLDERS_LEAST, cores + 1);
   return {
     bucket: { depth: limit.burst + free * GRACE_PART, tokensPerMs },
-    reserve: (free * (1 - GRACE_PART)) / holders,
+    reserve: (free * (1 - GRACE_PART)) / RESERVE_HOLDERS_MOST,
   };
 }
