--- a/packages/cluster-node/src/edge-holds-key.test.ts
+++ b/packages/cluster-node/src/edge-holds-key.test.ts
@@ -4,6 +4,7 @@
 import { EMPTY_DEPLOYMENT, encodeForSubscribers } from '@rainrun/configuration';
 import { SeededRandom } from '@rainrun/common';
 import { FrameSchema, StateUpdateSchema, WIRE_VERSION, type Frame } from '@rainrun/messages';
+import { STRICT_QUOTA_BOUNDS } from '@rainrun/quotas';
 import { expect } from 'earl';
 import { EdgeReplica } from './edge-replica.js';
 
@@ -22,6 +23,7 @@
     seeds: ['10.0.0.2:7000'],
     clock: { nowMs: () => 1000 },
     chance: new SeededRandom(4),
+    quota: STRICT_QUOTA_BOUNDS,
     send: (_address, frame) => void this.sent.push(frame),
     demands: () => [],
     outcomes: () => [],
--- a/packages/cluster-node/src/quota-allocation.ts
+++ b/packages/cluster-node/src/quota-allocation.ts
@@ -65,8 +65,8 @@
 
   constructor(dependencies: QuotaAllocationDependencies) {
     this.#dependencies = dependencies;
-    const { bounds, leaseMs, clock } = dependencies;
-    this.#allocator = new QuotaAllocator({ bounds, leaseMs, startedMs: clock.nowMs() });
+    const { bounds, leaseMs } = dependencies;
+    this.#allocator = new QuotaAllocator({ bounds, leaseMs });
   }
 
   /** A version has come into force here. */
