--- a/packages/simulator/src/system/expectations.ts
+++ b/packages/simulator/src/system/expectations.ts
@@ -1,5 +1,5 @@
 /** What operators were promised: the acknowledged configuration and evacuations. */
-import type { Deployment } from '@rainrun/configuration';
+import { withoutApiKeys, type Deployment } from '@rainrun/configuration';
 import { canonicalText, type Document } from './configuration.js';
 
 /** The newest change that was acknowledged. */
@@ -25,20 +25,24 @@
   readonly zones = new Map<string, ZoneExpectation>();
   /** Acknowledged revisions, oldest first, for looks back in time. */
   #acknowledged: { readonly revision: number; readonly atMs: number }[] = [];
+  /** The newest acknowledged document as edges hold it. */
+  #withoutKeys: string | undefined;
   #texts = new WeakMap<Deployment, string>();
 
   acknowledge(revision: number, document: Document | undefined, atMs: number): void {
     if (revision <= this.acked.revision) return;
     const text = document === undefined ? undefined : canonicalText(document);
+    this.#withoutKeys = document === undefined ? undefined : canonicalText(withoutApiKeys(document));
     this.acked = { revision, document: text, atMs };
     this.#acknowledged.push({ revision, atMs });
   }
 
-  /** What was acknowledged before a moment and is missing in a state; undefined if nothing is. */
-  lacks(state: Deployment, beforeMs: number): string | undefined {
+  /** What was acknowledged before a moment and is missing in a state; undefined if nothing is. Edges hold no keys. */
+  lacks(state: Deployment, beforeMs: number, isEdge = false): string | undefined {
     const due = this.#acknowledged.findLast((known) => known.atMs <= beforeMs)?.revision ?? 0;
     if (state.revision < due) return `revision ${state.revision}, acknowledged was ${due}`;
-    const { revision, document } = this.acked;
+    const { revision } = this.acked;
+    const document = isEdge ? this.#withoutKeys : this.acked.document;
     if (state.revision === revision && document !== undefined && this.#textOf(state) !== document)
       return `another document under revision ${state.revision}`;
     for (const [zone, { evacuated, atMs }] of this.zones) {
