Keys on the edge's path: 401 without a known key, Tenant-Name set here, a dropped key not served on

Nothing on the path looked at the key.

The client server reads the key (one that comes twice is none) and forwards neither it nor a client's own name of a tenant, with or without tenants. The router looks the key up by request in the directory in force. A request that waits is looked up again when another directory came: before a worker is chosen, before its first byte, before a retry, a move and a resumption. A key that is gone: 401 if it has not run, else 502 or a cut, as for any end after a worker may have run it; one that passed to another tenant: that one's name. Work at a worker goes on. 401 comes before 404, so a stranger is not told which routes there are; a known key is told 404.

The edge's secret for hashing keys comes from node:crypto (SECURE_RANDOM).

--- a/packages/compatibility/src/data-plane-counters.ts
+++ b/packages/compatibility/src/data-plane-counters.ts
@@ -67,6 +67,7 @@
       headerNames: DIALECT.workerHeaderNames,
       retries: { ratio: 1, extra: 20 },
       configuration: () => this.#configuration,
+      tenants: () => undefined,
       evacuated: () => [],
       workers: () => (this.isWorkerListed ? new Map([[WORKER, this.#worker()]]) : new Map()),
       edges: () => 1,
@@ -98,6 +99,7 @@
         prefix: [],
         promptTokens: 0,
         lastEventId: '7',
+        apiKey: undefined,
       },
       {
         respond: () => undefined,
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '@rainrun/configuration';
 import type { ClientRequest, ResponseSink, RoutedRequest } from './request.js';
 import { RouteTable, type Target } from './route-table.js';
+import type { Identity } from './tenant-access.js';
 
 /**
  * Finds the target of requests; builds the route table once for each configuration.
@@ -26,12 +27,19 @@
   readonly clientRequest: ClientRequest;
   readonly sink: ResponseSink;
   readonly target: Target;
+  readonly identity: Identity;
   /** Monotonic, in milliseconds. */
   readonly nowMs: number;
 }
 
 /** A request that arrives now, before its first attempt. */
-export function newRoutedRequest({ clientRequest, sink, target, nowMs }: RoutedRequestInit): RoutedRequest {
+export function newRoutedRequest({
+  clientRequest,
+  sink,
+  target,
+  identity,
+  nowMs,
+}: RoutedRequestInit): RoutedRequest {
   const { route, service } = target;
   const streamed = route.kind === 'streaming';
   return {
@@ -44,6 +52,8 @@
     endMs: nowMs + Math.min(route.timeoutMs, clientRequest.deadlineMs ?? Infinity),
     idempotent: route.kind === 'idempotent' || (streamed && route.resumable),
     streamed,
+    directory: identity.directory,
+    tenant: identity.tenant,
     attemptsStarted: 0,
     sentTo: new Map(),
     excludedWorkers: new Set(),
--- a/packages/router/src/headers.ts
+++ b/packages/router/src/headers.ts
@@ -12,6 +12,10 @@
   readonly expectInstance: string;
   readonly notRun: string;
   readonly priority: string;
+  /** The key of a tenant's client; never forwarded. */
+  readonly apiKey: string;
+  /** The name of the key's tenant. */
+  readonly tenant: string;
 }
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1). */
@@ -47,8 +51,8 @@
 }
 
 /**
- * The headers of one attempt: the client's, without hop-by-hop ones, and the router's own in place of any of these
- * names that the client sent.
+ * The headers of one attempt: the client's, without its key and hop-by-hop ones, and the router's own in place of
+ * any of these names that the client sent.
  * @param remainingMs - time until the request expires, in whole milliseconds
  */
 export function attemptHeaders(
@@ -57,11 +61,16 @@
   names: HeaderNames,
   remainingMs: number,
 ): Header[] {
-  const { clientRequest, route, lastEventId, streamed } = request;
+  const { clientRequest, route, tenant, lastEventId, streamed } = request;
   const own = new Set(
-    [names.deadlineMs, names.expectInstance, names.priority, names.lastEventId].map((name) =>
-      name.toLowerCase(),
-    ),
+    [
+      names.deadlineMs,
+      names.expectInstance,
+      names.priority,
+      names.lastEventId,
+      names.apiKey,
+      names.tenant,
+    ].map((name) => name.toLowerCase()),
   );
   const headers: Header[] = clientRequest.headers.filter(
     ([name]) => !isHop(name) && !own.has(name.toLowerCase()) && name.toLowerCase() !== 'content-length',
@@ -70,5 +79,6 @@
   if (lastEventId !== undefined) headers.push([names.lastEventId, lastEventId]);
   headers.push([names.expectInstance, workerId]);
   if (streamed) headers.push([names.priority, String(Math.min(ATTEMPT_POLICY.maxPriority, route.priority))]);
+  if (tenant !== undefined) headers.push([names.tenant, tenant.name]);
   return headers;
 }
--- a/packages/router/src/request-completion.ts
+++ b/packages/router/src/request-completion.ts
@@ -7,6 +7,9 @@
 import { ADMISSION_POLICY } from './routing-policy.js';
 import type { WaitingQueue } from './waiting-queue.js';
 
+/** Says the same to every request without a known key, whatever it asked for. */
+export const UNAUTHENTICATED = fault('unauthenticated', 'no tenant holds the key of this request');
+
 /** What requests are removed from when they end. */
 export interface RequestCompletionOptions {
   readonly queue: WaitingQueue;
@@ -60,6 +63,16 @@
     this.#rejectAsUnserved(request, end.why);
   }
 
+  /** Ends a request whose key no tenant holds any more. */
+  revoke(request: RoutedRequest): void {
+    if (request.responseStarted) return this.abort(request);
+    this.#queue.delete(request);
+    this.#budgets.release(request);
+    this.unregister(request);
+    if (request.mayHaveRun) return request.sink.reject(fault('outcome-unknown', 'its key was withdrawn'));
+    this.reject(request.sink, UNAUTHENTICATED);
+  }
+
   /** Ends a request whose time has passed, or that is pending when this node shuts down. */
   expire(request: RoutedRequest): void {
     this.#queue.delete(request);
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -1,5 +1,5 @@
 /** Requests, responses and workers as the router of the platform system sees them. */
-import type { RouteEntry, ServiceEntry } from '@rainrun/configuration';
+import type { RouteEntry, ServiceEntry, Tenant, TenantDirectory } from '@rainrun/configuration';
 import type { Fault } from '@rainrun/common';
 import type { Header } from '@rainrun/gateway';
 
@@ -23,6 +23,8 @@
   readonly promptTokens: number;
   /** Id after which the client wants a stream to go on (`Last-Event-ID`). */
   readonly lastEventId: string | undefined;
+  /** The client's API key, which appears in no log, error, view or forwarded request; undefined without one. */
+  readonly apiKey: string | undefined;
 }
 
 /** Where the response to a request goes. */
@@ -80,6 +82,10 @@
   /** Whether it may be sent again after a worker may have run it. */
   readonly idempotent: boolean;
   readonly streamed: boolean;
+  /** The directory under which its key was looked up last; undefined where the configuration had no tenants. */
+  directory: TenantDirectory | undefined;
+  /** The tenant that held its key then; undefined without tenants, or on a public route without a known key. */
+  tenant: Tenant | undefined;
   /** Attempts whose first byte left. */
   attemptsStarted: number;
   /** Addresses of the workers to which an attempt started, by worker id. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,6 +1,6 @@
 /** The data plane of an edge of the platform system: dispatches requests to workers, retries them, resumes streams. */
 import type { Link } from '@rainrun/gateway';
-import type { Configuration, RouteEntry } from '@rainrun/configuration';
+import type { Configuration, RouteEntry, TenantDirectory } from '@rainrun/configuration';
 import { fault, type Clock, type Fault } from '@rainrun/common';
 import { newRoutedRequest, TargetResolver } from './admission.js';
 import { Attempt, type AttemptContext, type AttemptEnd } from './attempt.js';
@@ -11,9 +11,10 @@
 import type { HeaderNames } from './headers.js';
 import { OutcomeCounter, type WorkerOutcomes } from './outcome-counter.js';
 import type { ClientRequest, NoWorkerReason, ResponseSink, RoutedRequest, WorkerView } from './request.js';
-import { RequestCompletion } from './request-completion.js';
+import { RequestCompletion, UNAUTHENTICATED } from './request-completion.js';
 import { RetryBudgets, type RetryBudgetsDependencies } from './retry-budgets.js';
 import { ADMISSION_POLICY, BACKOFF_POLICY, RESUME_POLICY } from './routing-policy.js';
+import { TenantAccess } from './tenant-access.js';
 import { WaitingQueue } from './waiting-queue.js';
 
 /** What the router is given by its node. */
@@ -25,6 +26,8 @@
   readonly headerNames: HeaderNames;
   /** The configuration in force; undefined until one is known. */
   configuration(): Configuration | undefined;
+  /** The tenants of the configuration in force; undefined where it has none, so that requests need no key. */
+  tenants(): TenantDirectory | undefined;
   /** Zones whose workers get no new requests. */
   evacuated(): readonly string[];
   /** The workers known here, by id. */
@@ -52,6 +55,7 @@
   #dependencies: RouterDependencies;
   #balancer: Balancer;
   #targets = new TargetResolver();
+  #access: TenantAccess;
   #queue = new WaitingQueue();
   #attempts = new Set<Attempt>();
   #early = new EarlyRequests({
@@ -67,6 +71,7 @@
 
   constructor(dependencies: RouterDependencies) {
     this.#dependencies = dependencies;
+    this.#access = new TenantAccess(() => dependencies.tenants());
     this.#budgets = new RetryBudgets(dependencies);
     this.#completion = new RequestCompletion({
       queue: this.#queue,
@@ -108,13 +113,17 @@
       return this.#early.add(clientRequest, sink, this.#dependencies.clock.nowMs());
     }
     const target = this.#targets.resolve(configuration, clientRequest);
+    const identity = this.#access.identify(clientRequest);
+    // Before 404: a stranger is not told which routes there are. A holder of a known key is told the truth.
+    if (this.#access.isStranger(identity) && target?.route.public !== true)
+      return this.#reject(sink, UNAUTHENTICATED);
     if (target === undefined)
       return this.#reject(
         sink,
         fault('not-found', `no route for ${clientRequest.host}${clientRequest.target}`),
       );
     const nowMs = this.#dependencies.clock.nowMs();
-    return this.#admit(newRoutedRequest({ clientRequest, sink, target, nowMs }), nowMs);
+    return this.#admit(newRoutedRequest({ clientRequest, sink, target, identity, nowMs }), nowMs);
   }
 
   /** Responds to whatever has no response yet, and takes nothing more. */
@@ -171,6 +180,7 @@
    */
   #advance(request: RoutedRequest, unservable: Set<string>, nowMs: number): void {
     if (nowMs >= request.endMs) return this.#completion.expire(request);
+    if (this.#access.review(request) === 'denied') return this.#completion.revoke(request);
     if (request.responseStarted && nowMs - request.lastByteMs >= maxClientSilenceMs(request.route))
       return this.#completion.abort(request);
     if (request.responseStarted && !request.retryReserved) return this.#resume(request, nowMs);
@@ -263,6 +273,8 @@
     )
       return false;
     if (this.#dependencies.clock.nowMs() >= request.endMs) return false;
+    // The head names the tenant that held the key when it was made.
+    if (this.#access.review(request) !== 'same') return false;
     request.retryDenied = request.retryReserved && !this.#budgets.spend(request);
     request.retryReserved = false;
     if (request.retryDenied) return false;
@@ -273,7 +285,8 @@
 
   /** Whether a request can leave its worker for another one at once; if so, a retry is reserved. */
   #reserveMove(request: RoutedRequest, worker: WorkerView): boolean {
-    if (request.attemptsStarted >= request.route.attempts || !this.#budgets.reserve(request)) return false;
+    if (request.attemptsStarted >= request.route.attempts) return false;
+    if (this.#access.review(request) === 'denied' || !this.#budgets.reserve(request)) return false;
     request.excludedWorkers.add(worker.id);
     request.retryReserved = true;
     if (typeof this.#choose(request) !== 'string') return true;
@@ -331,6 +344,7 @@
 
   #retry(request: RoutedRequest, nowMs: number): void {
     request.notBeforeMs = nowMs;
+    if (this.#access.review(request) === 'denied') return this.#completion.revoke(request);
     this.#dispatch(request, nowMs);
   }
 
--- a/packages/router/src/testing/router-harness.ts
+++ b/packages/router/src/testing/router-harness.ts
@@ -1,6 +1,11 @@
 /** A router under test: fake link, sink and workers of the platform system. */
 import type { Header, Link, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gateway';
-import { checkConfiguration, type Configuration } from '@rainrun/configuration';
+import {
+  checkConfiguration,
+  TENANT_SECRET_BYTES,
+  TenantDirectory,
+  type Configuration,
+} from '@rainrun/configuration';
 import { FAULT_RESPONSES, type Fault } from '@rainrun/common';
 import { Router } from '../router.js';
 import type { ClientRequest, ResponseSink, WorkerView } from '../request.js';
@@ -15,6 +20,8 @@
   expectInstance: 'only',
   notRun: 'unrun',
   priority: 'rank',
+  apiKey: 'key',
+  tenant: 'holder',
 };
 
 const CONFIGURATION_DOCUMENT = {
@@ -80,6 +87,16 @@
       timeoutMs: 2000,
       attempts: 2,
     },
+    {
+      name: 'open',
+      host: 'a.example',
+      prefix: '/open/',
+      service: 'look',
+      kind: 'idempotent',
+      timeoutMs: 2000,
+      attempts: 2,
+      public: true,
+    },
     {
       name: 'home',
       host: 'a.example',
@@ -93,11 +110,22 @@
   services: [{ name: 'look', warmupPerS: 10 }, { name: 'assist' }],
 };
 
-function testConfiguration(): Configuration {
-  const checked = checkConfiguration(CONFIGURATION_DOCUMENT);
+function testConfiguration(change: object = {}): Configuration {
+  const checked = checkConfiguration({ ...CONFIGURATION_DOCUMENT, ...change });
   return checked.isOk ? checked.value : ({} as Configuration);
 }
 
+/** A tenant as a test configures it. */
+export interface TestTenant {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  readonly ratePerS?: number;
+  readonly burst?: number;
+  readonly priority?: number;
+}
+
+const TEST_SECRET = new Uint8Array(TENANT_SECRET_BYTES).fill(7);
+
 /** One attempt on the link, at which a test plays the worker. */
 export class SentRequest implements LinkSend {
   readonly request: LinkRequest;
@@ -219,6 +247,8 @@
   waits = 0;
   /** False: this edge knows no configuration yet. */
   configured = true;
+  configuration = testConfiguration();
+  tenants: TenantDirectory | undefined;
   readonly link = new RecordingLink();
   readonly router: Router;
   #asked = 0;
@@ -228,7 +258,6 @@
     retries = { ratio: 1, extra: 20 },
     incarnation = 'incarnation-1',
   ) {
-    const configuration = testConfiguration();
     this.put(...workers);
     this.router = new Router({
       zone: 'north',
@@ -236,7 +265,8 @@
       link: this.link,
       headerNames: HEADER_NAMES,
       retries,
-      configuration: () => (this.configured ? configuration : undefined),
+      configuration: () => (this.configured ? this.configuration : undefined),
+      tenants: () => this.tenants,
       evacuated: () => this.evacuated,
       workers: () => this.workers,
       edges: () => this.edges,
@@ -251,6 +281,15 @@
     });
   }
 
+  /** Puts a configuration with these tenants in force, and says so as an edge does. */
+  haveTenants(tenants: readonly TestTenant[] | undefined): void {
+    this.configuration = testConfiguration({ tenants });
+    const known = this.configuration.tenants;
+    this.tenants =
+      known === undefined || known === null ? undefined : new TenantDirectory(known, TEST_SECRET);
+    this.router.tick();
+  }
+
   put(...workers: readonly WorkerView[]): void {
     for (const one of workers) this.workers.set(one.id, one);
   }
@@ -275,6 +314,7 @@
       prefix: [],
       promptTokens: 0,
       lastEventId: undefined,
+      apiKey: undefined,
       ...change,
     };
     return { sink, leave: this.router.submit(ask, sink) };
--- a/packages/runtime/src/client-request.ts
+++ b/packages/runtime/src/client-request.ts
@@ -50,7 +50,7 @@
     method: req.method ?? 'GET',
     target: req.url ?? '/',
     host: (req.headers.host ?? '').replace(/:\d+$/, ''),
-    headers: endToEndHeaders(req.rawHeaders),
+    headers: endToEndHeaders(req.rawHeaders, headerNames),
     body,
     deadlineMs: readDeadlineMs(firstValue(req.headers[headerNames.deadlineMs])),
     model,
@@ -58,19 +58,28 @@
     prefix: readPrefix(headerText(req, headerNames.prefix)),
     promptTokens: Number(headerText(req, headerNames.tokens).split(',')[0]) || 0,
     lastEventId: firstValue(req.headers[headerNames.lastEventId]),
+    apiKey: readApiKey(req, headerNames.apiKey),
   };
 }
 
-/** The headers that go on to the worker: neither hop-by-hop nor `Expect`. */
-function endToEndHeaders(rawHeaders: readonly string[]): Header[] {
+/** The headers that go on to the worker: not hop-by-hop ones, `Expect`, the key, or what only an edge may set. */
+function endToEndHeaders(rawHeaders: readonly string[], { apiKey, tenant }: ClientHeaderNames): Header[] {
   const headers: Header[] = [];
   for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
     const name = rawHeaders[at] ?? '';
-    if (!isHop(name) && name.toLowerCase() !== 'expect') headers.push([name, rawHeaders[at + 1] ?? '']);
+    const lowerName = name.toLowerCase();
+    if (isHop(name) || lowerName === 'expect' || lowerName === apiKey || lowerName === tenant) continue;
+    headers.push([name, rawHeaders[at + 1] ?? '']);
   }
   return headers;
 }
 
+/** The client's key. A request with two of them has none: which one counts would be a guess. */
+function readApiKey(req: IncomingMessage, name: string): string | undefined {
+  const apiKey = req.headers[name];
+  return apiKey === undefined || isRepeated(req, name) ? undefined : firstValue(apiKey);
+}
+
 /** Milliseconds that the client still waits; undefined where it does not say so in a number from 0. */
 function readDeadlineMs(text: string | undefined): number | undefined {
   const deadlineMs = Number(text ?? NaN);
--- a/packages/runtime/src/client-server.test.ts
+++ b/packages/runtime/src/client-server.test.ts
@@ -16,6 +16,8 @@
   prefix: 'x-prefix',
   tokens: 'x-tokens',
   lastEventId: 'last-event-id',
+  apiKey: 'key',
+  tenant: 'holder',
 };
 
 interface Answer {
--- a/packages/runtime/src/dialect.ts
+++ b/packages/runtime/src/dialect.ts
@@ -44,6 +44,10 @@
   readonly prefix: string;
   readonly tokens: string;
   readonly lastEventId: string;
+  /** The key of a tenant's client; never forwarded. */
+  readonly apiKey: string;
+  /** The name of the key's tenant, which only an edge sets; never forwarded as a client sent it. */
+  readonly tenant: string;
 }
 
 /** One page of the platform's list. */
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -11,7 +11,7 @@
 import { ClientServer } from './client-server.js';
 import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
 import type { Log } from './log.js';
-import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM } from './process-environment.js';
+import { MONOTONIC_CLOCK, processUsage, SECURE_RANDOM } from './process-environment.js';
 import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
 
@@ -67,7 +67,7 @@
       deployment: 'system',
       seeds: settings.seeds.map((host) => `${host}:${settings.ports[0]}`),
       clock,
-      chance: SYSTEM_RANDOM,
+      chance: SECURE_RANDOM,
       send: (address, frame) => this.#transport.send(address, frame),
       demands: () => this.#demands(),
       outcomes: () => this.#router.takeOutcomes().map((one) => create(WorkerOutcomesSchema, one)),
@@ -80,6 +80,7 @@
       headerNames: dialect.workerHeaderNames,
       retries: settings.retries,
       configuration: () => this.#replica.configuration,
+      tenants: () => this.#replica.tenants,
       evacuated: () => this.#replica.state.evacuated,
       workers: () => this.#replica.workers,
       edges: () => this.#replica.edgeCount,
--- a/packages/runtime/src/testing/edge-under-test.ts
+++ b/packages/runtime/src/testing/edge-under-test.ts
@@ -29,6 +29,8 @@
     prefix: 'prefix',
     tokens: 'tokens',
     lastEventId: 'last-event-id',
+    apiKey: 'key',
+    tenant: 'holder',
   },
   workerHeaderNames: {
     requestId: TEST_NAMES.requestId,
@@ -38,6 +40,8 @@
     expectInstance: 'only',
     notRun: TEST_NAMES.notRun,
     priority: 'rank',
+    apiKey: 'key',
+    tenant: 'holder',
   },
   readinessPath: '/ready',
 };
@@ -92,13 +96,14 @@
   #transport: PeerTransport;
   #address: string;
   #state: Uint8Array;
+  #edition = 1;
   #row = 0;
   #workers: readonly ListedStandIn[] = [];
   #onKnown: (() => void)[] = [];
 
   private constructor(port: number, document: Readonly<Record<string, unknown>>) {
     this.#address = `127.0.0.1:${port}`;
-    this.#state = encodeDeployment({ ...EMPTY_DEPLOYMENT, edition: 1, revision: 1, document });
+    this.#state = encodeState(this.#edition, document);
     this.#transport = new PeerTransport('system', (frame) => this.#receive(frame));
   }
 
@@ -115,6 +120,13 @@
     return new Promise((resolve) => this.#onKnown.push(resolve));
   }
 
+  /** Puts another configuration in force; resolves once an edge holds it. */
+  configure(document: Readonly<Record<string, unknown>>): Promise<void> {
+    this.#edition += 1;
+    this.#state = encodeState(this.#edition, document);
+    return new Promise((resolve) => this.#onKnown.push(resolve));
+  }
+
   close(): void {
     this.#transport.close();
   }
@@ -122,7 +134,7 @@
   #receive(frame: Frame): void {
     if (frame.body.case !== 'subscribe') return;
     const follow = frame.body.value;
-    if (follow.tableRow === this.#row && follow.edition === 1) {
+    if (follow.tableRow === this.#row && follow.edition === this.#edition) {
       for (const resolve of this.#onKnown) resolve();
       this.#onKnown = [];
     }
@@ -136,8 +148,8 @@
       address: this.#address,
     });
     const value = create(StateUpdateSchema, {
-      edition: 1,
-      state: follow.edition === 1 ? new Uint8Array() : this.#state,
+      edition: this.#edition,
+      state: follow.edition === this.#edition ? new Uint8Array() : this.#state,
       hasLease: true,
       coordinator: seat,
       cores: [seat],
@@ -172,8 +184,12 @@
   }
 }
 
+function encodeState(edition: number, document: Readonly<Record<string, unknown>>): Uint8Array {
+  return encodeDeployment({ ...EMPTY_DEPLOYMENT, edition, revision: edition, document });
+}
+
 /** Routes of each kind; all go to the service of the stand-in workers. */
-export function testDocument(): Readonly<Record<string, unknown>> {
+export function testDocument(change: object = {}): Readonly<Record<string, unknown>> {
   const shared = { host: 'a.example', service: 'look', timeoutMs: 5000, targetMs: 300, attempts: 3 };
   return {
     revision: 1,
@@ -181,6 +197,7 @@
       { ...shared, name: 'once', prefix: '/once/', kind: 'non_idempotent' },
       { ...shared, name: 'often', prefix: '/often/', kind: 'idempotent' },
       { ...shared, name: 'brief', prefix: '/brief/', kind: 'non_idempotent', timeoutMs: 150 },
+      { ...shared, name: 'open', prefix: '/open/', kind: 'idempotent', public: true },
       { ...shared, name: 'tell', prefix: '/tell/', kind: 'streaming', resumable: false },
       {
         ...shared,
@@ -194,6 +211,7 @@
     ],
     services: [{ name: 'look' }],
     limits: { headerMs: 400, idleMs: 15_000 },
+    ...change,
   };
 }
 
@@ -236,6 +254,7 @@
 /** What an edge under test may be given beyond the usual. */
 export interface EdgeOptions {
   readonly graceMs?: number;
+  readonly tenants?: readonly object[];
 }
 
 /**
@@ -267,7 +286,10 @@
 
   static async open(workers: readonly StandInWorker[], options: EdgeOptions = {}): Promise<EdgeUnderTest> {
     const ports = await freePorts();
-    const core = await StandInCore.open(ports.core, testDocument());
+    const core = await StandInCore.open(
+      ports.core,
+      testDocument(options.tenants === undefined ? {} : { tenants: options.tenants }),
+    );
     const ready = new AwaitingLog('readiness');
     const edge = new EdgeUnderTest(core, ports, options, ready);
     void core.list(workers.map(({ name, address }) => ({ id: name, address })));
--- a/tools/scale/src/dialect.ts
+++ b/tools/scale/src/dialect.ts
@@ -111,6 +111,8 @@
     prefix: 'x-prefix',
     tokens: 'x-tokens',
     lastEventId: 'last-event-id',
+    apiKey: 'x-key',
+    tenant: 'x-tenant',
   },
   workerHeaderNames: {
     requestId: 'x-request',
@@ -120,6 +122,8 @@
     expectInstance: EXPECT_INSTANCE,
     notRun: 'x-not-run',
     priority: 'x-priority',
+    apiKey: 'x-key',
+    tenant: 'x-tenant',
   },
   readinessPath: PATHS.readiness,
   orderPath: PATHS.order,
