Router: a tenant's priority goes before its route's, at the edge and at workers; nobody is starved

The queue knew the route's priority only, and a newcomer could take a place that had just come free from requests waiting for it.

Requests wait by tenant, route and arrival. Tenants without a priority, and requests without a tenant, count as 5, the middle. After a quarter of its time a request counts as the highest tenant's, so a steady load from above starves nobody. Where there are tenants, a newcomer first lets the most urgent request before it have its turn. Workers are told the place of the pair among all pairs of the configuration, within 0 to 9. Without tenants, or where all are alike, all is as it was.

--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from '@rainrun/configuration';
 import type { ClientRequest, ResponseSink, RoutedRequest } from './request.js';
 import { RouteTable, type Target } from './route-table.js';
+import { ATTEMPT_POLICY } from './routing-policy.js';
 import type { Identity } from './tenant-access.js';
 
 /**
@@ -54,6 +55,7 @@
     streamed,
     directory: identity.directory,
     tenant: identity.tenant,
+    workerPriority: Math.min(ATTEMPT_POLICY.maxPriority, route.priority),
     attemptsStarted: 0,
     sentTo: new Map(),
     excludedWorkers: new Set(),
--- a/packages/router/src/headers.ts
+++ b/packages/router/src/headers.ts
@@ -1,7 +1,6 @@
 /** Headers between the router of the platform system and its workers. */
 import type { Header } from '@rainrun/gateway';
 import type { RoutedRequest } from './request.js';
-import { ATTEMPT_POLICY } from './routing-policy.js';
 
 /** The names of the headers between router and workers; compared without case. */
 export interface HeaderNames {
@@ -61,7 +60,7 @@
   names: HeaderNames,
   remainingMs: number,
 ): Header[] {
-  const { clientRequest, route, tenant, lastEventId, streamed } = request;
+  const { clientRequest, tenant, lastEventId, streamed } = request;
   const own = new Set(
     [
       names.deadlineMs,
@@ -78,7 +77,7 @@
   if (clientRequest.deadlineMs !== undefined) headers.push([names.deadlineMs, String(remainingMs)]);
   if (lastEventId !== undefined) headers.push([names.lastEventId, lastEventId]);
   headers.push([names.expectInstance, workerId]);
-  if (streamed) headers.push([names.priority, String(Math.min(ATTEMPT_POLICY.maxPriority, route.priority))]);
+  if (streamed) headers.push([names.priority, String(request.workerPriority)]);
   if (tenant !== undefined) headers.push([names.tenant, tenant.name]);
   return headers;
 }
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -86,6 +86,8 @@
   directory: TenantDirectory | undefined;
   /** The tenant that held its key then; undefined without tenants, or on a public route without a known key. */
   tenant: Tenant | undefined;
+  /** What workers are told of its priority with its next attempt: 0 to 9, 0 first. */
+  workerPriority: number;
   /** Attempts whose first byte left. */
   attemptsStarted: number;
   /** Addresses of the workers to which an attempt started, by worker id. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -12,6 +12,7 @@
 import { OutcomeCounter, type WorkerOutcomes } from './outcome-counter.js';
 import type { ClientRequest, NoWorkerReason, ResponseSink, RoutedRequest, WorkerView } from './request.js';
 import { RequestCompletion, UNAUTHENTICATED } from './request-completion.js';
+import { WorkerPriorities } from './tenant-priority.js';
 import { RetryBudgets, type RetryBudgetsDependencies } from './retry-budgets.js';
 import { ADMISSION_POLICY, BACKOFF_POLICY, RESUME_POLICY } from './routing-policy.js';
 import { TenantAccess } from './tenant-access.js';
@@ -56,6 +57,7 @@
   #balancer: Balancer;
   #targets = new TargetResolver();
   #access: TenantAccess;
+  #priorities = new WorkerPriorities();
   #queue = new WaitingQueue();
   #attempts = new Set<Attempt>();
   #early = new EarlyRequests({
@@ -140,7 +142,7 @@
     this.#balancer.statuses.retainOnly(this.#dependencies.workers());
     if (this.#early.size > 0) this.#early.release(this.#dependencies.configuration() !== undefined, nowMs);
     const unservable = new Set<string>();
-    for (const request of this.#queue.inOrder()) this.#advance(request, unservable, nowMs);
+    for (const request of this.#queue.inOrder(nowMs)) this.#advance(request, unservable, nowMs);
     for (const attempt of [...this.#attempts]) attempt.tick(nowMs);
   }
 
@@ -170,10 +172,17 @@
       return this.#reject(sink, fault('outcome-unknown', 'a request with this id is under way here'));
     this.#budgets.recordFirstAttempt(request);
     this.#demand.recordArrival(request, nowMs);
+    if (request.directory !== undefined) this.#serveAhead(request, nowMs);
     this.#dispatch(request, nowMs);
     return () => this.#completion.clientLeft(request);
   }
 
+  /** A new request takes no place that has just come free from one that goes before it. */
+  #serveAhead(newcomer: RoutedRequest, nowMs: number): void {
+    const ahead = this.#queue.size === 0 ? undefined : this.#queue.firstAhead(newcomer, nowMs);
+    if (ahead !== undefined) this.#advance(ahead, new Set(), nowMs);
+  }
+
   /**
    * Takes a waiting request one step further.
    * @param unservable - demand keys for which no worker was found in this tick
@@ -230,6 +239,8 @@
   }
 
   #send(request: RoutedRequest, worker: WorkerView, nowMs: number): void {
+    if (request.streamed)
+      request.workerPriority = this.#priorities.of(request, this.#dependencies.configuration(), nowMs);
     this.#balancer.statuses.attemptStarted(worker.id);
     this.#demand.attemptStarted(request.key);
     const { headerNames } = this.#dependencies;
--- a/packages/router/src/routing-policy.ts
+++ b/packages/router/src/routing-policy.ts
@@ -15,6 +15,15 @@
   noWorkerRetryAfterS: 0.2,
 } as const;
 
+/** How requests of tenants are ordered; a priority of 0 is highest. */
+export const PRIORITY_POLICY = {
+  /** Priority of tenants that name none, and of requests without a tenant on public routes: the middle of 0 to 9. */
+  middleTenant: 5,
+  highestTenant: 0,
+  /** Part of its time after which the priority of its tenant stops counting against a request. */
+  ageingRatio: 0.25,
+} as const;
+
 /** When a started attempt counts as stalled. */
 export const ATTEMPT_POLICY = {
   /** Least silence after which a worker counts as silent, in milliseconds. */
--- a/packages/router/src/waiting-queue.ts
+++ b/packages/router/src/waiting-queue.ts
@@ -1,11 +1,12 @@
 /** The requests that wait for a worker at one edge of the platform system. */
 import type { RoutedRequest } from './request.js';
+import { compareUrgency } from './tenant-priority.js';
 
 /**
- * A queue by the priority of the route, then by arrival.
+ * A queue by the priority of the tenant, then of the route, then by arrival.
  * @example
  * queue.add(request);
- * for (const waiting of queue.inOrder()) dispatch(waiting);
+ * for (const waiting of queue.inOrder(nowMs)) dispatch(waiting);
  */
 export class WaitingQueue implements Iterable<RoutedRequest> {
   #requests = new Set<RoutedRequest>();
@@ -27,10 +28,18 @@
   }
 
   /** A copy, most urgent first. */
-  inOrder(): RoutedRequest[] {
-    return [...this.#requests].sort(
-      (one, other) => one.route.priority - other.route.priority || one.arrivedMs - other.arrivedMs,
-    );
+  inOrder(nowMs: number): RoutedRequest[] {
+    return [...this.#requests].sort((one, other) => compareUrgency(one, other, nowMs));
+  }
+
+  /** The most urgent of those that wait for the same workers as a new request and go before it. */
+  firstAhead(newcomer: RoutedRequest, nowMs: number): RoutedRequest | undefined {
+    let first: RoutedRequest | undefined;
+    for (const request of this.#requests) {
+      if (request.key !== newcomer.key || request.responseStarted) continue;
+      if (compareUrgency(request, first ?? newcomer, nowMs) < 0) first = request;
+    }
+    return first;
   }
 
   [Symbol.iterator](): Iterator<RoutedRequest> {
