--- a/packages/configuration/src/deployment.ts
+++ b/packages/configuration/src/deployment.ts
@@ -88,7 +88,8 @@
 );
 const PatchSchema = v.object({
   base: Base,
-  patch: v.object({
+  /** Fields that are not known change nothing, but tell two changes apart. */
+  patch: v.looseObject({
     revision: Revision,
     set: v.optional(v.nullable(ItemsSchema), {}),
     drop: v.optional(v.nullable(DropSchema), {}),
