--- /dev/null
+++ b/packages/cluster-node/src/configuration-at-edges.test.ts
@@ -0,0 +1,232 @@
+import { describe, it } from 'node:test';
+import { create } from '@bufbuild/protobuf';
+import { SeededRandom } from '@rainrun/common';
+import {
+  applyToDeployment,
+  EMPTY_DEPLOYMENT,
+  encodeForSubscribers,
+  type Deployment,
+} from '@rainrun/configuration';
+import { FrameSchema, MemberSchema, StateUpdateSchema, WIRE_VERSION, type Frame } from '@rainrun/messages';
+import { WorkerTable } from '@rainrun/placement';
+import { expect } from 'earl';
+import { EdgeReplica } from './edge-replica.js';
+import { UpdatePublisher } from './update-publisher.js';
+
+const CORE = create(MemberSchema, {
+  name: 'core-1',
+  incarnation: 'core-incarnation',
+  address: 'core-1:1',
+  disk: 'disk-1',
+  zone: 'north',
+});
+const STEP_MS = 5;
+const EDGE_TICK_MS = 20;
+const LATENCY_MS = 5;
+
+function route(name: string): Record<string, unknown> {
+  return { name, host: 'a.example', prefix: `/${name}/`, service: 'assist', timeoutMs: 100 };
+}
+
+/** The state after a change that adds one route and one tenant, and removes the earlier ones. */
+function next(state: Deployment): Deployment {
+  const revision = state.revision + 1;
+  const document = {
+    revision,
+    routes: [route(`route-${revision}`)],
+    services: [{ name: 'assist' }],
+    tenants: [{ name: `tenant-${revision}`, apiKeys: [`key-${revision}`] }],
+  };
+  const applied = applyToDeployment(state, {
+    kind: 'configuration.put',
+    payload: JSON.stringify({ base: state.revision, document }),
+  });
+  expect(applied.outcome.kind).toEqual('agreed');
+  return applied.state;
+}
+
+/** One coordinator and the edges that subscribe to it, over links that lose some frames. */
+class Site {
+  nowMs = 10_000;
+  state = next(EMPTY_DEPLOYMENT);
+  lossRatio = 0;
+  /** Whether the links from the core to the edges carry anything. */
+  cut = false;
+  readonly edges: EdgeReplica[] = [];
+  #chance: SeededRandom;
+  #onTheWay: { readonly atMs: number; readonly deliver: () => void }[] = [];
+  #publisher: UpdatePublisher;
+
+  constructor(seed: number, edges: number) {
+    this.#chance = new SeededRandom(seed);
+    const placement = { workerTable: new WorkerTable(), tableId: '' };
+    this.#publisher = new UpdatePublisher({
+      deployment: 'site',
+      group: {
+        isCoordinator: true,
+        self: CORE,
+        view: { number: 1, members: [CORE] },
+        coordinatorIncarnation: CORE.incarnation,
+        holdsLease: () => true,
+      },
+      state: () => this.state,
+      placement: () => placement,
+      send: (address, frame) => this.#toEdge(address, frame),
+    });
+    for (let place = 0; place < edges; place += 1) this.edges.push(this.#newEdge(place));
+  }
+
+  /** Lets time pass, with a change every so often; returns the longest time for which an edge lacked one. */
+  run(forMs: number, changeEveryMs: number): number {
+    const changes: { readonly revision: number; readonly atMs: number }[] = [];
+    const endMs = this.nowMs + forMs;
+    let changedMs = this.nowMs;
+    let longestMs = 0;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      if (this.nowMs - changedMs >= changeEveryMs) {
+        changedMs = this.nowMs;
+        this.state = next(this.state);
+        changes.push({ revision: this.state.revision, atMs: this.nowMs });
+      }
+      this.#step();
+      for (const edge of this.edges) {
+        const lacking = changes.find(({ revision }) => revision > edge.state.revision);
+        if (lacking !== undefined) longestMs = Math.max(longestMs, this.nowMs - lacking.atMs);
+      }
+    }
+    return longestMs;
+  }
+
+  #step(): void {
+    this.#publisher.expire(this.nowMs);
+    this.#publisher.sendDueUpdates(this.nowMs);
+    if (this.nowMs % EDGE_TICK_MS === 0) for (const edge of this.edges) edge.tick();
+    const due = this.#onTheWay.filter(({ atMs }) => atMs <= this.nowMs);
+    this.#onTheWay = this.#onTheWay.filter(({ atMs }) => atMs > this.nowMs);
+    for (const { deliver } of due) deliver();
+  }
+
+  #newEdge(place: number): EdgeReplica {
+    return new EdgeReplica({
+      name: `edge-${place}`,
+      zone: 'north',
+      address: `edge-${place}:1`,
+      deployment: 'site',
+      seeds: [CORE.address],
+      clock: { nowMs: () => this.nowMs },
+      chance: this.#chance,
+      send: (_address, frame) => this.#toCore(frame),
+      demands: () => [],
+      outcomes: () => [],
+      onChange: () => undefined,
+    });
+  }
+
+  #toEdge(address: string, frame: Frame): void {
+    if (this.cut) return;
+    this.#carry(() => this.edges.find((_, place) => address === `edge-${place}:1`)?.receive(frame));
+  }
+
+  #toCore(frame: Frame): void {
+    const { body } = frame;
+    if (body.case !== 'subscribe') return;
+    const { value } = body;
+    this.#carry(() => {
+      if (value.subscriber === undefined) return;
+      const subscriber = this.#publisher.onSubscribe(value, value.subscriber, this.nowMs);
+      this.#publisher.answer(subscriber, this.nowMs);
+    });
+  }
+
+  #carry(deliver: () => void): void {
+    if (this.#chance.next() < this.lossRatio) return;
+    this.#onTheWay.push({ atMs: this.nowMs + LATENCY_MS, deliver });
+  }
+}
+
+/** What an edge serves by: the names of its routes and tenants. */
+function servedBy(edge: EdgeReplica): unknown {
+  const { routes, tenants } = edge.configuration ?? { routes: [], tenants: [] };
+  return [...routes, ...(tenants ?? [])].map(({ name }) => name);
+}
+
+function expectedAt({ revision }: Deployment): unknown {
+  return [`route-${revision}`, `tenant-${revision}`];
+}
+
+describe('a change that had been confirmed was not in force in time', () => {
+  it('does not happen under twenty changes a second: each is at every edge within a quarter of a second', () => {
+    const site = new Site(1, 12);
+    site.run(1000, Infinity);
+    expect(site.run(10_000, 50) <= 250).toEqual(true);
+    site.run(300, Infinity);
+    expect(site.edges.map(servedBy)).toEqual(site.edges.map(() => expectedAt(site.state)));
+  });
+
+  it('does not happen where three frames of ten are lost meanwhile: within two seconds', () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      const site = new Site(seed, 12);
+      site.run(2000, Infinity);
+      site.lossRatio = 0.3;
+      expect(site.run(10_000, 50) <= 2000).toEqual(true);
+      site.lossRatio = 0;
+      site.run(1000, Infinity);
+      expect(site.edges.map(servedBy)).toEqual(site.edges.map(() => expectedAt(site.state)));
+    }
+  });
+
+  it('does not happen once a link is whole again: the newest is there within half a second', () => {
+    const site = new Site(3, 4);
+    site.run(1000, Infinity);
+    site.cut = true;
+    site.run(6000, 100);
+    // What was sent last is lost too, and nothing follows it.
+    site.run(600, Infinity);
+    site.cut = false;
+    site.run(500, Infinity);
+    expect(site.edges.map(servedBy)).toEqual(site.edges.map(() => expectedAt(site.state)));
+  });
+});
+
+function updateOf(edge: EdgeReplica, state: Deployment, bytes = encodeForSubscribers(state)): Frame {
+  const frame = create(FrameSchema, {
+    wire: WIRE_VERSION,
+    deployment: 'site',
+    from: CORE.incarnation,
+    to: edge.incarnation,
+  });
+  const value = create(StateUpdateSchema, { edition: state.edition, hasLease: true, state: bytes });
+  frame.body = { case: 'stateUpdate', value };
+  return frame;
+}
+
+describe('a change that had been confirmed came back older', () => {
+  const first = next(EMPTY_DEPLOYMENT);
+  const second = next(first);
+  const third = next(second);
+
+  function edgeAt(state: Deployment): EdgeReplica {
+    const [edge] = new Site(1, 1).edges;
+    if (edge === undefined) throw new Error('a site has an edge');
+    edge.receive(updateOf(edge, state));
+    return edge;
+  }
+
+  it('does not happen by an update that is late, is repeated or comes from a core that is behind', () => {
+    const edge = edgeAt(second);
+    for (const older of [first, second, EMPTY_DEPLOYMENT]) edge.receive(updateOf(edge, older));
+    expect([edge.state.revision, servedBy(edge)]).toEqual([2, expectedAt(second)]);
+    edge.receive(updateOf(edge, third));
+    edge.receive(updateOf(edge, second));
+    expect([edge.state.revision, servedBy(edge)]).toEqual([3, expectedAt(third)]);
+  });
+
+  it('does not happen by an update that cannot be read: the same comes again and is taken', () => {
+    const edge = edgeAt(second);
+    edge.receive(updateOf(edge, third, new TextEncoder().encode('{"edition":3,')));
+    expect([edge.state.revision, servedBy(edge)]).toEqual([2, expectedAt(second)]);
+    edge.receive(updateOf(edge, third));
+    expect(servedBy(edge)).toEqual(expectedAt(third));
+  });
+});
