--- a/packages/cluster-node/src/configuration-at-edges.test.ts
+++ b/packages/cluster-node/src/configuration-at-edges.test.ts
@@ -65,7 +65,7 @@
       group: {
         isCoordinator: true,
         self: CORE,
-        view: { number: 1, members: [CORE] },
+        view: { epoch: 1, number: 1, members: [CORE] },
         coordinatorIncarnation: CORE.incarnation,
         holdsLease: () => true,
       },
@@ -119,6 +119,7 @@
       send: (_address, frame) => this.#toCore(frame),
       demands: () => [],
       outcomes: () => [],
+      quota: { windowMs: 5000, overshoot: 0, slack: 0 },
       onChange: () => undefined,
     });
   }
--- a/packages/cluster-node/src/edge-replica.ts
+++ b/packages/cluster-node/src/edge-replica.ts
@@ -14,13 +14,19 @@
 import {
   checkConfiguration,
   EMPTY_DEPLOYMENT,
+  TENANT_SECRET_BYTES,
+  TenantDirectory,
+  withoutApiKeys,
   type Configuration,
+  type ConfigurationDocument,
   type Deployment,
 } from '@rainrun/configuration';
-import { randomId, type Clock, type RandomSource } from '@rainrun/common';
+import { randomBytes, randomId, type Clock, type RandomSource } from '@rainrun/common';
+import type { PermitSource, QuotaBounds, QuotaClientStats } from '@rainrun/quotas';
 import { CoreSelection, type Core } from './core-selection.js';
 import { DemandReporter } from './demand-reporter.js';
 import { EdgeCount } from './edge-count.js';
+import { EdgeQuota } from './edge-quota.js';
 import { EdgeWorkerTable, type WorkerSnapshot } from './edge-worker-table.js';
 import { decodeStateUpdate } from './state-update.js';
 
@@ -33,7 +39,10 @@
   /** Addresses of cores to begin with. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
+  /** The keys of tenants are hashed under a secret drawn from it, so on a real machine it is to be unpredictable. */
   readonly chance: RandomSource;
+  /** How far requests of tenants may go above their limits. */
+  readonly quota: QuotaBounds;
   send(address: string, frame: Frame): void;
   /** The demand for models at this edge now. */
   demands(): readonly ModelDemand[];
@@ -73,10 +82,14 @@
   #self: Member;
   #state: Deployment = EMPTY_DEPLOYMENT;
   #configuration: Configuration | undefined;
+  #tenants: TenantDirectory | undefined;
+  /** Drawn when the first tenants come. */
+  #tenantSecret: Uint8Array | undefined;
   #cores: CoreSelection;
   #table: EdgeWorkerTable;
   #edgeCount = new EdgeCount();
   #demandReporter: DemandReporter;
+  #quota: EdgeQuota;
   /** Since when urgent demand is to be reported. */
   #urgentSinceMs: number | undefined;
   #readySinceMs: number | undefined;
@@ -89,18 +102,31 @@
     this.#cores = new CoreSelection({ incarnation, address, seeds });
     this.#table = new EdgeWorkerTable(zone);
     this.#demandReporter = new DemandReporter(() => dependencies.demands());
+    this.#quota = new EdgeQuota({
+      deployment: dependencies.deployment,
+      clock: dependencies.clock,
+      chance: dependencies.chance,
+      bounds: dependencies.quota,
+      self: this.#self,
+      send: (to, frame) => dependencies.send(to, frame),
+    });
   }
 
-  /** The newest committed state that is known here. */
+  /** The newest committed state that is known here, without the keys of tenants. */
   get state(): Deployment {
     return this.#state;
   }
 
-  /** The newest valid configuration; undefined before the first. */
+  /** The newest valid configuration, without the keys of tenants; undefined before the first. */
   get configuration(): Configuration | undefined {
     return this.#configuration;
   }
 
+  /** The tenants of that configuration; undefined where it has none, so that requests need no key. */
+  get tenants(): TenantDirectory | undefined {
+    return this.#tenants;
+  }
+
   /** Workers by id. */
   get workers(): ReadonlyMap<string, WorkerSnapshot> {
     return this.#table.workers;
@@ -110,6 +136,16 @@
     return this.#self.incarnation;
   }
 
+  /** Permits to send requests of tenants with a limit. */
+  get permits(): PermitSource {
+    return this.#quota.permits;
+  }
+
+  /** Permits drawn and held here. */
+  get quotaStats(): QuotaClientStats {
+    return this.#quota.stats;
+  }
+
   /** How many edges there are, as far as the coordinator knows. */
   get edgeCount(): number {
     return this.#edgeCount.value;
@@ -143,6 +179,7 @@
         this.#send(core.address, { demands: this.#demandReporter.increment(), incremental: true });
     }
     if (isUrgent) this.#urgentSinceMs = undefined;
+    this.#quota.tick(nowMs);
   }
 
   /** Ends the subscriptions: this node leaves. */
@@ -151,8 +188,8 @@
   }
 
   receive(frame: Frame): void {
-    if (frame.body.case !== 'stateUpdate' || frame.to !== this.#self.incarnation) return;
-    this.#onStateUpdate(frame.body.value, frame.from);
+    if (frame.to !== this.#self.incarnation || this.#quota.receive(frame.body)) return;
+    if (frame.body.case === 'stateUpdate') this.#onStateUpdate(frame.body.value, frame.from);
   }
 
   #intervalMs(isCoordinator: boolean): number {
@@ -189,6 +226,7 @@
   #onStateUpdate(update: StateUpdate, from: string): void {
     const nowMs = this.#dependencies.clock.nowMs();
     this.#cores.learnMembers(update.cores, nowMs);
+    this.#quota.onStateUpdate(update);
     this.#cores.onContact(from, update.hasLease, nowMs);
     if (update.hasLease && update.coordinator !== undefined) this.#cores.learnCoordinator(update.coordinator);
     this.#edgeCount.apply(update, nowMs);
@@ -202,9 +240,32 @@
     if (update.edition <= this.#state.edition) return;
     const state = decodeStateUpdate(update);
     if (state === undefined || state.isErr) return;
-    this.#state = state.value;
-    const checked = state.value.document === undefined ? undefined : checkConfiguration(state.value.document);
-    if (checked?.isOk === true) this.#configuration = checked.value;
+    const { document } = state.value;
+    this.#state = {
+      ...state.value,
+      document: document === undefined ? undefined : this.#applyDocument(document),
+    };
     this.#dependencies.onChange('state');
   }
+
+  /**
+   * Takes over a document that is valid, and returns it without the keys of tenants. It is checked a second time
+   * without them: the checker remembers the items that it saw last.
+   */
+  #applyDocument(document: ConfigurationDocument): ConfigurationDocument {
+    const checked = checkConfiguration(document);
+    const hasTenants = checked.isOk && Array.isArray(checked.value.tenants);
+    const keyless = withoutApiKeys(document);
+    const kept = hasTenants ? checkConfiguration(keyless) : checked;
+    if (!checked.isOk || !kept.isOk) return keyless;
+    this.#configuration = kept.value;
+    this.#tenants = this.#directoryOf(checked.value);
+    return keyless;
+  }
+
+  #directoryOf({ tenants }: Configuration): TenantDirectory | undefined {
+    if (tenants === undefined || tenants === null) return undefined;
+    this.#tenantSecret ??= randomBytes(this.#dependencies.chance, TENANT_SECRET_BYTES);
+    return new TenantDirectory(tenants, this.#tenantSecret);
+  }
 }
