Router: headers that Connection names do not go on to the next connection

RFC 9110 section 7.6.1 asks an intermediary to remove what a message's Connection header names; only the fixed list of hop-by-hop headers was removed, so a client's own connection options reached workers. Both ways now leave them out.

The new test in answers-clients.test.ts fails on the earlier sources and passes on these.

--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt of a request at one worker, in the router of the platform system. */
 import type { Header, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gateway';
 import { EventSplitter } from './event-splitter.js';
-import { attemptHeaders, isHop, valueOf, type HeaderNames } from './headers.js';
+import { attemptHeaders, endToEndHeaders, valueOf, type HeaderNames } from './headers.js';
 import type { RoutedRequest, WorkerView } from './request.js';
 import { checkHead } from './response-check.js';
 import { ATTEMPT_POLICY } from './routing-policy.js';
@@ -165,7 +165,7 @@
       return this.#end({ how: 'not-run', why: `${this.#worker.id} took no more (${status})` });
     this.#context.onResponseHead(this.#lastActivityMs - this.#createdMs);
     this.#status = status;
-    this.#headers = headers.filter(([name]) => !isHop(name));
+    this.#headers = endToEndHeaders(headers);
     this.#acceptHead(status, valueOf(headers, 'content-type') ?? '');
   }
 
--- a/packages/router/src/headers.ts
+++ b/packages/router/src/headers.ts
@@ -36,6 +36,20 @@
   return HOP_BY_HOP.has(name.toLowerCase());
 }
 
+/**
+ * The headers that go on to the next connection: neither hop-by-hop ones nor those that `Connection` names.
+ * @example
+ * endToEndHeaders([['Connection', 'x-hop'], ['X-Hop', '1'], ['X-Note', '2']]); // [['X-Note', '2']]
+ */
+export function endToEndHeaders(headers: readonly Header[]): Header[] {
+  const named = new Set<string>();
+  for (const [name, value] of headers) {
+    if (name.toLowerCase() !== 'connection') continue;
+    for (const option of value.split(',')) named.add(option.trim().toLowerCase());
+  }
+  return headers.filter(([name]) => !isHop(name) && !named.has(name.toLowerCase()));
+}
+
 /**
  * The value of a header, whatever the case of its name.
  * @example
--- a/packages/runtime/src/answers-clients.test.ts
+++ b/packages/runtime/src/answers-clients.test.ts
@@ -86,6 +86,25 @@
     },
   );
 
+  it(
+    'headers that concern one connection do not go on, those that `Connection` names among them',
+    LIMIT,
+    async () => {
+      trial = await RoutingTrial.open(1);
+      const hop = ['Connection: keep-alive, X-Hop', 'X-Hop: 1', 'Keep-Alive: timeout=9', 'X-Note: 2'];
+      trial.client.request({ id: 'a', path: '/once/x', headers: hop });
+      const call = await trial.next();
+      call.respond({ headers: ['Connection: keep-alive, X-Back', 'X-Back: 3', 'X-Mark: 4'] });
+      const { headers } = await trial.client.next();
+      const atWorker = ['x-hop', 'keep-alive', 'x-note'].map((name) => call.headers.get(name));
+      const atClient = ['x-back', 'x-mark'].map((name) => headers.get(name));
+      expect([atWorker, atClient]).toEqual([
+        [undefined, undefined, '2'],
+        [undefined, '4'],
+      ]);
+    },
+  );
+
   it('control safety, point 5: an id that is under way here is not sent a second time', LIMIT, async () => {
     trial = await RoutingTrial.open(2);
     trial.client.request({ id: 'a', path: '/once/x' });
--- a/packages/runtime/src/client-request.ts
+++ b/packages/runtime/src/client-request.ts
@@ -3,7 +3,7 @@
 import type { Limits } from '@rainrun/configuration';
 import { fault, type Fault } from '@rainrun/common';
 import type { Header } from '@rainrun/gateway';
-import { isHop, type ClientRequest } from '@rainrun/router';
+import { endToEndHeaders, type ClientRequest } from '@rainrun/router';
 import type { ClientHeaderNames } from './dialect.js';
 
 /** Why a request is answered without being read further, and with which HTTP status. */
@@ -50,7 +50,7 @@
     method: req.method ?? 'GET',
     target: req.url ?? '/',
     host: (req.headers.host ?? '').replace(/:\d+$/, ''),
-    headers: endToEndHeaders(req.rawHeaders),
+    headers: forwardedHeaders(req.rawHeaders),
     body,
     deadlineMs: readDeadlineMs(firstValue(req.headers[headerNames.deadlineMs])),
     model,
@@ -61,14 +61,12 @@
   };
 }
 
-/** The headers that go on to the worker: neither hop-by-hop nor `Expect`. */
-function endToEndHeaders(rawHeaders: readonly string[]): Header[] {
+/** The headers that go on to the worker: those that concern the whole way, without `Expect`. */
+function forwardedHeaders(rawHeaders: readonly string[]): Header[] {
   const headers: Header[] = [];
-  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
-    const name = rawHeaders[at] ?? '';
-    if (!isHop(name) && name.toLowerCase() !== 'expect') headers.push([name, rawHeaders[at + 1] ?? '']);
-  }
-  return headers;
+  for (let at = 0; at + 1 < rawHeaders.length; at += 2)
+    headers.push([rawHeaders[at] ?? '', rawHeaders[at + 1] ?? '']);
+  return endToEndHeaders(headers).filter(([name]) => name.toLowerCase() !== 'expect');
 }
 
 /** Milliseconds that the client still waits; undefined where it does not say so in a number from 0. */
