Platform programs: a second SIGTERM no longer ends the process at once

EdgeNode.stop and CoreNode.stop return at once when they are already under way, and the program ended as soon as a call of theirs returned: a second SIGTERM ended an edge in the middle of its graceful stop and cut every request that it held.

--- a/packages/runtime/src/platform-program.ts
+++ b/packages/runtime/src/platform-program.ts
@@ -67,8 +67,12 @@
   return { settings, log };
 }
 
+/** Stops the node on a signal; a further one changes nothing, the process ends once the first has been seen through. */
 function onStop(stop: () => Promise<void>): void {
+  let isStopping = false;
   function handle(): void {
+    if (isStopping) return;
+    isStopping = true;
     void stop().then(() => process.exit(EXIT_CODES.success));
   }
   process.on('SIGTERM', handle);
