Edge: a stop reads what has arrived before it closes idle connections

Timers come before sockets in a turn of the event loop. Where an edge's process got no processor time around the moment its stop closes the connections, the timer closed them as idle first, and requests that had been waiting in their sockets, for more than a second in the soak, were then read and dropped without an answer. The stop now lets two turns pass first.

The new test stalls the event loop past that moment; on the earlier sources the client gets no answer, on these 200.

--- a/packages/runtime/src/answers-clients.test.ts
+++ b/packages/runtime/src/answers-clients.test.ts
@@ -169,6 +169,11 @@
     );
 });
 
+/** Holds up the event loop, as a machine without processor time does. */
+function stall(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 describe('control safety, point 5: a node that ends', () => {
   it(
     'control safety, point 5: lets answers that are under way go out whole, and closes behind them',
@@ -194,6 +199,24 @@
     },
   );
 
+  it(
+    'control safety, point 5: answers what arrived while it stalled until past its time to close',
+    LIMIT,
+    async () => {
+      trial = await RoutingTrial.open(1, { graceMs: 2000 });
+      trial.client.request({ id: 'first', path: '/once/x' });
+      (await trial.next()).respond();
+      await trial.client.next();
+      const stopped = trial.edge.node.stop();
+      trial.client.request({ id: 'a', path: '/once/x' });
+      stall(1100);
+      void trial.next().then((call) => call.respond());
+      const answer = await trial.client.next();
+      await stopped;
+      expect([answer.status, answer.whole, answer.body]).toEqual([200, true, 'of a']);
+    },
+  );
+
   it(
     'control safety, point 5: gives a complete answer to what is unanswered at the end of its grace',
     LIMIT,
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -1,6 +1,6 @@
 /** An edge on the platform (the programs under `platform/`): its sockets, timers and connections. */
 import { createServer, type Server } from 'node:http';
-import { setTimeout as pause } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as pause } from 'node:timers/promises';
 import { create } from '@bufbuild/protobuf';
 import { ModelDemandSchema, WorkerOutcomesSchema, type ModelDemand } from '@rainrun/messages';
 import { PoolLink } from '@rainrun/gateway';
@@ -131,6 +131,9 @@
     const endMs = startMs + this.#settings.graceMs - GRACE_RESERVE_MS;
     this.#log.info({ open: this.#clientServer.openRequests }, 'stopping');
     await pause(Math.min(DEREGISTRATION_LAG_MS, this.#settings.graceMs / 2));
+    // Timers come before sockets in a turn: after a stall, requests that have arrived meanwhile are read first.
+    await nextTurn();
+    await nextTurn();
     this.#clientServer.close();
     while (this.#clientServer.openRequests > 0 && this.#clock.nowMs() < endMs) await pause(25);
     this.#router.close();
