--- a/packages/runtime/src/answers-clients.test.ts
+++ b/packages/runtime/src/answers-clients.test.ts
@@ -86,6 +86,25 @@
     },
   );
 
+  it(
+    'headers that concern one connection do not go on, those that `Connection` names among them',
+    LIMIT,
+    async () => {
+      trial = await RoutingTrial.open(1);
+      const hop = ['Connection: keep-alive, X-Hop', 'X-Hop: 1', 'Keep-Alive: timeout=9', 'X-Note: 2'];
+      trial.client.request({ id: 'a', path: '/once/x', headers: hop });
+      const call = await trial.next();
+      call.respond({ headers: ['Connection: keep-alive, X-Back', 'X-Back: 3', 'X-Mark: 4'] });
+      const { headers } = await trial.client.next();
+      const atWorker = ['x-hop', 'keep-alive', 'x-note'].map((name) => call.headers.get(name));
+      const atClient = ['x-back', 'x-mark'].map((name) => headers.get(name));
+      expect([atWorker, atClient]).toEqual([
+        [undefined, undefined, '2'],
+        [undefined, '4'],
+      ]);
+    },
+  );
+
   it('control safety, point 5: an id that is under way here is not sent a second time', LIMIT, async () => {
     trial = await RoutingTrial.open(2);
     trial.client.request({ id: 'a', path: '/once/x' });
@@ -150,6 +169,11 @@
     );
 });
 
+/** Holds up the event loop, as a machine without processor time does. */
+function stall(ms: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 describe('control safety, point 5: a node that ends', () => {
   it(
     'control safety, point 5: lets answers that are under way go out whole, and closes behind them',
@@ -175,6 +199,24 @@
     },
   );
 
+  it(
+    'control safety, point 5: answers what arrived while it stalled until past its time to close',
+    LIMIT,
+    async () => {
+      trial = await RoutingTrial.open(1, { graceMs: 2000 });
+      trial.client.request({ id: 'first', path: '/once/x' });
+      (await trial.next()).respond();
+      await trial.client.next();
+      const stopped = trial.edge.node.stop();
+      trial.client.request({ id: 'a', path: '/once/x' });
+      stall(1100);
+      void trial.next().then((call) => call.respond());
+      const answer = await trial.client.next();
+      await stopped;
+      expect([answer.status, answer.whole, answer.body]).toEqual([200, true, 'of a']);
+    },
+  );
+
   it(
     'control safety, point 5: gives a complete answer to what is unanswered at the end of its grace',
     LIMIT,
--- a/packages/runtime/src/client-request.ts
+++ b/packages/runtime/src/client-request.ts
@@ -3,7 +3,7 @@
 import type { Limits } from '@rainrun/configuration';
 import { fault, type Fault } from '@rainrun/common';
 import type { Header } from '@rainrun/gateway';
-import { isHop, type ClientRequest } from '@rainrun/router';
+import { endToEndHeaders, type ClientRequest } from '@rainrun/router';
 import type { ClientHeaderNames } from './dialect.js';
 
 /** Why a request is answered without being read further, and with which HTTP status. */
@@ -50,7 +50,7 @@
     method: req.method ?? 'GET',
     target: req.url ?? '/',
     host: (req.headers.host ?? '').replace(/:\d+$/, ''),
-    headers: endToEndHeaders(req.rawHeaders, headerNames),
+    headers: forwardedHeaders(req.rawHeaders, headerNames),
     body,
     deadlineMs: readDeadlineMs(firstValue(req.headers[headerNames.deadlineMs])),
     model,
@@ -62,16 +62,16 @@
   };
 }
 
-/** The headers that go on to the worker: not hop-by-hop ones, `Expect`, the key, or what only an edge may set. */
-function endToEndHeaders(rawHeaders: readonly string[], { apiKey, tenant }: ClientHeaderNames): Header[] {
+/**
+ * The headers that go on to the worker: those that concern the whole way, without `Expect`, the key, and what only an
+ * edge may set.
+ */
+function forwardedHeaders(rawHeaders: readonly string[], { apiKey, tenant }: ClientHeaderNames): Header[] {
+  const withheld = new Set(['expect', apiKey, tenant]);
   const headers: Header[] = [];
-  for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
-    const name = rawHeaders[at] ?? '';
-    const lowerName = name.toLowerCase();
-    if (isHop(name) || lowerName === 'expect' || lowerName === apiKey || lowerName === tenant) continue;
-    headers.push([name, rawHeaders[at + 1] ?? '']);
-  }
-  return headers;
+  for (let at = 0; at + 1 < rawHeaders.length; at += 2)
+    headers.push([rawHeaders[at] ?? '', rawHeaders[at + 1] ?? '']);
+  return endToEndHeaders(headers).filter(([name]) => !withheld.has(name.toLowerCase()));
 }
 
 /** The client's key. A request with two of them has none: which one counts would be a guess. */
