--- a/packages/simulator/src/placement-orders.test.ts
+++ b/packages/simulator/src/placement-orders.test.ts
@@ -86,6 +86,14 @@
     ).toEqual([]);
   });
 
+  it('stay within the room when answers come in the place of the next ones', () => {
+    expect(playAll({ surplus: 0.2, answerLost: 0.2 })).toEqual([]);
+  });
+
+  it('stay within the room when the values of a report are of different age', () => {
+    expect(playAll({ torn: 0.5, answerLost: 0.2 })).toEqual([]);
+  });
+
   it('stay within the room when everything goes wrong at once', () => {
     const faults = { delayed: 0.2, answerLost: 0.2, refused: 0.2, unreadable: 0.5 };
     expect((['none', 'freeze', 'cut'] as const).flatMap((trouble) => playAll(faults, trouble))).toEqual([]);
--- a/packages/simulator/src/system/faults.ts
+++ b/packages/simulator/src/system/faults.ts
@@ -386,6 +386,7 @@
     if (workerCalls.faults !== SOUND_CALLS) return;
     this.#inject('unsound calls to workers');
     workerCalls.faults = {
+      ...SOUND_CALLS,
       delayed: MOST_CALLS_DELAYED * this.#random.next(),
       answerLost: MOST_CALLS_FAILED * this.#random.next(),
       refused: MOST_CALLS_FAILED * this.#random.next(),
--- a/packages/simulator/src/system/worker-calls.ts
+++ b/packages/simulator/src/system/worker-calls.ts
@@ -5,7 +5,7 @@
 import type { VirtualTime } from '../world.js';
 import type { Machine } from './machine.js';
 import type { Network } from './network.js';
-import type { WorkerPool } from './workers.js';
+import { REPORT_LAG_MS, type WorkerPool } from './workers.js';
 
 /** How often the way between cores and workers goes wrong; each is a share of the calls. */
 export interface CallFaults {
@@ -17,10 +17,21 @@
   readonly refused: number;
   /** A report or the platform's list cannot be read. */
   readonly unreadable: number;
+  /** A worker answers a call once more; that answer comes in the place of the one to the next call on the connection. */
+  readonly surplus: number;
+  /** The models of a report are older than its other values, by up to the age that a report may have. */
+  readonly torn: number;
 }
 
 /** Nothing goes wrong. */
-export const SOUND_CALLS: CallFaults = { delayed: 0, answerLost: 0, refused: 0, unreadable: 0 };
+export const SOUND_CALLS: CallFaults = {
+  delayed: 0,
+  answerLost: 0,
+  refused: 0,
+  unreadable: 0,
+  surplus: 0,
+  torn: 0,
+};
 
 const CALL_WAIT_MS = 900;
 /** A delayed order is on its way for up to so long. */
@@ -34,6 +45,8 @@
 export class WorkerCalls {
   /** What goes wrong now. */
   faults: CallFaults = SOUND_CALLS;
+  /** Answers that are still to come in the place of the next one, by core and worker. */
+  #surplus = new Map<string, Answer>();
   #listFailedMs = -Infinity;
   #time: VirtualTime;
   #dice: SeededRandom;
@@ -75,7 +88,8 @@
         const holder = replica.group.self.incarnation;
         this.#workers.sent(holder, order.fence);
         this.#time.after(this.#travelMs(), () => {
-          const reply = this.#arrive(core, row, holder, order);
+          const own = this.#arrive(core, row, holder, order);
+          const reply = own === undefined ? undefined : asOrderReply(this.#onConnection(core, row, own));
           if (reply !== undefined) finish(reply, 0.5 + this.#dice.next() * 2);
         });
       }),
@@ -88,7 +102,7 @@
     if (running === undefined) return;
     this.#time.after(0.5 + this.#dice.next() * 4, () => {
       const silent = this.#network.isApart(core.name, row.address) || this.#strikes(this.faults.unreadable);
-      const reply = silent ? 'no-answer' : this.#workers.report(row.address, row.id);
+      const reply = silent ? 'no-answer' : asReport(this.#onConnection(core, row, this.#report(row)));
       this.#time.after(silent ? CALL_WAIT_MS : 0.5 + this.#dice.next() * 4, () =>
         core.perform(running, () => done(reply)),
       );
@@ -116,6 +130,21 @@
     return 0.5 + this.#dice.next() * 2 + delayMs;
   }
 
+  #report(row: WorkerRecord): ReportReply {
+    const olderMs = this.#strikes(this.faults.torn) ? this.#dice.next() * REPORT_LAG_MS : 0;
+    return this.#workers.report(row.address, row.id, olderMs);
+  }
+
+  /** What a core reads as the answer to a call: a surplus answer to the call before comes first. */
+  #onConnection(core: Machine, row: WorkerRecord, own: Answer): Answer {
+    const key = `${core.name} ${row.id}`;
+    const surplus = this.#surplus.get(key);
+    this.#surplus.delete(key);
+    if (surplus !== undefined) return surplus;
+    if (this.#strikes(this.faults.surplus)) this.#surplus.set(key, own);
+    return own;
+  }
+
   /** An order arrives at a worker; undefined: its sender gets no answer. */
   #arrive(
     core: Machine,
@@ -132,3 +161,16 @@
     return this.#dice.next() >= this.#network.lossRatio ? reply : undefined;
   }
 }
+
+/** What a worker answers a call. */
+type Answer = WorkerOrderReply | ReportReply;
+
+/** A report is answered with 200, and so is an order for what is there. */
+function asOrderReply(answer: Answer): WorkerOrderReply {
+  return typeof answer === 'object' ? 'held' : answer;
+}
+
+/** What answers an order is no report. */
+function asReport(answer: Answer): ReportReply {
+  return typeof answer === 'object' ? answer : answer === 'busy' ? 'busy' : 'no-answer';
+}
--- a/packages/simulator/src/system/workers.ts
+++ b/packages/simulator/src/system/workers.ts
@@ -25,7 +25,7 @@
 /** The list lags by no more. */
 const LIST_LAG_MS = 800;
 /** A worker's own report lags by no more than this and a step of the list. */
-const REPORT_LAG_MS = 200;
+export const REPORT_LAG_MS = 200;
 /** A load from a worker's own disk takes this part of one from the store. */
 const DISK_PART = 0.6;
 const LEASE_MS = 3000;
@@ -67,6 +67,8 @@
   #pool: WorkerPool;
   #onDisk = new Set<string>();
   #doing: Doing | undefined;
+  /** The last order that was taken. */
+  #order: WorkerOrder | undefined;
   #coming = '';
   #sequence = 0;
   #taken: Taken[] = [];
@@ -89,6 +91,7 @@
     this.id = this.#pool.newId();
     this.models.clear();
     this.#doing = undefined;
+    this.#order = undefined;
     this.#coming = '';
     this.#taken = [];
     this.#sequence = 0;
@@ -114,9 +117,10 @@
     if (id !== this.id) return 'wrong-worker';
     if (this.#taken.some((taken) => taken.fence > order.fence)) return 'fenced';
     this.#checkHolder({ holder, fence: order.fence, atMs: nowMs });
-    if (this.#doing !== undefined && nowMs < this.#doing.untilMs) return 'busy';
-    if (order.sequence !== this.#sequence) return 'busy';
     this.settle();
+    if (order.sequence !== this.#sequence) return 'busy';
+    if (this.#doing !== undefined) return this.#isUnderWay(order) ? 'begun' : 'busy';
+    this.#order = order;
     return order.action === 'load' ? this.#load(order, nowMs) : this.#unload(order, nowMs);
   }
 
@@ -143,6 +147,12 @@
     doing.done();
   }
 
+  /** Whether an order repeats the one that is being done: it is answered as if it were taken, and counts once. */
+  #isUnderWay({ action, model, adapter }: WorkerOrder): boolean {
+    const order = this.#order;
+    return order?.action === action && order.model === model && order.adapter === adapter;
+  }
+
   #checkHolder(taken: Taken): void {
     const before = this.#taken.at(-1);
     if (before !== undefined && before.holder !== taken.holder) {
@@ -326,8 +336,8 @@
     return (this.#snapshots.findLast((known) => known.atMs <= wantedMs) ?? this.#snapshots[0])?.list ?? [];
   }
 
-  /** What a worker says that it holds, as it stood a little before. */
-  report(address: string, id: string): ReportReply {
+  /** What a worker says that it holds, as it stood a little before; its models, as they stood `olderMs` before that. */
+  report(address: string, id: string, olderMs: number): ReportReply {
     const worker = this.workerAt(address);
     if (worker === undefined || worker.id !== id || worker.dark || worker.away) return 'no-answer';
     const stoodMs = this.time.nowMs() - this.dice.next() * REPORT_LAG_MS;
@@ -335,7 +345,9 @@
     const listed = snapshot?.list.find((known) => known.id === id);
     if (snapshot === undefined || listed === undefined) return 'no-answer';
     if (snapshot.busy.has(id)) return 'busy';
-    return { holdings: listed.models, sequence: snapshot.sequences.get(id) ?? 0 };
+    const older = this.#snapshots.findLast((known) => known.atMs <= stoodMs - olderMs);
+    const models = older?.list.find((known) => known.id === id)?.models ?? listed.models;
+    return { holdings: models, sequence: snapshot.sequences.get(id) ?? 0 };
   }
 
   workerAt(address: string): SimulatedWorker | undefined {
