--- a/packages/placement/src/holdings.ts
+++ b/packages/placement/src/holdings.ts
@@ -44,3 +44,16 @@
   for (const adapters of holdings.values()) count += adapters.size;
   return count;
 }
+
+/**
+ * Whether two holdings are the same models with the same adapters.
+ * @example
+ * sameHoldings(state.holdings, report.holdings);
+ */
+export function sameHoldings(one: Holdings, other: Holdings): boolean {
+  if (one.size !== other.size) return false;
+  return [...one].every(([model, adapters]) => {
+    const others = other.get(model);
+    return others?.size === adapters.size && [...adapters].every((adapter) => others.has(adapter));
+  });
+}
--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -3,6 +3,7 @@
 import type { Engine } from './engine.js';
 import { copyOf } from './holdings.js';
 import type { ReportReply, WorkerOrder, WorkerOrderReply, WorkerReport } from './orders.js';
+import { REPORT_AGE_MS } from './report-settling.js';
 import type { WorkerRecord, WorkerTable } from './worker-table.js';
 import { WorkerState, type Step } from './worker-state.js';
 
@@ -36,8 +37,8 @@
 const VERIFY_AFTER_BUSY_MS = 500;
 /** By then a report tells of the last order that the worker took; one that tells of fewer before is older than it. */
 const STALE_REPORT_MS = 2000;
-/** Between two questions to one worker that is at an order; twice as long after each that had no answer. */
-const REPORT_RETRY_FIRST_MS = 250;
+/** Between two questions to one worker, so that the next answer tells of a later moment; twice as long after each that had no answer. */
+const REPORT_RETRY_FIRST_MS = REPORT_AGE_MS;
 const REPORT_RETRY_MAX_MS = 2000;
 
 /**
@@ -174,11 +175,11 @@
   #onStarted(engine: Engine, row: WorkerRecord, state: WorkerState, step: Step, nowMs: number): void {
     // A worker does one order at a time: the next one is not taken before this is done.
     if (step.action === 'unload') return this.#finish(row, state, step);
+    step.started = true;
     if (step.adapter !== '') {
       step.doneMs = nowMs + ADAPTER_MS;
       return;
     }
-    step.started = true;
     step.startedMs = nowMs;
     this.counts.loads += 1;
     const slackMs = state.onDisk.has(step.model) ? 0 : LOAD_SLACK_MS;
@@ -210,18 +211,20 @@
   }
 
   #requestReport(row: WorkerRecord, state: WorkerState): void {
-    this.#askReport(row, (report) => {
-      if (!row.confirmed && !this.#isOutdated(state, report)) this.#confirm(row, report);
+    this.#askReport(row, (report, isSettled) => {
+      if (row.confirmed || this.#isOutdated(state, report)) return;
+      if (isSettled || state.explains(report)) this.#confirm(row, report);
     });
   }
 
   /** A worker that stays busy may have taken an order that nobody here knows of. */
   #verifySequence(row: WorkerRecord, state: WorkerState): void {
     const { acceptedMs } = state;
-    this.#askReport(row, (report) => {
+    this.#askReport(row, (report, isSettled) => {
       const isUnchanged = row.confirmed && state.acceptedMs === acceptedMs;
-      if (isUnchanged && report.sequence !== state.sequence && !this.#isOutdated(state, report))
-        this.#confirm(row, report);
+      if (!isUnchanged || report.sequence === state.sequence || this.#isOutdated(state, report)) return;
+      if (isSettled || state.explains(report)) this.#confirm(row, report);
+      else this.#invalidate(row, state);
     });
   }
 
@@ -232,9 +235,9 @@
   }
 
   /** Asks a worker that may be ordered what it holds, not too often. */
-  #askReport(row: WorkerRecord, onReport: (report: WorkerReport) => void): void {
+  #askReport(row: WorkerRecord, onReport: (report: WorkerReport, isSettled: boolean) => void): void {
     const nowMs = this.#dependencies.nowMs();
-    const { reportRequest } = this.state(row);
+    const { reportRequest, settling } = this.state(row);
     if (reportRequest.open || nowMs < reportRequest.notBeforeMs || this.#dependencies.fence() === undefined)
       return;
     reportRequest.open = true;
@@ -243,8 +246,10 @@
       reportRequest.open = false;
       reportRequest.unanswered = reply === 'no-answer' ? reportRequest.unanswered + 1 : 0;
       const waitMs = Math.min(REPORT_RETRY_MAX_MS, REPORT_RETRY_FIRST_MS * 2 ** reportRequest.unanswered);
-      reportRequest.notBeforeMs = this.#dependencies.nowMs() + waitMs;
-      if (reply !== 'busy' && reply !== 'no-answer' && this.#table.row(row.id) === row) onReport(reply);
+      const repliedMs = this.#dependencies.nowMs();
+      reportRequest.notBeforeMs = repliedMs + waitMs;
+      if (reply === 'busy' || reply === 'no-answer' || this.#table.row(row.id) !== row) return;
+      onReport(reply, settling.observe(reply, nowMs, repliedMs));
     });
   }
 }
--- a/packages/placement/src/worker-state.ts
+++ b/packages/placement/src/worker-state.ts
@@ -1,7 +1,8 @@
 /** What one worker of the platform system has loaded, and the orders decided for it. */
 import type { Engine } from './engine.js';
-import { adapterCount, copyOf, usedMb, type Holdings } from './holdings.js';
+import { adapterCount, copyOf, sameHoldings, usedMb, type Holdings } from './holdings.js';
 import type { WorkerReport } from './orders.js';
+import { ReportSettling } from './report-settling.js';
 
 /** One order that was decided: it is sent once those before it are done. */
 export interface Step {
@@ -9,7 +10,7 @@
   readonly model: string;
   /** Empty for the model itself. */
   readonly adapter: string;
-  /** Whether the worker has said that it is at it. */
+  /** Whether the worker has taken it. */
   started: boolean;
   /** When it said so. */
   startedMs: number;
@@ -81,7 +82,12 @@
   acceptedMs = -Infinity;
   /** Until when it is left alone after it refused orders. */
   backoffUntilMs = -Infinity;
+  readonly settling = new ReportSettling();
   #holdings: Map<string, Set<string>>;
+  /** Whether `#holdings` are what it holds after `sequence` orders. */
+  #isExact = false;
+  /** Orders with the present count that had no usable answer: any one of them may have been taken, or may still be. */
+  #unanswered: Step[] = [];
   #steps: Step[] = [];
   #planned: Map<string, Set<string>> | undefined;
   #rejections = 0;
@@ -108,13 +114,30 @@
 
   /** Takes a worker's own word, in place of all that was believed and decided. */
   adopt(report: WorkerReport): void {
+    this.clear();
+    if (report.sequence !== this.sequence) this.#unanswered = [];
     this.#holdings = copyOf(report.holdings);
+    this.#isExact = true;
     this.sequence = report.sequence;
     this.retired.clear();
     for (const model of report.holdings.keys()) this.onDisk.add(model);
     for (const model of this.loadedSinceMs.keys())
       if (!report.holdings.has(model)) this.loadedSinceMs.delete(model);
-    this.clear();
+  }
+
+  /**
+   * Whether a report says just what must hold by what is known without it: nothing was taken since, or the one order
+   * that had no answer.
+   */
+  explains({ sequence, holdings }: WorkerReport): boolean {
+    if (!this.#isExact) return false;
+    const expected = copyOf(this.#holdings);
+    if (sequence === this.sequence + 1) {
+      const [only, ...others] = this.#unanswered;
+      if (only === undefined || others.some((other) => !isSameOrder(only, other))) return false;
+      applyStep(expected, only);
+    } else if (sequence !== this.sequence) return false;
+    return sameHoldings(expected, holdings);
   }
 
   add(step: Step): void {
@@ -122,8 +145,14 @@
     this.#planned = undefined;
   }
 
-  /** Drops all that was decided and is not done. */
+  /**
+   * Drops all that was decided and is not done. An order that the worker has taken counts as done: it takes no other
+   * one before.
+   */
   clear(): void {
+    const first = this.#steps[0];
+    if (first?.started === true) applyStep(this.#holdings, first);
+    else if (first?.inFlight === true) this.#unanswered.push(first);
     this.#steps = [];
     this.#planned = undefined;
   }
@@ -131,6 +160,7 @@
   /** The worker has taken an order. */
   recordAccepted(nowMs: number): void {
     this.sequence += 1;
+    this.#unanswered = [];
     this.acceptedMs = nowMs;
     this.#rejections = 0;
   }
@@ -200,6 +230,10 @@
   }
 }
 
+function isSameOrder(one: Step, other: Step): boolean {
+  return one.action === other.action && one.model === other.model && one.adapter === other.adapter;
+}
+
 function applyStep(
   holdings: Map<string, Set<string>>,
   { action, model, adapter }: Pick<Step, 'action' | 'model' | 'adapter'>,
