--- a/packages/placement/src/order-sender.ts
+++ b/packages/placement/src/order-sender.ts
@@ -56,7 +56,17 @@
  * sender.sendDue(engine, row, nowMs);
  */
 export class OrderSender {
-  readonly counts = { loads: 0, unloads: 0, orders: 0, busy: 0, unanswered: 0, reports: 0, reread: 0 };
+  readonly counts = {
+    loads: 0,
+    unloads: 0,
+    orders: 0,
+    busy: 0,
+    unanswered: 0,
+    reports: 0,
+    reread: 0,
+    /** Reports that differ from what must hold by all that was known. */
+    unexplained: 0,
+  };
   #table: WorkerTable;
   #dependencies: OrderDependencies;
   #states = new Map<string, WorkerState>();
@@ -213,7 +223,7 @@
   #requestReport(row: WorkerRecord, state: WorkerState): void {
     this.#askReport(row, (report, isSettled) => {
       if (row.confirmed || this.#isOutdated(state, report)) return;
-      if (isSettled || state.explains(report)) this.#confirm(row, report);
+      if (this.#isReliable(state, report, isSettled)) this.#confirm(row, report);
     });
   }
 
@@ -223,7 +233,7 @@
     this.#askReport(row, (report, isSettled) => {
       const isUnchanged = row.confirmed && state.acceptedMs === acceptedMs;
       if (!isUnchanged || report.sequence === state.sequence || this.#isOutdated(state, report)) return;
-      if (isSettled || state.explains(report)) this.#confirm(row, report);
+      if (this.#isReliable(state, report, isSettled)) this.#confirm(row, report);
       else this.#invalidate(row, state);
     });
   }
@@ -234,6 +244,13 @@
     return isRecent && report.sequence < state.sequence;
   }
 
+  /** Whether the models of a report are those of its count. */
+  #isReliable(state: WorkerState, report: WorkerReport, isSettled: boolean): boolean {
+    if (state.explains(report)) return true;
+    if (state.isExact) this.counts.unexplained += 1;
+    return isSettled;
+  }
+
   /** Asks a worker that may be ordered what it holds, not too often. */
   #askReport(row: WorkerRecord, onReport: (report: WorkerReport, isSettled: boolean) => void): void {
     const nowMs = this.#dependencies.nowMs();
--- a/packages/placement/src/worker-state.ts
+++ b/packages/placement/src/worker-state.ts
@@ -84,7 +84,6 @@
   backoffUntilMs = -Infinity;
   readonly settling = new ReportSettling();
   #holdings: Map<string, Set<string>>;
-  /** Whether `#holdings` are what it holds after `sequence` orders. */
   #isExact = false;
   /** Orders with the present count that had no usable answer: any one of them may have been taken, or may still be. */
   #unanswered: Step[] = [];
@@ -112,6 +111,11 @@
     return this.#planned;
   }
 
+  /** Whether `holdings` are what it holds after `sequence` orders; until it has reported they are only listed. */
+  get isExact(): boolean {
+    return this.#isExact;
+  }
+
   /** Takes a worker's own word, in place of all that was believed and decided. */
   adopt(report: WorkerReport): void {
     this.clear();
