Router: one permit of its tenant's quota for each attempt that a worker may run; counts by tenant

Nothing stood between a tenant's quota and the workers.

A request of a tenant with a rate asks for a permit when it arrives. The first answer decides: over quota, 429 with the time to come back; granted, it is sent; none yet, it waits (no-permit) as for a worker. After that quota only delays it, till its deadline: 503 if it has not run. The permit is consumed just before the first byte, if it has not ended then; an attempt that certainly did not run gives it back, any other has spent it. A silent stream leaves its worker only with a permit for the next one at hand. While no worker can take a request, only the first of those that wait for the same workers draws anew. The request for a permit is withdrawn when its request ends. All of it is in request-permits.ts.

An answer to one request may now bring others forward, so a turn looks first whether its request still waits.

Counted by tenant: taken, sent, refused over quota, refused otherwise; in the edge's counters line where there are tenants. Until edges draw permits from cores, runtime/unlimited-permits.ts grants all of them.

--- a/packages/compatibility/src/data-plane-counters.ts
+++ b/packages/compatibility/src/data-plane-counters.ts
@@ -68,6 +68,7 @@
       retries: { ratio: 1, extra: 20 },
       configuration: () => this.#configuration,
       tenants: () => undefined,
+      permits: { acquire: () => () => undefined },
       evacuated: () => [],
       workers: () => (this.isWorkerListed ? new Map([[WORKER, this.#worker()]]) : new Map()),
       edges: () => 1,
--- a/packages/router/src/admission.ts
+++ b/packages/router/src/admission.ts
@@ -55,6 +55,8 @@
     streamed,
     directory: identity.directory,
     tenant: identity.tenant,
+    admitted: false,
+    permit: undefined,
     workerPriority: Math.min(ATTEMPT_POLICY.maxPriority, route.priority),
     attemptsStarted: 0,
     sentTo: new Map(),
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -7,3 +7,5 @@
 export * from './router.js';
 export * from './demand-meter.js';
 export * from './outcome-counter.js';
+export * from './request-permits.js';
+export * from './tenant-counters.js';
--- /dev/null
+++ b/packages/router/src/permit-spent-twice.test.ts
@@ -0,0 +1,267 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import type { PermitAnswer } from '@rainrun/quotas';
+import { RouterHarness, worker, type SentRequest } from './testing/router-harness.js';
+
+const LIMITED = { name: 'one', apiKeys: ['key'], ratePerS: 10, burst: 5 };
+const FOR_EVER = { kind: 'granted', permit: { endMs: Infinity } } as const;
+
+function withQuota(...workers: readonly string[]): RouterHarness {
+  const harness = new RouterHarness(workers.map((id) => worker(id)));
+  harness.haveTenants([LIMITED]);
+  return harness;
+}
+
+function submit(harness: RouterHarness, target: string, deadlineMs = 1500) {
+  return harness.submit(target, { apiKey: 'key', deadlineMs });
+}
+
+function earn(harness: RouterHarness): void {
+  for (let done = 0; done < 5; done += 1) {
+    submit(harness, '/once/x');
+    harness.last().start();
+    harness.last().answer(200, 'ok');
+  }
+  harness.permits.asked.length = 0;
+}
+
+/** How a worker ends an attempt without a response for the client. */
+const ENDS: Readonly<Record<string, (sent: SentRequest) => void>> = {
+  failed: (sent) => {
+    sent.start();
+    sent.handler.failed(true, 'reset');
+  },
+  'not run': (sent) => {
+    sent.start();
+    sent.decline(503);
+  },
+  misdirected: (sent) => {
+    sent.start();
+    sent.decline(421);
+  },
+  unreached: (sent) => {
+    sent.start();
+    sent.handler.failed(false, 'refused');
+  },
+};
+
+/** Requests whose permits come at once, or as a script says; counts permits and attempts that may have run. */
+class PermitScript {
+  readonly harness = withQuota('w1', 'w2', 'w3');
+  mayHaveRun = 0;
+  #granted = 0;
+  #isAtOnce: boolean;
+  #played = 0;
+
+  constructor(isAtOnce: boolean) {
+    this.#isAtOnce = isAtOnce;
+    if (!isAtOnce) this.harness.permits.atOnce = undefined;
+  }
+
+  /** Permits that were granted, or answers that said so, of which some came too late. */
+  get granted(): number {
+    return this.#isAtOnce ? this.harness.permits.asked.length : this.#granted;
+  }
+
+  answer(answer: PermitAnswer): void {
+    if (answer.kind === 'granted') this.#granted += 1;
+    this.harness.permits.asked.at(-1)?.answer(answer);
+  }
+
+  /** The oldest send that was not played yet goes on like this. */
+  play(end: (sent: SentRequest) => void, isRun: boolean): void {
+    const sent = this.harness.link.sent[this.#played];
+    if (sent === undefined) return;
+    this.#played += 1;
+    if (!sent.start()) return sent.handler.failed(false, 'withheld');
+    if (isRun) this.mayHaveRun += 1;
+    end(sent);
+  }
+}
+
+const SCRIPT_STEPS: Readonly<Record<string, (script: PermitScript) => void>> = {
+  submit: ({ harness }) => void submit(harness, '/often/x'),
+  later: ({ harness }) => harness.later(60),
+  grant: (script) => script.answer(FOR_EVER),
+  'grant for a short time': (script) =>
+    script.answer({ kind: 'granted', permit: { endMs: script.harness.nowMs + 50 } }),
+  refuse: (script) => script.answer({ kind: 'over-quota', retryAfterMs: 30 }),
+  serve: (script) => script.play((sent) => sent.answer(200, 'ok'), true),
+  fail: (script) => script.play((sent) => sent.handler.failed(true, 'reset'), true),
+  decline: (script) => script.play((sent) => sent.decline(503), false),
+  miss: (script) => script.play((sent) => sent.handler.failed(false, 'refused'), false),
+};
+
+describe('a permit that is spent twice, or on nothing', () => {
+  it('is not needed without a tenant, without a limit, or without a configured rate', () => {
+    const harness = withQuota('w1');
+    harness.submit('/open/x');
+    const started = [harness.last().start()];
+    for (const tenants of [[{ name: 'free', apiKeys: ['key'] }], undefined]) {
+      harness.haveTenants(tenants);
+      submit(harness, '/once/x');
+      started.push(harness.last().start());
+    }
+    expect([started, harness.permits.asked.length]).toEqual([[true, true, true], 0]);
+  });
+
+  it('is asked for once, however often the request is looked at while it waits for its answer', () => {
+    const harness = withQuota('w1');
+    harness.permits.atOnce = undefined;
+    const { sink } = submit(harness, '/once/x');
+    for (let turn = 0; turn < 5; turn += 1) harness.later(20);
+    const before = [harness.permits.asked.map(({ tenant }) => tenant), harness.link.sent.length];
+    harness.permits.asked[0]?.answer(FOR_EVER);
+    const started = harness.last().start();
+    harness.last().answer(200, 'ok');
+    expect([before, started, sink.seen]).toEqual([[['one'], 0], true, ['answer 200 ok']]);
+  });
+
+  it('pays for one attempt that may have run: the retry draws again, any other attempt uses it again', () => {
+    const draws = Object.entries(ENDS).map(([name, end]) => {
+      const harness = withQuota('w1', 'w2');
+      earn(harness);
+      submit(harness, '/often/x');
+      const first = harness.last();
+      end(first);
+      const second = harness.last();
+      return [name, second !== first && second.start(), harness.permits.asked.length];
+    });
+    expect(draws).toEqual([
+      ['failed', true, 2],
+      ['not run', true, 1],
+      ['misdirected', true, 1],
+      ['unreached', true, 1],
+    ]);
+  });
+
+  it('is drawn again for a stream that goes on at another worker', () => {
+    const harness = withQuota('w1', 'w2');
+    earn(harness);
+    submit(harness, '/talk/x');
+    const first = harness.last();
+    first.start();
+    first.openStream('s1');
+    first.events('id: 1\ndata: a\n\n');
+    harness.permits.atOnce = undefined;
+    first.handler.failed(true, 'reset');
+    const sendsBefore = harness.link.sent.length;
+    harness.permits.asked.at(-1)?.answer(FOR_EVER);
+    expect([harness.permits.asked.length, harness.link.sent.length - sendsBefore]).toEqual([2, 1]);
+  });
+
+  it('is not used after its end: nothing leaves, and a new one is drawn', () => {
+    const harness = withQuota('w1');
+    harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 100 } };
+    submit(harness, '/once/x');
+    const first = harness.last();
+    harness.nowMs += 100;
+    harness.permits.atOnce = FOR_EVER;
+    const started = first.start();
+    first.handler.failed(false, 'withheld');
+    const second = harness.last();
+    expect([started, second !== first && second.start(), harness.permits.asked.length]).toEqual([
+      false,
+      true,
+      2,
+    ]);
+  });
+
+  it('that has ended when it comes is not asked for in a loop, but at the next look', () => {
+    const harness = withQuota('w1');
+    harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs } };
+    submit(harness, '/once/x');
+    harness.later(20);
+    expect([harness.permits.asked.length, harness.link.sent.length]).toEqual([2, 0]);
+  });
+
+  it('is given back by an attempt that did not run only while it has not ended', () => {
+    const harness = withQuota('w1', 'w2');
+    earn(harness);
+    harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 100 } };
+    submit(harness, '/often/x');
+    harness.last().start();
+    harness.nowMs += 100;
+    harness.permits.atOnce = FOR_EVER;
+    harness.last().decline(503);
+    expect([harness.permits.asked.length, harness.last().start()]).toEqual([2, true]);
+  });
+
+  it('is asked for no more when the client leaves, the request expires or its key is dropped', () => {
+    const ends: Readonly<Record<string, (harness: RouterHarness, leave: () => void) => void>> = {
+      left: (_harness, leave) => leave(),
+      expired: (harness) => harness.later(1600),
+      dropped: (harness) => harness.haveTenants([]),
+      closed: (harness) => harness.router.close(),
+    };
+    const withdrawn = Object.entries(ends).map(([name, end]) => {
+      const harness = withQuota('w1');
+      harness.permits.atOnce = undefined;
+      const { leave, sink } = submit(harness, '/once/x');
+      end(harness, leave);
+      const [asked] = harness.permits.asked;
+      asked?.answer(FOR_EVER);
+      harness.later(20);
+      return [name, asked?.withdrawn, harness.link.sent.length, sink.status, harness.router.waiting];
+    });
+    expect(withdrawn).toEqual([
+      ['left', true, 0, 0, 0],
+      ['expired', true, 0, 503, 0],
+      ['dropped', true, 0, 401, 0],
+      ['closed', true, 0, 503, 0],
+    ]);
+  });
+
+  it('of one tenant does not pay for a request that has become another tenant’s', () => {
+    const harness = withQuota();
+    submit(harness, '/once/x');
+    harness.haveTenants([{ ...LIMITED, name: 'heir' }]);
+    harness.put(worker('w1'));
+    harness.later(20);
+    expect([harness.permits.asked.map(({ tenant }) => tenant), harness.last().start()]).toEqual([
+      ['one', 'heir'],
+      true,
+    ]);
+  });
+
+  it('is not wasted while no worker can take any request: only the first of those that wait draws anew', () => {
+    const harness = withQuota();
+    harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 50 } };
+    for (let count = 0; count < 10; count += 1) submit(harness, '/often/x');
+    const drawn = harness.permits.asked.length;
+    for (let turn = 0; turn < 4; turn += 1) {
+      harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 150 } };
+      harness.later(100);
+    }
+    expect([drawn, harness.permits.asked.length - drawn]).toEqual([10, 4]);
+  });
+
+  it('is not sent twice when the answer to another request brings its own too', () => {
+    const harness = withQuota('w1');
+    harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 50 } };
+    harness.workers.clear();
+    submit(harness, '/often/first');
+    harness.permits.atOnce = undefined;
+    submit(harness, '/often/second');
+    const [, second] = harness.permits.asked;
+    harness.put(worker('w1'));
+    harness.permits.onAsk = () => second?.answer(FOR_EVER);
+    harness.later(100);
+    expect(harness.link.sent.map(({ request }) => request.target)).toEqual(['/often/second']);
+  });
+
+  it('property: attempts that may have run are never more than permits that were granted', () => {
+    const step = fc.constantFrom(...Object.keys(SCRIPT_STEPS));
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), fc.boolean(), (steps, isAtOnce) => {
+        const script = new PermitScript(isAtOnce);
+        for (const name of steps) {
+          SCRIPT_STEPS[name]?.(script);
+          expect(script.mayHaveRun <= script.granted).toEqual(true);
+        }
+      }),
+      { numRuns: 300 },
+    );
+  });
+});
--- a/packages/router/src/request-completion.ts
+++ b/packages/router/src/request-completion.ts
@@ -3,8 +3,10 @@
 import type { AttemptEnd } from './attempt.js';
 import type { Counters } from './counters.js';
 import type { ResponseSink, RoutedRequest } from './request.js';
+import type { RequestPermits } from './request-permits.js';
 import type { RetryBudgets } from './retry-budgets.js';
 import { ADMISSION_POLICY } from './routing-policy.js';
+import type { TenantCounters } from './tenant-counters.js';
 import type { WaitingQueue } from './waiting-queue.js';
 
 /** Says the same to every request without a known key, whatever it asked for. */
@@ -14,7 +16,9 @@
 export interface RequestCompletionOptions {
   readonly queue: WaitingQueue;
   readonly budgets: RetryBudgets;
+  readonly permits: RequestPermits;
   readonly counters: Counters;
+  readonly tenantCounters: TenantCounters;
 }
 
 /**
@@ -26,14 +30,18 @@
 export class RequestCompletion {
   #queue: WaitingQueue;
   #budgets: RetryBudgets;
+  #permits: RequestPermits;
   #counters: Counters;
+  #tenantCounters: TenantCounters;
   /** Ids of non-idempotent requests in flight. */
   #nonIdempotentIds = new Set<string>();
 
-  constructor({ queue, budgets, counters }: RequestCompletionOptions) {
+  constructor({ queue, budgets, permits, counters, tenantCounters }: RequestCompletionOptions) {
     this.#queue = queue;
     this.#budgets = budgets;
+    this.#permits = permits;
     this.#counters = counters;
+    this.#tenantCounters = tenantCounters;
   }
 
   /** Registers the id of a non-idempotent request; false if one with that id is in flight. */
@@ -44,8 +52,9 @@
     return true;
   }
 
-  /** The id of a request may be used again. */
+  /** A request has ended: its id may be used again, and it asks for no permit any more. */
   unregister(request: RoutedRequest): void {
+    this.#permits.release(request);
     this.#nonIdempotentIds.delete(request.clientRequest.id);
   }
 
@@ -55,10 +64,26 @@
     sink.reject(why);
   }
 
+  /** Rejects a request that was not admitted, though its route and its tenant are known. */
+  rejectNew(request: RoutedRequest, why: Fault): void {
+    this.#tenantCounters.increment(request.tenant, 'refused');
+    this.reject(request.sink, why);
+  }
+
+  /** Rejects a request that its tenant's quota has no permit for. */
+  rejectOverQuota(request: RoutedRequest, retryAfterMs: number): void {
+    this.#queue.delete(request);
+    this.#budgets.release(request);
+    this.unregister(request);
+    this.#tenantCounters.increment(request.tenant, 'refusedOverQuota');
+    const advice = retryAfterMs > 0 ? { retryAfterS: retryAfterMs / 1000 } : {};
+    this.reject(request.sink, fault('over-quota', 'the tenant sends more than its quota', advice));
+  }
+
   /** Rejects a request after its last attempt; nothing of a response went to the client. */
   rejectAfter(request: RoutedRequest, end: AttemptEnd): void {
     this.unregister(request);
-    if (request.mayHaveRun) return request.sink.reject(fault('outcome-unknown', end.why));
+    if (request.mayHaveRun) return this.#rejectAdmitted(request, fault('outcome-unknown', end.why));
     this.#counters.increment('refused full');
     this.#rejectAsUnserved(request, end.why);
   }
@@ -69,8 +94,9 @@
     this.#queue.delete(request);
     this.#budgets.release(request);
     this.unregister(request);
-    if (request.mayHaveRun) return request.sink.reject(fault('outcome-unknown', 'its key was withdrawn'));
-    this.reject(request.sink, UNAUTHENTICATED);
+    if (request.mayHaveRun)
+      return this.#rejectAdmitted(request, fault('outcome-unknown', 'its key was withdrawn'));
+    this.rejectNew(request, UNAUTHENTICATED);
   }
 
   /** Ends a request whose time has passed, or that is pending when this node shuts down. */
@@ -81,8 +107,9 @@
     this.#counters.increment('given up');
     if (request.responseStarted) return this.abort(request);
     this.unregister(request);
-    if (request.mayHaveRun) request.sink.reject(fault('deadline-exceeded', 'the time for it has passed'));
-    else this.#rejectAsUnserved(request, 'no worker came free in time');
+    if (request.mayHaveRun)
+      this.#rejectAdmitted(request, fault('deadline-exceeded', 'the time for it has passed'));
+    else this.#rejectAsUnserved(request, whyUnserved(request));
   }
 
   /** Resets the connection of a client that has part of a response. */
@@ -107,6 +134,18 @@
 
   /** No worker has run the request, so the client may send it again. */
   #rejectAsUnserved(request: RoutedRequest, why: string): void {
-    request.sink.reject({ ...fault('no-worker', why), retryAfterS: ADMISSION_POLICY.noWorkerRetryAfterS });
+    const { noWorkerRetryAfterS } = ADMISSION_POLICY;
+    this.#rejectAdmitted(request, fault('no-worker', why, { retryAfterS: noWorkerRetryAfterS }));
+  }
+
+  #rejectAdmitted(request: RoutedRequest, why: Fault): void {
+    this.#tenantCounters.increment(request.tenant, 'refused');
+    request.sink.reject(why);
   }
 }
+
+function whyUnserved({ waitReason }: RoutedRequest): string {
+  return waitReason === 'no-permit'
+    ? "no permit of its tenant's quota came in time"
+    : 'no worker came free in time';
+}
--- /dev/null
+++ b/packages/router/src/request-permits.ts
@@ -0,0 +1,160 @@
+/** The permits of requests whose tenants have a quota: one for each attempt that a worker may run. */
+import type { Permit, PermitAnswer, PermitSource } from '@rainrun/quotas';
+import type { AttemptEnd } from './attempt.js';
+import type { RoutedRequest } from './request.js';
+
+/** The permit for the next attempt of a request. */
+type NextPermit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'asked'; withdraw: () => void }
+  | { readonly kind: 'held'; readonly permit: Permit }
+  | { readonly kind: 'refused'; readonly retryAfterMs: number; readonly untilMs: number };
+
+/** What a request holds of its tenant's quota. */
+export interface RequestPermit {
+  readonly tenant: string;
+  next: NextPermit;
+  /** The permit that the attempt in flight has consumed. */
+  spent: Permit | undefined;
+}
+
+/** Whether a request may be sent now, as far as its tenant's quota is concerned. */
+export type PermitState =
+  | { readonly kind: 'ready' }
+  /** The answer is not there yet, or says to wait. */
+  | { readonly kind: 'awaited' }
+  /** The first answer said so; a request that was admitted once only waits. */
+  | { readonly kind: 'over-quota'; readonly retryAfterMs: number };
+
+/** What permits need of their router. */
+export interface RequestPermitsDependencies {
+  readonly source: PermitSource;
+  /** Monotonic, in milliseconds. */
+  nowMs(): number;
+  /** An answer came for a request that has been waiting for it. */
+  onAnswer(request: RoutedRequest): void;
+}
+
+const READY: PermitState = { kind: 'ready' };
+const AWAITED: PermitState = { kind: 'awaited' };
+const NONE: NextPermit = { kind: 'none' };
+
+/** Ends of attempts that certainly did not run, whose permits can be used again. */
+const NOT_RUN: ReadonlySet<AttemptEnd['how']> = new Set(['not-sent', 'unreached', 'not-run', 'misdirected']);
+
+/**
+ * Gets the permits of requests and consumes them. The first answer decides whether a request is admitted; after that
+ * it is never rejected for quota: it waits and asks again until its time has passed.
+ * @example
+ * if (permits.obtain(request).kind === 'ready') send(request);
+ * const mayStart = permits.consume(request); // just before the first byte
+ */
+export class RequestPermits {
+  #dependencies: RequestPermitsDependencies;
+
+  constructor(dependencies: RequestPermitsDependencies) {
+    this.#dependencies = dependencies;
+  }
+
+  /** Asks for a permit unless one is held or asked for, and says how the request stands. */
+  obtain(request: RoutedRequest): PermitState {
+    const quota = this.#quotaOf(request);
+    const state = quota === undefined ? READY : this.#obtain(request, quota);
+    if (state === READY) request.admitted = true;
+    return state;
+  }
+
+  /** The last check before the first byte leaves: uses up the permit that is held, if it has not ended. */
+  consume(request: RoutedRequest): boolean {
+    const quota = this.#quotaOf(request);
+    if (quota === undefined) return true;
+    const { next } = quota;
+    if (next.kind !== 'held' || !this.#isValid(next.permit)) return false;
+    quota.next = NONE;
+    quota.spent = next.permit;
+    return true;
+  }
+
+  /** Gives the permit of an attempt that did not run back to its request. */
+  attemptEnded({ permit: quota }: RoutedRequest, how: AttemptEnd['how']): void {
+    if (quota?.spent === undefined) return;
+    const { spent, next } = quota;
+    quota.spent = undefined;
+    if (!NOT_RUN.has(how) || next.kind === 'held') return;
+    withdraw(quota);
+    quota.next = { kind: 'held', permit: spent };
+  }
+
+  /** The request has ended: no permit is asked for any more. */
+  release(request: RoutedRequest): void {
+    if (request.permit === undefined) return;
+    withdraw(request.permit);
+    request.permit = undefined;
+  }
+
+  /** What a request holds of its tenant's quota; undefined where it needs no permit. */
+  #quotaOf(request: RoutedRequest): RequestPermit | undefined {
+    const { tenant } = request;
+    if (tenant === undefined || tenant.ratePerS <= 0) {
+      this.release(request);
+      return undefined;
+    }
+    if (request.permit?.tenant !== tenant.name) {
+      this.release(request);
+      request.permit = { tenant: tenant.name, next: NONE, spent: undefined };
+    }
+    return request.permit;
+  }
+
+  #obtain(request: RoutedRequest, quota: RequestPermit): PermitState {
+    const before = this.#stateOf(request, quota);
+    if (before !== undefined) return before;
+    this.#ask(request, quota);
+    // A permit that has ended by the time it is given is asked for anew at the next look, not in a loop here.
+    return this.#stateOf(request, quota) ?? AWAITED;
+  }
+
+  /** Undefined: a permit is to be asked for now. */
+  #stateOf(request: RoutedRequest, { next }: RequestPermit): PermitState | undefined {
+    switch (next.kind) {
+      case 'none':
+        return undefined;
+      case 'asked':
+        return AWAITED;
+      case 'held':
+        return this.#isValid(next.permit) ? READY : undefined;
+      case 'refused':
+        if (!request.admitted) return { kind: 'over-quota', retryAfterMs: next.retryAfterMs };
+        return this.#dependencies.nowMs() < next.untilMs ? AWAITED : undefined;
+    }
+  }
+
+  #ask(request: RoutedRequest, quota: RequestPermit): void {
+    const asked: NextPermit = { kind: 'asked', withdraw: () => undefined };
+    quota.next = asked;
+    let isAsking = true;
+    asked.withdraw = this.#dependencies.source.acquire(quota.tenant, (answer) => {
+      if (quota.next !== asked) return;
+      quota.next = this.#answered(answer);
+      if (answer.kind === 'granted') request.admitted = true;
+      if (!isAsking) this.#dependencies.onAnswer(request);
+    });
+    isAsking = false;
+  }
+
+  #answered(answer: PermitAnswer): NextPermit {
+    if (answer.kind === 'granted') return { kind: 'held', permit: answer.permit };
+    const { retryAfterMs } = answer;
+    return { kind: 'refused', retryAfterMs, untilMs: this.#dependencies.nowMs() + retryAfterMs };
+  }
+
+  #isValid({ endMs }: Permit): boolean {
+    return endMs > this.#dependencies.nowMs();
+  }
+}
+
+function withdraw(quota: RequestPermit): void {
+  const { next } = quota;
+  quota.next = NONE;
+  if (next.kind === 'asked') next.withdraw();
+}
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -2,6 +2,7 @@
 import type { RouteEntry, ServiceEntry, Tenant, TenantDirectory } from '@rainrun/configuration';
 import type { Fault } from '@rainrun/common';
 import type { Header } from '@rainrun/gateway';
+import type { RequestPermit } from './request-permits.js';
 
 /** A complete request, read and parsed by the client server. */
 export interface ClientRequest {
@@ -64,9 +65,9 @@
 
 /**
  * Why no worker was chosen: none is eligible, none has the model loaded, or those that have it are backed off,
- * at their limit, or warming up.
+ * at their limit, or warming up; or none was looked for, since the request has no permit of its tenant's quota.
  */
-export type NoWorkerReason = 'none' | 'model-not-loaded' | 'backed-off' | 'full' | 'warming-up';
+export type NoWorkerReason = 'none' | 'model-not-loaded' | 'backed-off' | 'full' | 'warming-up' | 'no-permit';
 
 /** A request on its way through the router. Times are on the monotonic clock. */
 export interface RoutedRequest {
@@ -86,6 +87,10 @@
   directory: TenantDirectory | undefined;
   /** The tenant that held its key then; undefined without tenants, or on a public route without a known key. */
   tenant: Tenant | undefined;
+  /** It had a permit for its first attempt, or needed none: from then on its tenant's quota can only delay it. */
+  admitted: boolean;
+  /** What it holds of its tenant's quota; undefined if it needs no permit. */
+  permit: RequestPermit | undefined;
   /** What workers are told of its priority with its next attempt: 0 to 9, 0 first. */
   workerPriority: number;
   /** Attempts whose first byte left. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,5 +1,6 @@
 /** The data plane of an edge of the platform system: dispatches requests to workers, retries them, resumes streams. */
 import type { Link } from '@rainrun/gateway';
+import type { PermitSource } from '@rainrun/quotas';
 import type { Configuration, RouteEntry, TenantDirectory } from '@rainrun/configuration';
 import { fault, type Clock, type Fault } from '@rainrun/common';
 import { newRoutedRequest, TargetResolver } from './admission.js';
@@ -12,10 +13,12 @@
 import { OutcomeCounter, type WorkerOutcomes } from './outcome-counter.js';
 import type { ClientRequest, NoWorkerReason, ResponseSink, RoutedRequest, WorkerView } from './request.js';
 import { RequestCompletion, UNAUTHENTICATED } from './request-completion.js';
+import { RequestPermits, type PermitState } from './request-permits.js';
 import { WorkerPriorities } from './tenant-priority.js';
 import { RetryBudgets, type RetryBudgetsDependencies } from './retry-budgets.js';
 import { ADMISSION_POLICY, BACKOFF_POLICY, RESUME_POLICY } from './routing-policy.js';
 import { TenantAccess } from './tenant-access.js';
+import { TenantCounters, type TenantCounts } from './tenant-counters.js';
 import { WaitingQueue } from './waiting-queue.js';
 
 /** What the router is given by its node. */
@@ -29,6 +32,8 @@
   configuration(): Configuration | undefined;
   /** The tenants of the configuration in force; undefined where it has none, so that requests need no key. */
   tenants(): TenantDirectory | undefined;
+  /** Where permits for the requests of tenants with a quota come from. */
+  readonly permits: PermitSource;
   /** Zones whose workers get no new requests. */
   evacuated(): readonly string[];
   /** The workers known here, by id. */
@@ -65,20 +70,29 @@
     reject: (sink) => this.#completion.reject(sink, UNCONFIGURED),
   });
   #budgets: RetryBudgets;
+  #permits: RequestPermits;
   #completion: RequestCompletion;
   #demand = new DemandMeter();
   #outcomes = new OutcomeCounter();
   #counters = new Counters();
+  #tenantCounters = new TenantCounters();
   #closed = false;
 
   constructor(dependencies: RouterDependencies) {
     this.#dependencies = dependencies;
     this.#access = new TenantAccess(() => dependencies.tenants());
     this.#budgets = new RetryBudgets(dependencies);
+    this.#permits = new RequestPermits({
+      source: dependencies.permits,
+      nowMs: () => dependencies.clock.nowMs(),
+      onAnswer: (request) => this.#advance(request, new Set(), dependencies.clock.nowMs()),
+    });
     this.#completion = new RequestCompletion({
       queue: this.#queue,
       budgets: this.#budgets,
+      permits: this.#permits,
       counters: this.#counters,
+      tenantCounters: this.#tenantCounters,
     });
     this.#balancer = new Balancer({
       zone: dependencies.zone,
@@ -105,6 +119,11 @@
     return this.#counters.values;
   }
 
+  /** Requests counted since the start, by the name of their tenant. */
+  get tenantCounts(): Readonly<Record<string, TenantCounts>> {
+    return this.#tenantCounters.values;
+  }
+
   /** Takes a request; the returned function is to be called when the client leaves. */
   submit(clientRequest: ClientRequest, sink: ResponseSink): () => void {
     this.#counters.increment('taken');
@@ -162,21 +181,30 @@
   }
 
   #admit(request: RoutedRequest, nowMs: number): () => void {
-    const { sink } = request;
-    if (this.#queue.size >= ADMISSION_POLICY.maxWaitingRequests)
-      return this.#reject(sink, {
-        ...fault('over-share', 'too many requests wait here'),
-        retryAfterS: ADMISSION_POLICY.queueFullRetryAfterS,
-      });
-    if (!this.#completion.register(request))
-      return this.#reject(sink, fault('outcome-unknown', 'a request with this id is under way here'));
+    this.#tenantCounters.increment(request.tenant, 'taken');
+    const why = this.#obstacle(request);
+    if (why !== undefined) {
+      this.#completion.rejectNew(request, why);
+      return () => undefined;
+    }
+    const permit = this.#obtainPermit(request);
+    if (permit === 'over-quota') return () => undefined;
     this.#budgets.recordFirstAttempt(request);
     this.#demand.recordArrival(request, nowMs);
     if (request.directory !== undefined) this.#serveAhead(request, nowMs);
-    this.#dispatch(request, nowMs);
+    if (permit === 'ready') this.#dispatch(request, nowMs);
     return () => this.#completion.clientLeft(request);
   }
 
+  /** Why a new request cannot be admitted here; registers its id if it can. */
+  #obstacle(request: RoutedRequest): Fault | undefined {
+    const { maxWaitingRequests, queueFullRetryAfterS: retryAfterS } = ADMISSION_POLICY;
+    if (this.#queue.size >= maxWaitingRequests)
+      return fault('over-share', 'too many requests wait here', { retryAfterS });
+    if (this.#completion.register(request)) return undefined;
+    return fault('outcome-unknown', 'a request with this id is under way here');
+  }
+
   /** A new request takes no place that has just come free from one that goes before it. */
   #serveAhead(newcomer: RoutedRequest, nowMs: number): void {
     const ahead = this.#queue.size === 0 ? undefined : this.#queue.firstAhead(newcomer, nowMs);
@@ -188,6 +216,8 @@
    * @param unservable - demand keys for which no worker was found in this tick
    */
   #advance(request: RoutedRequest, unservable: Set<string>, nowMs: number): void {
+    // Another request's turn, or the answer to it, may have been this one's too.
+    if (!this.#queue.has(request)) return;
     if (nowMs >= request.endMs) return this.#completion.expire(request);
     if (this.#access.review(request) === 'denied') return this.#completion.revoke(request);
     if (request.responseStarted && nowMs - request.lastByteMs >= maxClientSilenceMs(request.route))
@@ -195,10 +225,19 @@
     if (request.responseStarted && !request.retryReserved) return this.#resume(request, nowMs);
     if (nowMs < request.notBeforeMs) return;
     if (request.excludedWorkers.size === 0 && unservable.has(request.key)) return;
+    if (this.#obtainPermit(request) !== 'ready') return;
     const isSent = this.#dispatch(request, nowMs);
     if (!isSent && request.excludedWorkers.size === 0) unservable.add(request.key);
   }
 
+  /** Whether a request has a permit of its tenant's quota or needs none; otherwise it waits, or has been rejected. */
+  #obtainPermit(request: RoutedRequest): PermitState['kind'] {
+    const permit = this.#permits.obtain(request);
+    if (permit.kind === 'over-quota') this.#completion.rejectOverQuota(request, permit.retryAfterMs);
+    else if (permit.kind === 'awaited') this.#wait(request, 'no-permit');
+    return permit.kind;
+  }
+
   /** Sends a request if a worker may take it now; false: it waits. */
   #dispatch(request: RoutedRequest, nowMs: number): boolean {
     const choice = this.#choose(request);
@@ -285,22 +324,24 @@
       return false;
     if (this.#dependencies.clock.nowMs() >= request.endMs) return false;
     // The head names the tenant that held the key when it was made.
-    if (this.#access.review(request) !== 'same') return false;
+    if (this.#access.review(request) !== 'same' || !this.#permits.consume(request)) return false;
     request.retryDenied = request.retryReserved && !this.#budgets.spend(request);
     request.retryReserved = false;
     if (request.retryDenied) return false;
+    this.#tenantCounters.increment(request.tenant, 'sent');
     request.attemptsStarted += 1;
     request.sentTo.set(worker.id, worker.address);
     return true;
   }
 
-  /** Whether a request can leave its worker for another one at once; if so, a retry is reserved. */
+  /** Whether a request can leave its worker for another one at once; if so, a retry is reserved and a permit held. */
   #reserveMove(request: RoutedRequest, worker: WorkerView): boolean {
     if (request.attemptsStarted >= request.route.attempts) return false;
     if (this.#access.review(request) === 'denied' || !this.#budgets.reserve(request)) return false;
     request.excludedWorkers.add(worker.id);
     request.retryReserved = true;
-    if (typeof this.#choose(request) !== 'string') return true;
+    if (typeof this.#choose(request) !== 'string' && this.#permits.obtain(request).kind === 'ready')
+      return true;
     request.excludedWorkers.delete(worker.id);
     this.#budgets.release(request);
     return false;
@@ -309,6 +350,7 @@
   #onAttemptEnd(request: RoutedRequest, worker: WorkerView, end: AttemptEnd): void {
     const nowMs = this.#dependencies.clock.nowMs();
     request.cancelAttempt = undefined;
+    this.#permits.attemptEnded(request, end.how);
     this.#recordOutcome(worker, end);
     this.#counters.increment(end.how);
     if (end.how === 'failed' || end.how === 'cut') request.mayHaveRun = true;
@@ -356,7 +398,7 @@
   #retry(request: RoutedRequest, nowMs: number): void {
     request.notBeforeMs = nowMs;
     if (this.#access.review(request) === 'denied') return this.#completion.revoke(request);
-    this.#dispatch(request, nowMs);
+    if (this.#obtainPermit(request) === 'ready') this.#dispatch(request, nowMs);
   }
 
   /** No retry is possible now: a started stream waits to be resumed, anything else ends. */
@@ -375,7 +417,7 @@
    * long as the client bears its silence and a worker may take it.
    */
   #resume(request: RoutedRequest, nowMs: number): void {
-    if (nowMs < request.notBeforeMs) return;
+    if (nowMs < request.notBeforeMs || this.#obtainPermit(request) !== 'ready') return;
     request.notBeforeMs = nowMs + RESUME_POLICY.intervalMs;
     if (!this.#budgets.reserve(request)) return;
     request.retryReserved = true;
--- /dev/null
+++ b/packages/router/src/tenant-counters.ts
@@ -0,0 +1,41 @@
+/** What became of the requests of each tenant at one edge of the platform system, for logs and metrics. */
+import type { Tenant } from '@rainrun/configuration';
+
+/** Requests of one tenant since the start of this edge. */
+export interface TenantCounts {
+  taken: number;
+  /** Attempts that were sent to a worker. */
+  sent: number;
+  refusedOverQuota: number;
+  /** For any other reason. */
+  refused: number;
+}
+
+/** Tenants that are counted; names come from configurations, which change. */
+const TENANTS_MAX = 1024;
+
+/**
+ * Counts requests by tenant, for the first tenants that send any up to a bound; those after them are not counted.
+ * @example
+ * counters.increment(request.tenant, 'taken');
+ * counters.values; // { 'tenant-1': { taken: 1, sent: 0, refusedOverQuota: 0, refused: 0 } }
+ */
+export class TenantCounters {
+  #counts = new Map<string, TenantCounts>();
+
+  get values(): Readonly<Record<string, TenantCounts>> {
+    return Object.fromEntries([...this.#counts].map(([name, counts]) => [name, { ...counts }]));
+  }
+
+  /** Counts nothing for a request without a tenant. */
+  increment(tenant: Tenant | undefined, what: keyof TenantCounts): void {
+    if (tenant === undefined) return;
+    let counts = this.#counts.get(tenant.name);
+    if (counts === undefined) {
+      if (this.#counts.size >= TENANTS_MAX) return;
+      counts = { taken: 0, sent: 0, refusedOverQuota: 0, refused: 0 };
+      this.#counts.set(tenant.name, counts);
+    }
+    counts[what] += 1;
+  }
+}
--- a/packages/router/src/testing/router-harness.ts
+++ b/packages/router/src/testing/router-harness.ts
@@ -7,6 +7,7 @@
   type Configuration,
 } from '@rainrun/configuration';
 import { FAULT_RESPONSES, type Fault } from '@rainrun/common';
+import type { PermitAnswer, PermitSource } from '@rainrun/quotas';
 import { Router } from '../router.js';
 import type { ClientRequest, ResponseSink, WorkerView } from '../request.js';
 import { valueOf, type HeaderNames } from '../headers.js';
@@ -188,10 +189,39 @@
   }
 }
 
+/** A request for a permit, which a test answers. */
+export interface AskedPermit {
+  readonly tenant: string;
+  withdrawn: boolean;
+  answer(answer: PermitAnswer): void;
+}
+
+/** Gives permits as a test says: at once, or when it answers what was asked. */
+export class ScriptedPermits implements PermitSource {
+  readonly asked: AskedPermit[] = [];
+  /** The answer that is given at once; undefined: none. */
+  atOnce: PermitAnswer | undefined = { kind: 'granted', permit: { endMs: Infinity } };
+
+  /** Called with each request for a permit. */
+  onAsk: () => void = () => undefined;
+
+  acquire(tenant: string, done: (answer: PermitAnswer) => void): () => void {
+    const asked: AskedPermit = { tenant, withdrawn: false, answer: done };
+    this.asked.push(asked);
+    this.onAsk();
+    if (this.atOnce !== undefined) done(this.atOnce);
+    return () => {
+      asked.withdrawn = true;
+    };
+  }
+}
+
 /** A client that records what it is answered. */
 export class RecordingSink implements ResponseSink {
   readonly seen: string[] = [];
   status = 0;
+  /** What it was rejected with; undefined if it was not. */
+  rejection: Fault | undefined;
   text = '';
   slow = false;
   drained: (() => void) | undefined;
@@ -200,6 +230,7 @@
     this.seen.push(`answer ${status} ${body.toString()}`);
   }
   reject(why: Fault): void {
+    this.rejection = why;
     this.status = FAULT_RESPONSES[why.kind].status;
     this.seen.push(`refuse ${this.status}${why.retryAfterS === undefined ? '' : ' again'}`);
   }
@@ -250,6 +281,7 @@
   configuration = testConfiguration();
   tenants: TenantDirectory | undefined;
   readonly link = new RecordingLink();
+  readonly permits = new ScriptedPermits();
   readonly router: Router;
   #asked = 0;
 
@@ -267,6 +299,7 @@
       retries,
       configuration: () => (this.configured ? this.configuration : undefined),
       tenants: () => this.tenants,
+      permits: this.permits,
       evacuated: () => this.evacuated,
       workers: () => this.workers,
       edges: () => this.edges,
--- a/packages/router/src/waiting-queue.ts
+++ b/packages/router/src/waiting-queue.ts
@@ -32,11 +32,12 @@
     return [...this.#requests].sort((one, other) => compareUrgency(one, other, nowMs));
   }
 
-  /** The most urgent of those that wait for the same workers as a new request and go before it. */
+  /** The most urgent of those that wait for the same workers as a new request, and go before it. */
   firstAhead(newcomer: RoutedRequest, nowMs: number): RoutedRequest | undefined {
     let first: RoutedRequest | undefined;
     for (const request of this.#requests) {
-      if (request.key !== newcomer.key || request.responseStarted) continue;
+      if (request.key !== newcomer.key || request.responseStarted || request.waitReason === 'no-permit')
+        continue;
       if (compareUrgency(request, first ?? newcomer, nowMs) < 0) first = request;
     }
     return first;
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -14,6 +14,7 @@
 import { MONOTONIC_CLOCK, processUsage, SECURE_RANDOM } from './process-environment.js';
 import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
+import { UNLIMITED_PERMITS } from './unlimited-permits.js';
 
 /** Interval of ticks while requests wait here, and while this edge is not ready. */
 const TICK_MS = 50;
@@ -81,6 +82,7 @@
       retries: settings.retries,
       configuration: () => this.#replica.configuration,
       tenants: () => this.#replica.tenants,
+      permits: UNLIMITED_PERMITS,
       evacuated: () => this.#replica.state.evacuated,
       workers: () => this.#replica.workers,
       edges: () => this.#replica.edgeCount,
@@ -112,7 +114,7 @@
     await this.#clientServer.listen(listen.clients);
     this.#readiness.listen(splitAddress(listen.readiness).port, host);
     this.#timers.push(
-      setInterval(() => this.#log.info({ counters: this.#counters() }, 'counters'), COUNTERS_INTERVAL_MS),
+      setInterval(() => this.#log.info(this.#countersLine(), 'counters'), COUNTERS_INTERVAL_MS),
     );
     this.#tick();
     this.#log.info({ clients: listen.clients }, 'started');
@@ -139,7 +141,7 @@
     const lastMs = this.#clock.nowMs() + FINAL_RESPONSES_MS;
     do await pause(GOODBYE_FLUSH_MS);
     while (this.#clientServer.openRequests > 0 && this.#clock.nowMs() < lastMs);
-    this.#log.info({ counters: this.#counters() }, 'stopped');
+    this.#log.info(this.#countersLine(), 'stopped');
     await this.close();
   }
 
@@ -210,6 +212,14 @@
     return this.#router.demands().map((demand) => create(ModelDemandSchema, demand));
   }
 
+  /** With the requests by tenant where the configuration has tenants. */
+  #countersLine(): object {
+    const counters = this.#counters();
+    return this.#replica.tenants === undefined
+      ? { counters }
+      : { counters, tenants: this.#router.tenantCounts };
+  }
+
   #counters(): Record<string, number> {
     return {
       ...this.#router.counts,
