--- a/packages/quotas/src/allocation.ts
+++ b/packages/quotas/src/allocation.ts
@@ -5,8 +5,9 @@
 /** After a takeover nothing is called over the quota for so long, unless the bucket was full before. */
 const SETTLING_MS = 2000;
 
-/** The same where the predecessor handed its bucket's level over. */
+/** The same where the predecessor handed over a bucket at least so full, of which little was waited for. */
 const SETTLING_AFTER_HANDOVER_MS = 500;
+const FULL_ENOUGH_PART = 0.5;
 
 /** What an allocation does now. */
 export type AllocationState = 'waiting' | 'settling' | 'serving';
@@ -69,8 +70,9 @@
 
   /** The predecessor has stopped and left so many permits. */
   takeOver(level: number, nowMs: number): void {
-    this.#settlingMs = SETTLING_AFTER_HANDOVER_MS;
     this.#bucket.add(level);
+    if (this.#bucket.level(nowMs) >= FULL_ENOUGH_PART * this.#bucket.depth)
+      this.#settlingMs = SETTLING_AFTER_HANDOVER_MS;
     this.startAt(nowMs);
   }
 
--- /dev/null
+++ b/packages/quotas/src/testing/core-node.ts
@@ -0,0 +1,180 @@
+/** A simulated core: its place in the modelled group with its lease, and the allocator under trial. */
+import { create } from '@bufbuild/protobuf';
+import { randomId, type RandomSource } from '@rainrun/common';
+import {
+  MemberSchema,
+  QuotaGrantSchema,
+  type Member,
+  type QuotaDraw,
+  type QuotaGrant,
+} from '@rainrun/messages';
+import { QuotaAllocator, type HandoverOrder, type QuotaView } from '../allocator.js';
+import type { QuotaBounds, TenantLimit } from '../permits.js';
+import { TokenBucket } from '../token-bucket.js';
+import type { Machine, Network } from './machine.js';
+import type { Mutant } from './mutants.js';
+
+/** Timings of the process group on a platform. */
+export const LEASE_MS = 600;
+const HEARTBEAT_MS = 200;
+
+/** How long the mutant that hands over without stopping goes on. */
+const STUBBORN_MS = 4000;
+
+/** What a core is made with. */
+export interface CoreSettings {
+  readonly machine: Machine;
+  readonly network: Network;
+  readonly random: RandomSource;
+  readonly bounds: QuotaBounds;
+  readonly mutant: Mutant | undefined;
+  /** The core whose process has an incarnation now, if one has. */
+  readonly coreOf: (incarnation: string) => CoreNode | undefined;
+  readonly limits: () => readonly TenantLimit[];
+}
+
+interface Acknowledgement {
+  readonly sentMs: number;
+  readonly number: number;
+}
+
+/** A tenant that the mutant without a stop goes on granting for. */
+interface StubbornBucket {
+  readonly bucket: TokenBucket;
+  readonly untilMs: number;
+}
+
+/** A core as the group sees it: it flushes, installs views, acknowledges heartbeats and holds a lease. */
+export class CoreNode {
+  readonly machine: Machine;
+  member!: Member;
+  view: QuotaView | undefined;
+  /** Who stays, in the change for which this core has flushed; others are not acknowledged any more. */
+  flushedFor: ReadonlySet<string> | undefined;
+  #settings: CoreSettings;
+  #allocator!: QuotaAllocator;
+  #acknowledgements = new Map<string, Acknowledgement>();
+  #stubborn = new Map<string, StubbornBucket>();
+
+  constructor(settings: CoreSettings) {
+    this.#settings = settings;
+    this.machine = settings.machine;
+    this.start();
+  }
+
+  /** Begins a process: nothing is remembered. */
+  start(): void {
+    const { bounds, machine, mutant } = this.#settings;
+    this.renewIncarnation();
+    this.#stubborn.clear();
+    const waitMs = mutant === 'no-wait' ? { takeoverWaitMs: 0 } : {};
+    this.#allocator = new QuotaAllocator({ bounds, leaseMs: LEASE_MS, ...waitMs });
+    this.learnLimits();
+    machine.every(HEARTBEAT_MS, () => this.#sendHeartbeats());
+  }
+
+  /** Leaves the view; goes on as a new member. */
+  renewIncarnation(): void {
+    const { machine, random } = this.#settings;
+    const { name } = machine;
+    this.member = create(MemberSchema, { name, incarnation: randomId(random), disk: `disk-${name}` });
+    this.view = undefined;
+    this.flushedFor = undefined;
+    this.#acknowledgements.clear();
+  }
+
+  learnLimits(): void {
+    this.#allocator.updateLimits(this.#settings.limits(), this.machine.nowMs());
+  }
+
+  install(view: QuotaView): void {
+    if (this.view !== undefined && view.number <= this.view.number) return;
+    const nowMs = this.machine.nowMs();
+    this.view = view;
+    this.flushedFor = undefined;
+    const orders = this.#allocator.onView(view, this.member.incarnation, nowMs);
+    if (this.#settings.mutant === 'no-stop') this.#goOn(orders, nowMs);
+    for (const order of orders) this.#sendHandover(order);
+    if (this.#settings.mutant === 'wait-from-install') this.#allocator.onViewCommitted(view, nowMs);
+  }
+
+  learnCommitted(number: number): void {
+    if (this.view !== undefined && number >= this.view.number)
+      this.#allocator.onViewCommitted(this.view, this.machine.nowMs());
+  }
+
+  holdsLease(): boolean {
+    return this.#leaseEndMs() > this.machine.nowMs();
+  }
+
+  answer({ draw, needs }: QuotaDraw): QuotaGrant {
+    const holdsLease = this.#settings.mutant === 'no-lease' ? this.view !== undefined : this.holdsLease();
+    const nowMs = this.machine.nowMs();
+    const answers = this.#allocator.answer(needs, holdsLease, nowMs);
+    for (const [index, answer] of answers.entries()) {
+      const stubborn = this.#stubborn.get(answer.tenant);
+      if (!answer.unavailable || !holdsLease || stubborn === undefined || stubborn.untilMs < nowMs) continue;
+      answer.granted += stubborn.bucket.take((needs[index]?.permits ?? 0) - answer.granted, nowMs);
+    }
+    return create(QuotaGrantSchema, { draw, answers });
+  }
+
+  #goOn(orders: readonly HandoverOrder[], nowMs: number): void {
+    for (const { tenant, level } of orders.flatMap(({ handover }) => handover.levels)) {
+      const limit = this.#settings.limits().find(({ name }) => name === tenant);
+      const shape = { depth: level + (limit?.burst ?? 0), tokensPerMs: (limit?.ratePerS ?? 0) / 1000 };
+      const bucket = new TokenBucket(shape, level);
+      bucket.beginFilling(nowMs);
+      this.#stubborn.set(tenant, { bucket, untilMs: nowMs + STUBBORN_MS });
+    }
+  }
+
+  #sendHandover({ handover, to }: HandoverOrder): void {
+    const target = this.#settings.coreOf(to.incarnation);
+    if (target === undefined) return;
+    this.#settings.network.send(this.machine, target.machine, () => {
+      target.#allocator.onHandover(handover, target.machine.nowMs());
+    });
+  }
+
+  #sendHeartbeats(): void {
+    const { coreOf, network } = this.#settings;
+    const { incarnation } = this.member;
+    const sentMs = this.machine.nowMs();
+    for (const member of this.view?.members ?? []) {
+      const other = coreOf(member.incarnation);
+      if (other === undefined || other === this) continue;
+      network.send(this.machine, other.machine, () => {
+        if (other.member.incarnation === member.incarnation) other.#acknowledge(this, incarnation, sentMs);
+      });
+    }
+  }
+
+  #acknowledge(sender: CoreNode, incarnation: string, sentMs: number): void {
+    const { view } = this;
+    if (view === undefined || !view.members.some((member) => member.incarnation === incarnation)) return;
+    if (this.flushedFor?.has(incarnation) === false) return;
+    const from = this.member.incarnation;
+    this.#settings.network.send(this.machine, sender.machine, () => {
+      if (sender.member.incarnation !== incarnation) return;
+      const known = sender.#acknowledgements.get(from);
+      if (known === undefined || sentMs >= known.sentMs)
+        sender.#acknowledgements.set(from, { sentMs, number: view.number });
+    });
+  }
+
+  /** As the group computes it: an acknowledgement by a member that has a newer view does not count. */
+  #leaseEndMs(): number {
+    const { view } = this;
+    if (view === undefined) return -Infinity;
+    const sent = view.members.map(({ incarnation }) => {
+      if (incarnation === this.member.incarnation) return this.machine.nowMs();
+      const acknowledgement = this.#acknowledgements.get(incarnation);
+      return acknowledgement === undefined || acknowledgement.number > view.number
+        ? -Infinity
+        : acknowledgement.sentMs;
+    });
+    sent.sort((one, other) => other - one);
+    return (sent[Math.floor(sent.length / 2)] ?? -Infinity) + LEASE_MS;
+  }
+}
--- /dev/null
+++ b/packages/quotas/src/testing/edge-node.ts
@@ -0,0 +1,145 @@
+/** A simulated edge: requests that ask for permits, wait, are withdrawn, and are sent to a worker. */
+import { create } from '@bufbuild/protobuf';
+import { randomId, type RandomSource } from '@rainrun/common';
+import { MemberSchema, type Member, type QuotaDraw } from '@rainrun/messages';
+import type { QuotaView } from '../allocator.js';
+import { QuotaClient } from '../client.js';
+import type { Permit, PermitAnswer, QuotaBounds } from '../permits.js';
+import type { CoreNode } from './core-node.js';
+import type { Machine, Network } from './machine.js';
+import type { Mutant } from './mutants.js';
+import type { RequestRecord } from './refusal-oracle.js';
+
+const TICK_MS = 25;
+/** Some edges learn views sooner than others. */
+const VIEW_POLL_LEAST_MS = 100;
+const VIEW_POLL_SPREAD_MS = 1200;
+
+/** Clients wait so long at most. */
+const PATIENCE_MOST_MS = 5000;
+
+/** A part of the requests holds its permit for a while before it is sent. */
+const HOLDING_PART = 0.05;
+const HOLD_MOST_MS = 300;
+
+/** A part of the clients goes away early. */
+const IMPATIENT_PART = 0.03;
+
+/** The mutant without an end of permits uses them for so long. */
+const ENDLESS_MS = 60_000;
+
+/** What an edge is made with. */
+export interface EdgeSettings {
+  readonly machine: Machine;
+  readonly network: Network;
+  readonly random: RandomSource;
+  readonly bounds: QuotaBounds;
+  readonly mutant: Mutant | undefined;
+  readonly cores: readonly CoreNode[];
+  readonly coreOf: (incarnation: string) => CoreNode | undefined;
+  /** Real time, for the records. */
+  readonly nowMs: () => number;
+  /** For how long no worker takes a request. */
+  readonly stalledForMs: () => number;
+  readonly onSent: (tenant: string) => void;
+}
+
+/** An edge and its client of quotas. */
+export class EdgeNode {
+  readonly machine: Machine;
+  #settings: EdgeSettings;
+  #member!: Member;
+  #client!: QuotaClient;
+
+  constructor(settings: EdgeSettings) {
+    this.#settings = settings;
+    this.machine = settings.machine;
+    this.start();
+  }
+
+  /** Begins a process: it knows no view and has no permits. */
+  start(): void {
+    const { bounds, machine, mutant, random } = this.#settings;
+    this.#member = create(MemberSchema, { name: machine.name, incarnation: randomId(random) });
+    const endless = mutant === 'no-permit-end' ? { permitLifetimeMs: ENDLESS_MS } : {};
+    this.#client = new QuotaClient({
+      clock: machine,
+      chance: random,
+      bounds,
+      self: () => this.#member,
+      send: (to, draw) => this.#sendDraw(to, draw),
+      ...endless,
+    });
+    machine.every(TICK_MS, () => this.#client.tick(machine.nowMs()));
+    machine.every(VIEW_POLL_LEAST_MS + random.next() ** 2 * VIEW_POLL_SPREAD_MS, () => this.#pollView());
+  }
+
+  /** A request that is ready to be sent and needs a permit. */
+  request(record: RequestRecord): void {
+    const { machine, random } = this.#settings;
+    let cancel = this.#acquire(record, () => (cancel = this.#acquire(record)));
+    const patienceMs = random.next() < IMPATIENT_PART ? random.next() * 300 : PATIENCE_MOST_MS;
+    machine.after(patienceMs, () => {
+      cancel();
+      record.outcome ??= 'given-up';
+    });
+  }
+
+  #acquire(record: RequestRecord, again?: () => void): () => void {
+    const retry = again ?? (() => this.#acquire(record));
+    return this.#client.acquire(record.tenant, (answer) => this.#onAnswer(record, answer, retry));
+  }
+
+  #onAnswer(record: RequestRecord, answer: PermitAnswer, retry: () => void): void {
+    const { machine, nowMs, random, stalledForMs } = this.#settings;
+    record.answeredMs ??= nowMs();
+    if (answer.kind === 'over-quota') {
+      record.outcome ??= 'refused';
+      return;
+    }
+    const holdMs = random.next() < HOLDING_PART ? random.next() * HOLD_MOST_MS : 0;
+    const delayMs = Math.max(holdMs, stalledForMs());
+    if (delayMs === 0) this.#send(record, answer.permit, retry);
+    else machine.after(delayMs, () => this.#send(record, answer.permit, retry));
+  }
+
+  /** Sends the request if its permit still holds at this moment. */
+  #send(record: RequestRecord, permit: Permit, retry: () => void): void {
+    if (record.outcome !== undefined) return;
+    if (permit.endMs <= this.machine.nowMs()) {
+      retry();
+      return;
+    }
+    record.outcome = 'sent';
+    this.#settings.onSent(record.tenant);
+  }
+
+  #sendDraw(to: Member, draw: QuotaDraw): void {
+    const { coreOf, machine, network } = this.#settings;
+    const core = coreOf(to.incarnation);
+    if (core === undefined) return;
+    const edge = this.#member;
+    network.send(machine, core.machine, () => {
+      if (core.member.incarnation !== to.incarnation) return;
+      const grant = core.answer(draw);
+      network.send(core.machine, machine, () => {
+        if (this.#member === edge) this.#client.receive(grant, machine.nowMs());
+      });
+    });
+  }
+
+  /** Asks some core for its view. */
+  #pollView(): void {
+    const { cores, machine, network, random } = this.#settings;
+    const core = cores[Math.floor(random.next() * cores.length)];
+    if (core === undefined) return;
+    network.send(machine, core.machine, () => {
+      const { view } = core;
+      if (view !== undefined) network.send(core.machine, machine, () => this.#learn(view));
+    });
+  }
+
+  #learn(view: QuotaView): void {
+    this.#client.learnView(view);
+  }
+}
--- /dev/null
+++ b/packages/quotas/src/testing/group-model.ts
@@ -0,0 +1,245 @@
+/**
+ * A model of the process group that keeps its promises: views by majorities, a flush before each, a view in force
+ * once a majority of it and of the one before has installed it. Who coordinates is decided from outside; what members
+ * know goes through the network.
+ */
+import type { Member } from '@rainrun/messages';
+import type { QuotaView } from '../allocator.js';
+import type { CoreNode } from './core-node.js';
+import type { EventQueue } from './event-queue.js';
+import type { Network } from './machine.js';
+
+const STEP_MS = 50;
+const SUSPECT_MS = 900;
+const RESEND_MS = 100;
+const FLUSH_MOST_MS = 1500;
+
+/** A view change while its flushes are collected. */
+interface Change {
+  /** Cores that stay, under the incarnations that they have in the old view. */
+  readonly staying: ReadonlyMap<Member, CoreNode>;
+  readonly joiners: readonly Member[];
+  readonly flushed: Set<string>;
+  readonly startedMs: number;
+  sentMs: number;
+}
+
+/** The sequence of views, moved on by a coordinator that is in touch with a majority. */
+export class GroupModel {
+  /** Called for each view that is chosen, with the one before. */
+  onChosen: ((before: QuotaView, view: QuotaView) => void) | undefined;
+  /** Called once, when the next view is chosen, with the one who coordinates and before it tells anyone. */
+  onNextChoice: ((coordinator: CoreNode) => void) | undefined;
+  #cores: CoreNode[];
+  #events: EventQueue;
+  #network: Network;
+  #view: QuotaView;
+  #previous: QuotaView | undefined;
+  #applied = new Set<string>();
+  #isCommitted = true;
+  #coordinator: CoreNode | undefined;
+  #coordinatorSeenMs = 0;
+  #epoch = 1;
+  #change: Change | undefined;
+  #lastTouchMs = new Map<string, number>();
+  #sentMs = -Infinity;
+
+  /** `cores` is the list of all cores that ever start; more may be added to it. */
+  constructor(cores: CoreNode[], events: EventQueue, network: Network) {
+    this.#cores = cores;
+    this.#events = events;
+    this.#network = network;
+    this.#view = { epoch: 1, number: 1, members: cores.map(({ member }) => member) };
+    for (const core of cores) {
+      core.install(this.#view);
+      core.learnCommitted(1);
+    }
+    this.#schedule();
+  }
+
+  /** The core that coordinates, if one does. */
+  get coordinator(): CoreNode | undefined {
+    return this.#coordinator;
+  }
+
+  /** The newest view. */
+  get view(): QuotaView {
+    return this.#view;
+  }
+
+  /** The core whose process has this incarnation now. */
+  coreOf(incarnation: string): CoreNode | undefined {
+    return this.#cores.find(({ machine, member }) => machine.isAlive && member.incarnation === incarnation);
+  }
+
+  #schedule(): void {
+    this.#events.after(STEP_MS, () => {
+      this.#step();
+      this.#schedule();
+    });
+  }
+
+  #step(): void {
+    const coordinator = this.#chooseCoordinator();
+    if (coordinator === undefined) return;
+    for (const core of this.#cores)
+      if (this.#inTouch(coordinator, core))
+        this.#lastTouchMs.set(core.member.incarnation, this.#events.nowMs);
+    this.#spread(coordinator);
+    this.#tryCommit();
+    if (!this.#isCommitted) return;
+    if (this.#change === undefined) this.#startChange(coordinator);
+    else this.#collectFlushes(coordinator, this.#change);
+  }
+
+  #chooseCoordinator(): CoreNode | undefined {
+    const { nowMs } = this.#events;
+    const present = this.#coordinator;
+    if (present !== undefined && this.#canCoordinate(present)) this.#coordinatorSeenMs = nowMs;
+    if (nowMs - this.#coordinatorSeenMs < SUSPECT_MS)
+      return this.#coordinatorSeenMs === nowMs ? present : undefined;
+    const next = this.#cores.find((core) => this.#canCoordinate(core));
+    if (next === undefined) return undefined;
+    this.#coordinator = next;
+    this.#coordinatorSeenMs = nowMs;
+    this.#change = undefined;
+    this.#epoch += 1;
+    return next;
+  }
+
+  #canCoordinate(core: CoreNode): boolean {
+    if (!core.machine.isRunning) return false;
+    return hasMajority(
+      this.#view,
+      (member) => this.#isDeparted(member) || this.#isMemberInTouch(core, member),
+    );
+  }
+
+  #isMemberInTouch(core: CoreNode, { incarnation }: Member): boolean {
+    const other = this.coreOf(incarnation);
+    return other !== undefined && this.#inTouch(core, other);
+  }
+
+  #inTouch(one: CoreNode, other: CoreNode): boolean {
+    if (one === other) return true;
+    if (!other.machine.isRunning) return false;
+    return (
+      this.#network.carries(one.machine, other.machine) && this.#network.carries(other.machine, one.machine)
+    );
+  }
+
+  /** Dead, and its disk is back with another process. */
+  #isDeparted({ incarnation, name }: Member): boolean {
+    if (this.coreOf(incarnation) !== undefined) return false;
+    return this.#cores.some(({ machine }) => machine.name === name && machine.isAlive);
+  }
+
+  /** Sends the newest view, and which one is committed, to those that should have it. */
+  #spread(coordinator: CoreNode): void {
+    const { nowMs } = this.#events;
+    if (nowMs - this.#sentMs < RESEND_MS) return;
+    this.#sentMs = nowMs;
+    const view = this.#view;
+    const committed = this.#isCommitted ? view.number : view.number - 1;
+    for (const core of this.#cores) {
+      const { incarnation } = core.member;
+      this.#send(coordinator, core, () => {
+        if (core.member.incarnation !== incarnation) return;
+        this.#tell(core, view, committed);
+        if (core.view === view) this.#send(core, coordinator, () => this.#onApplied(view, incarnation));
+      });
+    }
+  }
+
+  #tell(core: CoreNode, view: QuotaView, committed: number): void {
+    const isMember = view.members.includes(core.member);
+    if (isMember) core.install(view);
+    else if (core.view !== undefined && core.view.number < view.number) core.renewIncarnation();
+    core.learnCommitted(committed);
+  }
+
+  #onApplied(view: QuotaView, incarnation: string): void {
+    if (view === this.#view) this.#applied.add(incarnation);
+  }
+
+  /** A view is in force once a majority of it and of the one before has installed it, or is gone for good. */
+  #tryCommit(): void {
+    this.#isCommitted ||= [this.#view, this.#previous].every(
+      (one) =>
+        one === undefined ||
+        hasMajority(one, (member) => this.#applied.has(member.incarnation) || this.#isDeparted(member)),
+    );
+  }
+
+  #startChange(coordinator: CoreNode): void {
+    const { nowMs } = this.#events;
+    const staying = new Map<Member, CoreNode>();
+    for (const member of this.#view.members) {
+      const core = this.coreOf(member.incarnation);
+      const touchedMs = this.#lastTouchMs.get(member.incarnation) ?? 0;
+      if (core !== undefined && nowMs - touchedMs < SUSPECT_MS) staying.set(member, core);
+    }
+    const stayingCores = new Set(staying.values());
+    const joiners = this.#cores
+      .filter((core) => this.#canJoin(coordinator, core) && !stayingCores.has(core))
+      .map(({ member }) => member);
+    if (staying.size === this.#view.members.length && joiners.length === 0) return;
+    if (!hasMajority(this.#view, (member) => staying.has(member) || this.#isDeparted(member))) return;
+    this.#change = { staying, joiners, flushed: new Set(), startedMs: nowMs, sentMs: -Infinity };
+  }
+
+  #canJoin(coordinator: CoreNode, core: CoreNode): boolean {
+    const isOutside = core.view === undefined && !this.#view.members.includes(core.member);
+    return isOutside && core.machine.isRunning && this.#inTouch(coordinator, core);
+  }
+
+  #collectFlushes(coordinator: CoreNode, change: Change): void {
+    const { nowMs } = this.#events;
+    const missing = [...change.staying].filter(([{ incarnation }]) => !change.flushed.has(incarnation));
+    if (missing.length === 0) {
+      this.#choose(coordinator, change);
+      return;
+    }
+    if (nowMs - change.startedMs > FLUSH_MOST_MS) {
+      for (const [member] of missing) this.#lastTouchMs.set(member.incarnation, -Infinity);
+      this.#change = undefined;
+      return;
+    }
+    if (nowMs - change.sentMs < RESEND_MS) return;
+    change.sentMs = nowMs;
+    const stays = new Set([...change.staying.keys()].map(({ incarnation }) => incarnation));
+    for (const [{ incarnation }, core] of missing) {
+      this.#send(coordinator, core, () => {
+        if (core.member.incarnation !== incarnation || core.view !== this.#view) return;
+        core.flushedFor = stays;
+        this.#send(core, coordinator, () => change.flushed.add(incarnation));
+      });
+    }
+  }
+
+  #choose(coordinator: CoreNode, change: Change): void {
+    this.#previous = this.#view;
+    this.#view = {
+      epoch: this.#epoch,
+      number: this.#previous.number + 1,
+      members: [...change.staying.keys(), ...change.joiners],
+    };
+    this.#change = undefined;
+    this.#applied.clear();
+    this.#isCommitted = false;
+    this.#sentMs = -Infinity;
+    this.onChosen?.(this.#previous, this.#view);
+    const { onNextChoice } = this;
+    this.onNextChoice = undefined;
+    onNextChoice?.(coordinator);
+  }
+
+  #send(from: CoreNode, to: CoreNode, deliver: () => void): void {
+    if (from === to) from.machine.run(deliver);
+    else this.#network.send(from.machine, to.machine, deliver);
+  }
+}
+
+function hasMajority(view: QuotaView, holds: (member: Member) => boolean): boolean {
+  return view.members.filter(holds).length * 2 > view.members.length;
+}
--- /dev/null
+++ b/packages/quotas/src/testing/quota-trial.ts
@@ -0,0 +1,262 @@
+/**
+ * Trials of quotas by seed: edges and cores with a modelled process group, a network that loses and delays, kills,
+ * freezes, cuts and changed limits, and the two oracles.
+ */
+import { SeededRandom } from '@rainrun/common';
+import { allocatorOf } from '../allocator-choice.js';
+import type { QuotaBounds, TenantLimit } from '../permits.js';
+import { BoundOracle, type BoundBreach } from './bound-oracle.js';
+import { CoreNode } from './core-node.js';
+import { EdgeNode } from './edge-node.js';
+import { EventQueue } from './event-queue.js';
+import { GroupModel } from './group-model.js';
+import { Machine, Network } from './machine.js';
+import type { Mutant } from './mutants.js';
+import { RefusalOracle, type RefusalCounts } from './refusal-oracle.js';
+import { Troubles } from './troubles.js';
+
+const CORES = 5;
+const EDGES = 8;
+/** Requests come once the group is whole and buckets are full, as on a site whose machines start first. */
+const TRAFFIC_FROM_MS = 4000;
+const TROUBLES_FROM_MS = 6000;
+const TROUBLES_UNTIL_MS = 22_000;
+const END_MS = 34_000;
+
+/** A core learns of a changed limit within this time. */
+const LIMIT_LEARNED_MOST_MS = 600;
+
+/** A part of the trials has no troubles. */
+const QUIET_PART = 0.2;
+
+/** Bounds of a site, and tighter ones, under which less goes unnoticed. */
+const TYPICAL_BOUNDS: QuotaBounds = { windowMs: 5000, overshoot: 0.1, slack: 20 };
+const TIGHT_BOUNDS: readonly QuotaBounds[] = [
+  { windowMs: 2000, overshoot: 0.1, slack: 2 },
+  { windowMs: 1000, overshoot: 0.15, slack: 1 },
+];
+const TYPICAL_PART = 0.4;
+
+/** Up to this part of its limit a tenant's load counts as light. */
+const LIGHT_LOAD_MOST = 0.5;
+
+/** A tenant of a trial. */
+interface TenantPlan {
+  readonly name: string;
+  readonly limit: TenantLimit;
+  /** What its clients send on the average, as a part of the limit: below 1 of the one in force, else of the first. */
+  readonly load: number;
+  /** It rests now and then, so that its bucket is full when it sends again. */
+  readonly isPulsing: boolean;
+}
+
+/** What a trial came to. */
+export interface QuotaTrialResult {
+  /** Whether the bounds are those of a site. */
+  readonly hasTypicalBounds: boolean;
+  readonly breaches: readonly BoundBreach[];
+  /** The fullest window, as a part of its bound. */
+  readonly fullest: number;
+  /** Requests of tenants whose clients send up to a half of their limits. */
+  readonly light: RefusalCounts;
+  /** Requests of tenants whose clients send most of their limits, but less. */
+  readonly near: RefusalCounts;
+  readonly sent: number;
+  readonly views: number;
+  readonly troubles: readonly string[];
+}
+
+/**
+ * Plays one trial; the same seed gives the same trial.
+ * @example
+ * runQuotaTrial(7).breaches; // []
+ */
+export function runQuotaTrial(seed: number, mutant?: Mutant): QuotaTrialResult {
+  return new QuotaTrial(seed, mutant).run();
+}
+
+function plans(): TenantPlan[] {
+  const list: TenantPlan[] = [];
+  function add(name: string, ratePerS: number, burst: number, load: number, isPulsing = false): void {
+    list.push({ name, limit: { name, ratePerS, burst }, load, isPulsing });
+  }
+  for (let index = 1; index <= 4; index += 1) add(`hot-${index}`, 30, 3, 2.5, true);
+  add('hot-5', 30, 30, 2.5, true);
+  add('near-1', 12, 12, 0.85);
+  add('near-2', 25, 25, 0.9);
+  add('half-1', 12, 12, 0.5);
+  add('half-2', 25, 25, 0.5);
+  for (let index = 1; index <= 6; index += 1) add(`idle-${index}`, 5, 5, 0.06);
+  return list;
+}
+
+class QuotaTrial {
+  #random: SeededRandom;
+  #events = new EventQueue();
+  #network: Network;
+  #bounds: QuotaBounds;
+  #mutant: Mutant | undefined;
+  #plans = plans();
+  #limits = new Map<string, TenantLimit>();
+  #cores: CoreNode[] = [];
+  #edges: EdgeNode[] = [];
+  #group: GroupModel;
+  #boundOracle: BoundOracle;
+  #refusals = new RefusalOracle();
+  #sent = 0;
+  #stalledUntilMs = 0;
+  #coresMade = 0;
+
+  constructor(seed: number, mutant: Mutant | undefined) {
+    this.#random = new SeededRandom(seed);
+    this.#mutant = mutant;
+    this.#network = new Network(this.#events, this.#random);
+    this.#bounds = this.#pickBounds();
+    this.#boundOracle = new BoundOracle(this.#bounds);
+    for (const { limit } of this.#plans) this.#setLimit(limit);
+    for (let index = 0; index < CORES; index += 1) this.#addCore();
+    this.#group = new GroupModel(this.#cores, this.#events, this.#network);
+    for (let index = 1; index <= EDGES; index += 1) this.#edges.push(this.#makeEdge(`edge-${index}`));
+  }
+
+  run(): QuotaTrialResult {
+    this.#events.runUntil(TRAFFIC_FROM_MS);
+    for (const plan of this.#plans) this.#arrive(plan);
+    const troubles = this.#makeTroubles();
+    if (this.#random.next() >= QUIET_PART) troubles.play(TROUBLES_FROM_MS, TROUBLES_UNTIL_MS);
+    this.#watchMoves();
+    this.#events.runUntil(END_MS);
+    return {
+      hasTypicalBounds: this.#bounds === TYPICAL_BOUNDS,
+      breaches: this.#boundOracle.breaches,
+      fullest: this.#boundOracle.fullest,
+      light: this.#count((load) => load <= LIGHT_LOAD_MOST),
+      near: this.#count((load) => load > LIGHT_LOAD_MOST && load < 1),
+      sent: this.#sent,
+      views: this.#group.view.number,
+      troubles: troubles.log,
+    };
+  }
+
+  #count(isCounted: (load: number) => boolean): RefusalCounts {
+    const tenants = this.#plans.filter(({ load }) => isCounted(load)).map(({ name }) => name);
+    return this.#refusals.count(new Set(tenants));
+  }
+
+  #pickBounds(): QuotaBounds {
+    if (this.#random.next() < TYPICAL_PART) return TYPICAL_BOUNDS;
+    return TIGHT_BOUNDS[Math.floor(this.#random.next() * TIGHT_BOUNDS.length)] ?? TYPICAL_BOUNDS;
+  }
+
+  #makeTroubles(): Troubles {
+    return new Troubles({
+      events: this.#events,
+      random: this.#random,
+      network: this.#network,
+      cores: this.#cores,
+      edges: this.#edges,
+      group: this.#group,
+      refusals: this.#refusals,
+      replaceCore: (core) => {
+        core.machine.kill();
+        this.#events.after(this.#random.next() * 1500, () => this.#addCore());
+      },
+      changeLimit: () => this.#changeLimit(),
+      stall: (lastsMs) => (this.#stalledUntilMs = this.#events.nowMs + lastsMs),
+    });
+  }
+
+  #machine(name: string): Machine {
+    return new Machine(name, this.#events, this.#random);
+  }
+
+  #addCore(): void {
+    this.#coresMade += 1;
+    this.#cores.push(
+      new CoreNode({
+        machine: this.#machine(`core-${this.#coresMade}`),
+        network: this.#network,
+        random: this.#random,
+        bounds: this.#bounds,
+        mutant: this.#mutant,
+        coreOf: (incarnation) => this.#group.coreOf(incarnation),
+        limits: () => [...this.#limits.values()],
+      }),
+    );
+  }
+
+  #makeEdge(name: string): EdgeNode {
+    return new EdgeNode({
+      machine: this.#machine(name),
+      network: this.#network,
+      random: this.#random,
+      bounds: this.#bounds,
+      mutant: this.#mutant,
+      cores: this.#cores,
+      coreOf: (incarnation) => this.#group.coreOf(incarnation),
+      nowMs: () => this.#events.nowMs,
+      stalledForMs: () => Math.max(0, this.#stalledUntilMs - this.#events.nowMs),
+      onSent: (tenant) => {
+        this.#sent += 1;
+        this.#boundOracle.onSent(tenant, this.#events.nowMs);
+      },
+    });
+  }
+
+  /** The next request of a tenant, by a Poisson process at some edge. */
+  #arrive(plan: TenantPlan): void {
+    const { ratePerS } = plan.load < 1 ? (this.#limits.get(plan.name) ?? plan.limit) : plan.limit;
+    const perMs = (ratePerS * plan.load) / 1000;
+    const gapMs = -Math.log(1 - this.#random.next()) / perMs;
+    const restMs = plan.isPulsing && this.#random.next() < 0.002 ? 1000 + this.#random.next() * 2000 : 0;
+    this.#events.after(gapMs + restMs, () => {
+      const edge = this.#edges[Math.floor(this.#random.next() * this.#edges.length)];
+      edge?.machine.run(() => {
+        edge.request(this.#refusals.onAsked(plan.name, edge.machine.name, this.#events.nowMs));
+      });
+      this.#arrive(plan);
+    });
+  }
+
+  #setLimit(limit: TenantLimit): void {
+    this.#limits.set(limit.name, limit);
+    this.#boundOracle.onLimit(limit, this.#events.nowMs);
+    this.#refusals.onLimit(limit, this.#events.nowMs);
+  }
+
+  /** Raises or lowers a limit for good, or takes a tenant out and adds it again. */
+  #changeLimit(): string {
+    const plan = this.#plans[Math.floor(this.#random.next() * this.#plans.length)] ?? plans()[0];
+    if (plan === undefined) return '';
+    const factor = [0.5, 1, 1.5][Math.floor(this.#random.next() * 3)] ?? 1;
+    const { burst, name, ratePerS } = plan.limit;
+    if (factor === 1) {
+      this.#limits.delete(name);
+      this.#events.after(200 + this.#random.next() * 2000, () => {
+        this.#limits.set(name, plan.limit);
+        this.#setLimit(plan.limit);
+        this.#spreadLimits();
+      });
+    } else this.#setLimit({ name, ratePerS: ratePerS * factor, burst: burst * factor });
+    this.#spreadLimits();
+    return name;
+  }
+
+  #spreadLimits(): void {
+    for (const core of this.#cores)
+      this.#events.after(this.#random.next() * LIMIT_LEARNED_MOST_MS, () =>
+        core.machine.run(() => core.learnLimits()),
+      );
+  }
+
+  /** Notes the tenants that get another allocator with a view. */
+  #watchMoves(): void {
+    this.#group.onChosen = (before, view) => {
+      for (const { name } of this.#plans) {
+        const isSame =
+          allocatorOf(name, before.members)?.incarnation === allocatorOf(name, view.members)?.incarnation;
+        if (!isSame) this.#refusals.moves.push({ tenant: name, atMs: this.#events.nowMs });
+      }
+    };
+  }
+}
--- /dev/null
+++ b/packages/quotas/src/testing/refusal-totals.ts
@@ -0,0 +1,36 @@
+/** Sums of what oracle B counted over many trials. */
+import type { RefusalCount, RefusalCounts } from './refusal-oracle.js';
+
+const PHASES = ['steady', 'moved', 'other'] as const;
+
+/** Sums by phase. */
+export class RefusalTotals {
+  readonly steady: RefusalCount = { owed: 0, refused: 0, slow: 0 };
+  readonly moved: RefusalCount = { owed: 0, refused: 0, slow: 0 };
+  readonly other: RefusalCount = { owed: 0, refused: 0, slow: 0 };
+
+  add(counts: RefusalCounts): void {
+    for (const phase of PHASES) {
+      this[phase].owed += counts[phase].owed;
+      this[phase].refused += counts[phase].refused;
+      this[phase].slow += counts[phase].slow;
+    }
+  }
+
+  /** Refused in a phase, in parts of 100. */
+  refusedPercent(phase: keyof RefusalCounts): number {
+    return percent(this[phase].refused, this[phase].owed);
+  }
+
+  report(): string {
+    return PHASES.map((phase) => {
+      const { owed, refused, slow } = this[phase];
+      const parts = `${percent(refused, owed).toFixed(2)} % refused, ${percent(slow, owed).toFixed(2)} % slow`;
+      return `${phase} ${owed}: ${parts}`;
+    }).join('; ');
+  }
+}
+
+function percent(part: number, whole: number): number {
+  return (100 * part) / Math.max(1, whole);
+}
