--- a/packages/cluster-node/src/tenant-status.test.ts
+++ b/packages/cluster-node/src/tenant-status.test.ts
@@ -25,7 +25,7 @@
   level: 12,
   granted: 340,
   overQuota: 5,
-  takeoverWaitMs: 0,
+  state: 'serving',
 };
 
 function deployment(tenants: unknown): Deployment {
--- a/packages/cluster-node/src/tenant-status.ts
+++ b/packages/cluster-node/src/tenant-status.ts
@@ -1,7 +1,7 @@
 /** What operators see of the tenants: their limits and the state of their quotas, and never a key. Platform family. */
 import { checkConfiguration, type Deployment, type TenantEntry } from '@rainrun/configuration';
 import type { Member } from '@rainrun/messages';
-import { allocatorOf } from '@rainrun/quotas';
+import { allocatorOf, type AllocationState, type AllocationStats } from '@rainrun/quotas';
 
 /** The quota of one tenant as the core that is asked sees it. */
 export interface TenantQuotaStatus {
@@ -13,8 +13,11 @@
   readonly granted: number;
   /** Permits that this core refused since it started, because the tenant was over its quota. */
   readonly overQuota: number;
-  /** How long this core must wait before it grants what another may have granted, in milliseconds; 0: it does not wait. */
-  readonly takeoverWaitMs: number;
+  /**
+   * Whether it waits for what another core may still grant, settles and calls nothing over the quota yet, or serves;
+   * null where another core allocates.
+   */
+  readonly state: AllocationState | null;
 }
 
 /** The quota of a tenant by name; undefined where this core knows nothing of it. */
@@ -69,3 +72,18 @@
     quota: quota ?? null,
   };
 }
+
+/**
+ * The state of quotas as one core's allocator reports it.
+ * @example
+ * coreStatus(replica, quotaStatusesOf(replica.quotaStats));
+ */
+export function quotaStatusesOf(stats: readonly AllocationStats[]): QuotaStatusOf {
+  const byTenant = new Map(stats.map((one) => [one.tenant, one]));
+  return (tenant) => {
+    const found = byTenant.get(tenant);
+    if (found === undefined) return undefined;
+    const { state, level, granted, refused } = found;
+    return { allocatedHere: true, level: Math.floor(level), granted, overQuota: refused, state };
+  };
+}
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -3,7 +3,7 @@
 import { PROTOCOL_LEVELS } from '@rainrun/messages';
 import { PLATFORM_TIMES, type Acceptor } from '@rainrun/process-group';
 import { PoolLink, type Header } from '@rainrun/gateway';
-import { CoreReplica, coreStatus, OperatorService } from '@rainrun/cluster-node';
+import { CoreReplica, coreStatus, OperatorService, quotaStatusesOf } from '@rainrun/cluster-node';
 import { fault, type Fault } from '@rainrun/common';
 import type {
   WorkerRecord,
@@ -108,7 +108,7 @@
       replica: this.#replica,
       clock: MONOTONIC_CLOCK,
       format: dialect,
-      status: () => coreStatus(this.#replica),
+      status: () => coreStatus(this.#replica, quotaStatusesOf(this.#replica.quotaStats)),
     });
     this.#operatorServer = new OperatorServer(dialect, this.#operators, log);
   }
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -14,7 +14,6 @@
 import { MONOTONIC_CLOCK, processUsage, SECURE_RANDOM } from './process-environment.js';
 import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
-import { UNLIMITED_PERMITS } from './unlimited-permits.js';
 
 /** Interval of ticks while requests wait here, and while this edge is not ready. */
 const TICK_MS = 50;
@@ -83,7 +82,7 @@
       retries: settings.retries,
       configuration: () => this.#replica.configuration,
       tenants: () => this.#replica.tenants,
-      permits: UNLIMITED_PERMITS,
+      permits: this.#replica.permits,
       evacuated: () => this.#replica.state.evacuated,
       workers: () => this.#replica.workers,
       edges: () => this.#replica.edgeCount,
