Simulator: operators change tenants and try to share a key; edges must know every key

Change: patches of the simulated operators add, replace and remove a tenant with a key of its own beside a route; half of the invalid changes, by mark and without a further draw of chance, give a second tenant the key of the first. At the end each edge must know every key of the acknowledged document by its tenant.

--- a/packages/simulator/src/system/configuration.ts
+++ b/packages/simulator/src/system/configuration.ts
@@ -1,4 +1,5 @@
 /** Configurations that simulated operators send, and what a change makes of one. */
+import { spread } from '@rainrun/common';
 import { sampleTenants } from './quota-load.js';
 import { ENGINE, SERVICE, sizeOf } from './workers.js';
 
@@ -60,27 +61,53 @@
   };
 }
 
+/** A tenant of one change, with a key that no other holds. */
+function tenantOf(name: string, mark: string): Record<string, unknown> {
+  return { name, apiKeys: [`key-${mark}`], ratePerS: 1, note: mark };
+}
+
 /**
- * A change that adds or replaces one route and removes another.
+ * A change that adds or replaces one route and one tenant, and removes another of each.
  * @example
- * samplePatch(7, 'second', 1).drop; // { routes: ['extra-0'] }
+ * samplePatch(7, 'second', 1).drop; // { routes: ['extra-0'], tenants: ['extra-0'] }
  */
 export function samplePatch(revision: number, mark: string, place: number): Patch {
   return {
     revision,
-    set: { mark, routes: [routeOf(`extra-${place}`, `/extra-${place}/`, mark)] },
-    drop: { routes: [`extra-${place - 1}`] },
+    set: {
+      mark,
+      routes: [routeOf(`extra-${place}`, `/extra-${place}/`, mark)],
+      tenants: [tenantOf(`extra-${place}`, mark)],
+    },
+    drop: { routes: [`extra-${place - 1}`], tenants: [`extra-${place - 1}`] },
+  };
+}
+
+/** Which of two faults an invalid change has: its mark decides, so that no further chance is drawn. */
+function sharesKey(mark: unknown): boolean {
+  return spread(String(mark)) % 2 === 0;
+}
+
+/** The first tenant's key at a second one. */
+function sharingTenant(mark: string): Record<string, unknown> {
+  const [first] = sampleTenants();
+  return {
+    ...tenantOf('sharing', mark),
+    apiKeys: [`key-${mark}`, ...(first?.['apiKeys'] as string[])],
   };
 }
 
-/** A change that adds a route to a service that does not exist. */
+/** A change that adds a route to a service that does not exist, or a tenant with the key of another. */
 export function sampleInvalidPatch(revision: number, mark: string): Patch {
+  if (sharesKey(mark)) return { revision, set: { mark, tenants: [sharingTenant(mark)] }, drop: {} };
   const route = { ...routeOf('invalid', '/invalid/', mark), service: 'nowhere' };
   return { revision, set: { mark, routes: [route] }, drop: {} };
 }
 
-/** The same configuration with a route to a service that does not exist. */
+/** The same configuration with a route to a service that does not exist, or with a tenant that has the key of another. */
 export function makeInvalid(document: Document): Record<string, unknown> {
+  const mark = String(document['mark']);
+  if (sharesKey(mark)) return { ...document, tenants: [...sampleTenants(), sharingTenant(mark)] };
   const [route, ...others] = document['routes'] as Record<string, unknown>[];
   return { ...document, routes: [{ ...route, service: 'nowhere' }, ...others] };
 }
@@ -91,13 +118,17 @@
  * patchDocument({ revision: 5, routes: [] }, samplePatch(7, 'second', 1))['revision']; // 7
  */
 export function patchDocument(document: Document, { revision, set, drop }: Patch): Record<string, unknown> {
-  const routes = (document['routes'] ?? []) as Record<string, unknown>[];
-  const dropped = drop['routes'] ?? [];
-  const kept = routes.filter((route) => !dropped.includes(String(route['name'])));
-  const upserts = (set['routes'] ?? []) as Record<string, unknown>[];
-  const replaced = kept.map((route) => upserts.find((upsert) => upsert['name'] === route['name']) ?? route);
-  const added = upserts.filter((upsert) => !kept.some((route) => route['name'] === upsert['name']));
-  return { ...document, ...set, routes: [...replaced, ...added], revision };
+  const routes = patchList(document['routes'], set['routes'], drop['routes']);
+  const tenants = patchList(document['tenants'], set['tenants'], drop['tenants']);
+  return { ...document, ...set, routes, tenants, revision };
+}
+
+function patchList(held: unknown, set: unknown, drop: readonly string[] = []): Record<string, unknown>[] {
+  const upserts = (set ?? []) as Record<string, unknown>[];
+  const kept = ((held ?? []) as Record<string, unknown>[]).filter(({ name }) => !drop.includes(String(name)));
+  const replaced = kept.map((item) => upserts.find(({ name }) => name === item['name']) ?? item);
+  const added = upserts.filter(({ name }) => !kept.some((item) => item['name'] === name));
+  return [...replaced, ...added];
 }
 
 /** Text that is the same for equal documents, whatever the order of their keys. */
--- a/packages/simulator/src/system/invariants.ts
+++ b/packages/simulator/src/system/invariants.ts
@@ -238,10 +238,22 @@
     const { replica, follower } = running;
     if (replica?.group.holdsLease() === false)
       breach('recovers', `${machine.name} is not in a group with a majority`);
+    if (follower !== undefined) this.#checkKeys(machine.name, follower);
     if (follower?.ready === false) breach('recovers', `${machine.name} is not ready`);
     if (follower?.informed === false) breach('recovers', `${machine.name} hears no core with a majority`);
   }
 
+  /** An edge knows each key of the acknowledged configuration, by its tenant. */
+  #checkKeys(edge: string, follower: EdgeReplica): void {
+    const { revision, document } = this.#context.expectations.acked;
+    if (document === undefined || follower.state.revision !== revision) return;
+    const { tenants } = JSON.parse(document) as { readonly tenants: readonly SampleTenant[] };
+    for (const { name, apiKeys } of tenants)
+      for (const apiKey of apiKeys)
+        if (follower.tenants?.holderOf(apiKey)?.name !== name)
+          this.#context.breach('keys', `${edge} does not know a key of ${name}`);
+  }
+
   #checkDemand(): void {
     const { demand, edges } = this.#context;
     for (const need of demand.needs) {
@@ -307,6 +319,11 @@
   }
 }
 
+interface SampleTenant {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+}
+
 type NodeKind = 'core' | 'edge';
 
 function isEdge({ disk }: Machine): boolean {
