--- a/packages/compatibility/src/message-samples.ts
+++ b/packages/compatibility/src/message-samples.ts
@@ -26,6 +26,8 @@
   /** The name when the fixture was written: for readers only, it is not compared. */
   readonly wasNamed: string;
   readonly hex: string;
+  /** What a message with every field set is now, where later builds added fields. */
+  readonly grownHex?: string;
   readonly fields: FieldValues;
 }
 
