Keys and names of tenants beyond ASCII are UTF-8 on the wire

The router writes the name's UTF-8 bytes, the client server reads the key's. The raw client of the tests writes a character a byte, as it reads.

--- a/packages/router/src/headers.ts
+++ b/packages/router/src/headers.ts
@@ -78,6 +78,11 @@
   if (lastEventId !== undefined) headers.push([names.lastEventId, lastEventId]);
   headers.push([names.expectInstance, workerId]);
   if (streamed) headers.push([names.priority, String(request.workerPriority)]);
-  if (tenant !== undefined) headers.push([names.tenant, tenant.name]);
+  if (tenant !== undefined) headers.push([names.tenant, toHeaderValue(tenant.name)]);
   return headers;
 }
+
+/** Text as a header's value, of which each character is one byte: UTF-8. */
+function toHeaderValue(text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1');
+}
--- a/packages/runtime/src/client-request.ts
+++ b/packages/runtime/src/client-request.ts
@@ -74,10 +74,11 @@
   return headers;
 }
 
-/** The client's key. A request with two of them has none: which one counts would be a guess. */
+/** The client's key, in UTF-8. A request with two of them has none: which one counts would be a guess. */
 function readApiKey(req: IncomingMessage, name: string): string | undefined {
-  const apiKey = req.headers[name];
-  return apiKey === undefined || isRepeated(req, name) ? undefined : firstValue(apiKey);
+  const apiKey = firstValue(req.headers[name]);
+  if (apiKey === undefined || isRepeated(req, name)) return undefined;
+  return Buffer.from(apiKey, 'latin1').toString('utf8');
 }
 
 /** Milliseconds that the client still waits; undefined where it does not say so in a number from 0. */
--- a/packages/runtime/src/key-reaches-worker.test.ts
+++ b/packages/runtime/src/key-reaches-worker.test.ts
@@ -70,6 +70,19 @@
     expect([statuses, trial.worker('w0').received.length]).toEqual([[401, 401, 401, 401, 401], 0]);
   });
 
+  it('and the name of its tenant are UTF-8 on the wire, beyond ASCII too', LIMIT, async () => {
+    trial = await RoutingTrial.open(1, { tenants: [{ name: 'Vējsargs', apiKeys: ['kéy'] }] });
+    const utf8 = Buffer.from('Key: kéy').toString('latin1');
+    const { status, holder } = await ask('/often/x', [utf8]);
+    trial.client.request({ id: trial.idFor('w0'), path: '/often/x', headers: ['Key: key'] });
+    const other = await trial.client.next();
+    expect([status, Buffer.from(holder ?? '', 'latin1').toString(), other.status]).toEqual([
+      200,
+      'Vējsargs',
+      401,
+    ]);
+  });
+
   it('is not needed on a public route, to which a forged name does not help either', LIMIT, async () => {
     trial = await RoutingTrial.open(1, { tenants: [ONE] });
     const { status, holder } = await ask('/open/x', ['Holder: one']);
--- a/packages/runtime/src/testing/raw-client.ts
+++ b/packages/runtime/src/testing/raw-client.ts
@@ -70,7 +70,7 @@
   }
 
   send(text: string): void {
-    this.#socket.write(text);
+    this.#socket.write(text, 'latin1');
   }
 
   request(request: ClientRequest): void {
