--- a/packages/quotas/src/allocator.test.ts
+++ b/packages/quotas/src/allocator.test.ts
@@ -178,6 +178,8 @@
     const allocator = settledAllocator();
     allocator.onView(view(2, [...ALL, core('d-edge')]), FIRST.incarnation, 20_000);
     expect(ask(allocator, 3, 20_000).granted).toEqual(3);
+    allocator.onView(view(2, [...ALL, core('d-edge')]), FIRST.incarnation, 20_010);
+    expect(ask(allocator, 3, 20_010).granted).toEqual(3);
   });
 
   it('caps the level when the limit is lowered, and gives no fresh burst to a tenant removed and added again', () => {
--- a/packages/quotas/src/allocator.ts
+++ b/packages/quotas/src/allocator.ts
@@ -104,9 +104,10 @@
 
   /**
    * A view was installed here; to be called for each, at once. Returns what is to be sent to those that allocate
-   * tenants of this core from now on.
+   * tenants of this core from now on. A view that is known already changes nothing.
    */
   onView(view: QuotaView, selfIncarnation: string, nowMs: number): HandoverOrder[] {
+    if (this.#isPresent(view) && selfIncarnation === this.#incarnation) return [];
     const isNext =
       this.#view !== undefined &&
       view.number === this.#view.number + 1 &&
--- a/packages/quotas/src/testing/troubles.ts
+++ b/packages/quotas/src/testing/faults.ts
@@ -7,9 +7,9 @@
 import { linkName, type Machine, type Network } from './machine.js';
 import type { RefusalOracle } from './refusal-oracle.js';
 
-/** Times between two troubles. */
-const TROUBLE_LEAST_MS = 500;
-const TROUBLE_SPREAD_MS = 3500;
+/** Times between two faults. */
+const FAULT_LEAST_MS = 500;
+const FAULT_SPREAD_MS = 3500;
 
 /** How long one lasts. */
 const LAST_LEAST_MS = 200;
@@ -24,8 +24,8 @@
 /** Cores that were added last stand for those in use; earlier ones were replaced. */
 const CORES_IN_USE = 5;
 
-/** What troubles act on. */
-export interface TroubledWorld {
+/** What faults act on. */
+export interface FaultTargets {
   readonly events: EventQueue;
   readonly random: RandomSource;
   readonly network: Network;
@@ -38,15 +38,15 @@
   readonly stall: (lastsMs: number) => void;
 }
 
-type Trouble = (lastsMs: number) => string;
+type Fault = (lastsMs: number) => string;
 
-/** Plays troubles one after the other, some of them at once. */
-export class Troubles {
+/** Plays faults one after the other, some of them at once. */
+export class Faults {
   readonly log: string[] = [];
-  #world: TroubledWorld;
-  #kinds: readonly Trouble[];
+  #world: FaultTargets;
+  #kinds: readonly Fault[];
 
-  constructor(world: TroubledWorld) {
+  constructor(world: FaultTargets) {
     this.#world = world;
     this.#kinds = [
       (lastsMs) => this.#killCore(lastsMs),
@@ -75,9 +75,9 @@
     if (fromMs > untilMs) return;
     events.after(fromMs - events.nowMs, () => {
       const lastsMs = LAST_LEAST_MS + random.next() * LAST_SPREAD_MS;
-      const trouble = this.#pick(this.#kinds);
-      this.log.push(`${events.nowMs.toFixed(0)} ms: ${trouble(lastsMs)} for ${lastsMs.toFixed(0)} ms`);
-      this.play(events.nowMs + TROUBLE_LEAST_MS + random.next() * TROUBLE_SPREAD_MS, untilMs);
+      const fault = this.#pick(this.#kinds);
+      this.log.push(`${events.nowMs.toFixed(0)} ms: ${fault(lastsMs)} for ${lastsMs.toFixed(0)} ms`);
+      this.play(events.nowMs + FAULT_LEAST_MS + random.next() * FAULT_SPREAD_MS, untilMs);
     });
   }
 
--- a/packages/quotas/src/testing/group-model.ts
+++ b/packages/quotas/src/testing/group-model.ts
@@ -145,13 +145,13 @@
       const { incarnation } = core.member;
       this.#send(coordinator, core, () => {
         if (core.member.incarnation !== incarnation) return;
-        this.#tell(core, view, committed);
+        this.#notify(core, view, committed);
         if (core.view === view) this.#send(core, coordinator, () => this.#onApplied(view, incarnation));
       });
     }
   }
 
-  #tell(core: CoreNode, view: QuotaView, committed: number): void {
+  #notify(core: CoreNode, view: QuotaView, committed: number): void {
     const isMember = view.members.includes(core.member);
     if (isMember) core.install(view);
     else if (core.view !== undefined && core.view.number < view.number) core.renewIncarnation();
--- a/packages/quotas/src/testing/quota-seeds.ts
+++ b/packages/quotas/src/testing/quota-seeds.ts
@@ -27,7 +27,7 @@
   const [breach] = result.breaches;
   if (breach === undefined) continue;
   failed += 1;
-  console.log(`seed ${seed} FAILED after: ${result.troubles.join('; ')}`);
+  console.log(`seed ${seed} FAILED after: ${result.faults.join('; ')}`);
   console.log(`  ${breach.atMs.toFixed(0)} ms  ${breach.tenant}: ${breach.sent} sent, bound ${breach.bound}`);
 }
 console.log(`requests sent ${sent}, fullest window ${(100 * fullest).toFixed(1)} % of its bound`);
--- a/packages/quotas/src/testing/quota-trial.ts
+++ b/packages/quotas/src/testing/quota-trial.ts
@@ -13,20 +13,20 @@
 import { Machine, Network } from './machine.js';
 import type { Mutant } from './mutants.js';
 import { RefusalOracle, type RefusalCounts } from './refusal-oracle.js';
-import { Troubles } from './troubles.js';
+import { Faults } from './faults.js';
 
 const CORES = 5;
 const EDGES = 8;
 /** Requests come once the group is whole and buckets are full, as on a site whose machines start first. */
 const TRAFFIC_FROM_MS = 4000;
-const TROUBLES_FROM_MS = 6000;
-const TROUBLES_UNTIL_MS = 22_000;
+const FAULTS_FROM_MS = 6000;
+const FAULTS_UNTIL_MS = 22_000;
 const END_MS = 34_000;
 
 /** A core learns of a changed limit within this time. */
 const LIMIT_LEARNED_MOST_MS = 600;
 
-/** A part of the trials has no troubles. */
+/** A part of the trials has no faults. */
 const QUIET_PART = 0.2;
 
 /** Bounds of a site, and tighter ones, under which less goes unnoticed. */
@@ -63,7 +63,7 @@
   readonly near: RefusalCounts;
   readonly sent: number;
   readonly views: number;
-  readonly troubles: readonly string[];
+  readonly faults: readonly string[];
 }
 
 /**
@@ -122,8 +122,8 @@
   run(): QuotaTrialResult {
     this.#events.runUntil(TRAFFIC_FROM_MS);
     for (const plan of this.#plans) this.#arrive(plan);
-    const troubles = this.#makeTroubles();
-    if (this.#random.next() >= QUIET_PART) troubles.play(TROUBLES_FROM_MS, TROUBLES_UNTIL_MS);
+    const faults = this.#makeFaults();
+    if (this.#random.next() >= QUIET_PART) faults.play(FAULTS_FROM_MS, FAULTS_UNTIL_MS);
     this.#watchMoves();
     this.#events.runUntil(END_MS);
     return {
@@ -134,7 +134,7 @@
       near: this.#count((load) => load > LIGHT_LOAD_MOST && load < 1),
       sent: this.#sent,
       views: this.#group.view.number,
-      troubles: troubles.log,
+      faults: faults.log,
     };
   }
 
@@ -148,8 +148,8 @@
     return TIGHT_BOUNDS[Math.floor(this.#random.next() * TIGHT_BOUNDS.length)] ?? TYPICAL_BOUNDS;
   }
 
-  #makeTroubles(): Troubles {
-    return new Troubles({
+  #makeFaults(): Faults {
+    return new Faults({
       events: this.#events,
       random: this.#random,
       network: this.#network,
--- a/packages/quotas/src/testing/refusal-oracle.ts
+++ b/packages/quotas/src/testing/refusal-oracle.ts
@@ -43,7 +43,7 @@
   readonly steady: RefusalCount;
   /** Around a move of the tenant's allocator. */
   readonly moved: RefusalCount;
-  /** The rest: changed limits, edges in trouble, all cores or workers away, cuts that moved nothing. */
+  /** The rest: changed limits, edges with faults, all cores or workers away, cuts that moved nothing. */
   readonly other: RefusalCount;
 }
 
