Quotas in shards: the loss of one core leaves the rest of a tenant's quota

A quota is now up to three shards, each allocated by itself; a request asks the next shard where one refuses or is silent for 40 ms. Mutants are tried on quotas of one shard, as before.

--- a/packages/cluster-node/src/edge-quota.ts
+++ b/packages/cluster-node/src/edge-quota.ts
@@ -2,7 +2,15 @@
 import { create } from '@bufbuild/protobuf';
 import { FrameSchema, WIRE_VERSION, type Frame, type Member, type StateUpdate } from '@rainrun/messages';
 import type { Clock, RandomSource } from '@rainrun/common';
-import { QuotaClient, type PermitSource, type QuotaBounds, type QuotaClientStats } from '@rainrun/quotas';
+import {
+  QuotaClient,
+  ShardedPermits,
+  shardCount,
+  type PermitSource,
+  type TenantLimit,
+  type QuotaBounds,
+  type QuotaClientStats,
+} from '@rainrun/quotas';
 
 /** What quotas on an edge need of its replica. */
 export interface EdgeQuotaDependencies {
@@ -11,6 +19,8 @@
   readonly chance: RandomSource;
   readonly bounds: QuotaBounds;
   readonly self: Member;
+  /** The limit of a tenant in the configuration in force here; undefined for one that is not known. */
+  limitOf(tenant: string): Pick<TenantLimit, 'burst'> | undefined;
   send(address: string, frame: Frame): void;
 }
 
@@ -23,6 +33,7 @@
 export class EdgeQuota {
   #dependencies: EdgeQuotaDependencies;
   #client: QuotaClient;
+  #permits: ShardedPermits;
 
   constructor(dependencies: EdgeQuotaDependencies) {
     const { clock, chance, bounds, self } = dependencies;
@@ -34,10 +45,16 @@
       self: () => self,
       send: (to, draw) => this.#send(to, { case: 'quotaDraw', value: draw }),
     });
+    this.#permits = new ShardedPermits({
+      clock,
+      chance,
+      source: this.#client,
+      shardCountOf: (tenant) => shardCount(dependencies.limitOf(tenant) ?? { burst: 0 }),
+    });
   }
 
   get permits(): PermitSource {
-    return this.#client;
+    return this.#permits;
   }
 
   get stats(): QuotaClientStats {
@@ -59,6 +76,7 @@
 
   tick(nowMs: number): void {
     this.#client.tick(nowMs);
+    this.#permits.tick(nowMs);
   }
 
   #send(to: Member, body: Frame['body']): void {
--- a/packages/cluster-node/src/edge-replica.ts
+++ b/packages/cluster-node/src/edge-replica.ts
@@ -108,6 +108,7 @@
       chance: dependencies.chance,
       bounds: dependencies.quota,
       self: this.#self,
+      limitOf: (tenant) => this.#tenants?.tenantNamed(tenant),
       send: (to, frame) => dependencies.send(to, frame),
     });
   }
--- a/packages/cluster-node/src/quota-allocation.ts
+++ b/packages/cluster-node/src/quota-allocation.ts
@@ -12,7 +12,7 @@
 } from '@rainrun/messages';
 import { tenantLimitsOf, type Deployment } from '@rainrun/configuration';
 import type { Clock } from '@rainrun/common';
-import { QuotaAllocator, type AllocationStats, type QuotaBounds } from '@rainrun/quotas';
+import { QuotaAllocator, shardLimits, type AllocationStats, type QuotaBounds } from '@rainrun/quotas';
 
 /** The process group, as far as it decides who allocates quotas. */
 export interface QuotaGroup {
@@ -75,7 +75,9 @@
     this.#installView(view, number, nowMs);
     if (this.#document !== application.document) {
       this.#document = application.document;
-      this.#allocator.updateLimits(tenantLimitsOf(application), nowMs);
+      const { bounds } = this.#dependencies;
+      const limits = tenantLimitsOf(application).flatMap((limit) => shardLimits(limit, bounds));
+      this.#allocator.updateLimits(limits, nowMs);
     }
     this.tick(nowMs);
   }
@@ -94,7 +96,7 @@
     else if (body.case === 'quotaHandover') this.#onHandover(body.value);
   }
 
-  /** The tenants whose quota this core allocates now. */
+  /** The shards of tenants' quotas that this core allocates now. */
   stats(): AllocationStats[] {
     return this.#allocator.stats(this.#dependencies.clock.nowMs());
   }
--- a/packages/cluster-node/src/tenant-status.test.ts
+++ b/packages/cluster-node/src/tenant-status.test.ts
@@ -20,6 +20,11 @@
   }),
 );
 
+/** A burst of 5 makes two shards. */
+const NORTH_ALLOCATORS = [
+  ...new Set(['north/0', 'north/1'].map((shard) => allocatorOf(shard, MEMBERS)?.name ?? '')),
+].sort();
+
 const QUOTA: TenantQuotaStatus = {
   allocatedHere: true,
   level: 12,
@@ -57,10 +62,10 @@
         burst: 5,
         priority: 0,
         keys: 2,
-        allocator: allocatorOf('north', MEMBERS)?.name ?? null,
+        allocators: NORTH_ALLOCATORS,
         quota: QUOTA,
       },
-      { name: 'south', ratePerS: 0, burst: 0, priority: null, keys: 0, allocator: null, quota: null },
+      { name: 'south', ratePerS: 0, burst: 0, priority: null, keys: 0, allocators: [], quota: null },
     ]);
   });
 
@@ -74,7 +79,7 @@
 
   it('have no allocator while no core with a disk is in the view', () => {
     const statuses = tenantStatuses(deployment(TENANTS), [], () => undefined);
-    expect(statuses?.map(({ allocator }) => allocator)).toEqual([null, null]);
+    expect(statuses?.map(({ allocators }) => allocators)).toEqual([[], []]);
   });
 });
 
--- a/packages/cluster-node/src/tenant-status.ts
+++ b/packages/cluster-node/src/tenant-status.ts
@@ -1,11 +1,18 @@
 /** What operators see of the tenants: their limits and the state of their quotas, and never a key. Platform family. */
 import { checkConfiguration, type Deployment, type TenantEntry } from '@rainrun/configuration';
 import type { Member } from '@rainrun/messages';
-import { allocatorOf, type AllocationState, type AllocationStats } from '@rainrun/quotas';
+import {
+  allocatorOf,
+  shardCount,
+  shardName,
+  tenantOfShard,
+  type AllocationState,
+  type AllocationStats,
+} from '@rainrun/quotas';
 
 /** The quota of one tenant as the core that is asked sees it. */
 export interface TenantQuotaStatus {
-  /** Whether this core allocates it now. */
+  /** Whether this core allocates a shard of it now; the figures are of its shards alone. */
   readonly allocatedHere: boolean;
   /** Permits that could be granted at once; null where another core allocates. */
   readonly level: number | null;
@@ -33,8 +40,8 @@
   readonly priority: number | null;
   /** How many keys it holds. */
   readonly keys: number;
-  /** The core that allocates its quota by this core's view; null where it has no limit or no core can. */
-  readonly allocator: string | null;
+  /** The cores that allocate the shards of its quota, by this core's view; empty where it has no limit or no core can. */
+  readonly allocators: readonly string[];
   /** Null where this core knows nothing of it. */
   readonly quota: TenantQuotaStatus | null;
 }
@@ -68,7 +75,7 @@
     burst: burst ?? 0,
     priority: priority ?? null,
     keys: new Set(apiKeys).size,
-    allocator: rate === 0 ? null : (allocatorOf(name, members)?.name ?? null),
+    allocators: rate === 0 ? [] : allocatorsOf({ name, burst: burst ?? 0 }, members),
     quota: quota ?? null,
   };
 }
@@ -79,11 +86,33 @@
  * coreStatus(replica, quotaStatusesOf(replica.quotaStats));
  */
 export function quotaStatusesOf(stats: readonly AllocationStats[]): QuotaStatusOf {
-  const byTenant = new Map(stats.map((one) => [one.tenant, one]));
   return (tenant) => {
-    const found = byTenant.get(tenant);
-    if (found === undefined) return undefined;
-    const { state, level, granted, refused } = found;
-    return { allocatedHere: true, level: Math.floor(level), granted, overQuota: refused, state };
+    const shards = stats.filter((one) => tenantOfShard(one.tenant) === tenant);
+    if (shards.length === 0) return undefined;
+    return {
+      allocatedHere: true,
+      level: Math.floor(sum(shards.map(({ level }) => level))),
+      granted: sum(shards.map(({ granted }) => granted)),
+      overQuota: sum(shards.map(({ refused }) => refused)),
+      state: STATES.find((state) => shards.some((shard) => shard.state === state)) ?? null,
+    };
   };
 }
+
+/** The least ready first: one shard that waits is worth a look. */
+const STATES: readonly AllocationState[] = ['waiting', 'settling', 'serving'];
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function allocatorsOf(
+  { name, burst }: { name: string; burst: number },
+  members: readonly Member[],
+): string[] {
+  const names = Array.from(
+    { length: shardCount({ burst }) },
+    (_, index) => allocatorOf(shardName(name, index), members)?.name,
+  );
+  return [...new Set(names.filter((known) => known !== undefined))].sort();
+}
--- a/packages/configuration/src/tenant-directory.ts
+++ b/packages/configuration/src/tenant-directory.ts
@@ -32,11 +32,13 @@
 export class TenantDirectory {
   #secret: Uint8Array;
   #keys = new Map<string, HashedKey>();
+  #byName = new Map<string, Tenant>();
 
   constructor(tenants: readonly TenantEntry[], secret: Uint8Array) {
     this.#secret = secret;
     for (const entry of tenants) {
       const tenant = withoutKeys(entry);
+      this.#byName.set(tenant.name, tenant);
       for (const apiKey of entry.apiKeys ?? []) {
         const digest = this.#digest(apiKey);
         this.#keys.set(indexOf(digest), { digest, tenant });
@@ -52,6 +54,11 @@
     return known !== undefined && timingSafeEqual(known.digest, digest) ? known.tenant : undefined;
   }
 
+  /** A tenant by its name; undefined if the configuration has none of that name. */
+  tenantNamed(name: string): Tenant | undefined {
+    return this.#byName.get(name);
+  }
+
   #digest(apiKey: string): Buffer {
     return createHmac('sha256', this.#secret).update(apiKey).digest();
   }
--- a/packages/quotas/src/index.ts
+++ b/packages/quotas/src/index.ts
@@ -4,3 +4,5 @@
 export * from './client.js';
 export * from './permits.js';
 export * from './quota-budget.js';
+export * from './sharded-permits.js';
+export * from './shards.js';
--- a/packages/quotas/src/permits.ts
+++ b/packages/quotas/src/permits.ts
@@ -7,6 +7,11 @@
   readonly ratePerS: number;
   /** Requests above the rate that it may send at once after a rest. */
   readonly burst: number;
+  /**
+   * Requests by which a window may exceed the limit besides the overshoot.
+   * @default the slack of the bounds
+   */
+  readonly slack?: number;
 }
 
 /** How far the sum over all edges may go above a limit. */
--- a/packages/quotas/src/quota-budget.ts
+++ b/packages/quotas/src/quota-budget.ts
@@ -48,7 +48,7 @@
 /** The most requests of a tenant that may be sent in any window. */
 export function windowBound(limit: TenantLimit, bounds: QuotaBounds): number {
   const allowed = (limit.ratePerS * bounds.windowMs) / 1000 + limit.burst;
-  return allowed * (1 + bounds.overshoot) + bounds.slack;
+  return allowed * (1 + bounds.overshoot) + (limit.slack ?? bounds.slack);
 }
 
 /**
--- /dev/null
+++ b/packages/quotas/src/sharded-permits.test.ts
@@ -0,0 +1,121 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { PermitAnswer, PermitSource } from './permits.js';
+import { ShardedPermits } from './sharded-permits.js';
+import { shardCount, shardLimits, shardName, tenantOfShard } from './shards.js';
+
+const GRANTED: PermitAnswer = { kind: 'granted', permit: { endMs: 9000 } };
+const REFUSED: PermitAnswer = { kind: 'over-quota', retryAfterMs: 70 };
+const BOUNDS = { windowMs: 5000, overshoot: 0.1, slack: 20 };
+
+/** Shards that a test answers by hand. */
+class Trial {
+  nowMs = 1000;
+  readonly asked: string[] = [];
+  readonly withdrawn: string[] = [];
+  readonly answers: PermitAnswer[] = [];
+  #open = new Map<string, (answer: PermitAnswer) => void>();
+  readonly #source: PermitSource = {
+    acquire: (name, done) => {
+      this.asked.push(name);
+      this.#open.set(name, done);
+      return () => void this.withdrawn.push(name);
+    },
+  };
+  readonly permits = new ShardedPermits({
+    clock: { nowMs: () => this.nowMs },
+    chance: { next: () => 0 },
+    source: this.#source,
+    shardCountOf: () => 3,
+  });
+
+  ask(): () => void {
+    return this.permits.acquire('t', (answer) => void this.answers.push(answer));
+  }
+
+  answer(name: string, answer: PermitAnswer): void {
+    const done = this.#open.get(name);
+    this.#open.delete(name);
+    done?.(answer);
+  }
+
+  later(ms: number): void {
+    this.nowMs += ms;
+    this.permits.tick(this.nowMs);
+  }
+}
+
+describe('a request for a permit of a sharded quota', () => {
+  it('is granted by the first shard alone where that answers', () => {
+    const trial = new Trial();
+    trial.ask();
+    trial.answer('t/0', GRANTED);
+    trial.later(500);
+    expect([trial.asked, trial.answers]).toEqual([['t/0'], [GRANTED]]);
+  });
+
+  it('goes on to the next shard where one refuses, and is over the quota once all have', () => {
+    const trial = new Trial();
+    trial.ask();
+    trial.answer('t/0', REFUSED);
+    trial.answer('t/1', REFUSED);
+    const before = [...trial.answers];
+    trial.answer('t/2', REFUSED);
+    expect([trial.asked, before, trial.answers]).toEqual([['t/0', 't/1', 't/2'], [], [REFUSED]]);
+  });
+
+  it('does not wait for a shard whose core is silent, and the next request asks that one last', () => {
+    const trial = new Trial();
+    trial.ask();
+    trial.later(50);
+    trial.answer('t/1', GRANTED);
+    trial.ask();
+    expect([trial.asked, trial.withdrawn, trial.answers]).toEqual([
+      ['t/0', 't/1', 't/1'],
+      ['t/0'],
+      [GRANTED],
+    ]);
+  });
+
+  it('is not over the quota while one shard has not answered; those that refused are asked again', () => {
+    const trial = new Trial();
+    trial.ask();
+    trial.later(50);
+    trial.answer('t/1', REFUSED);
+    trial.answer('t/2', REFUSED);
+    const before = [...trial.answers];
+    trial.later(80);
+    trial.answer('t/1', GRANTED);
+    expect([trial.asked, before, trial.answers]).toEqual([
+      ['t/0', 't/1', 't/2', 't/1', 't/2'],
+      [],
+      [GRANTED],
+    ]);
+  });
+
+  it('asks nothing more once it is withdrawn', () => {
+    const trial = new Trial();
+    trial.ask()();
+    trial.later(500);
+    trial.answer('t/0', GRANTED);
+    expect([trial.asked, trial.withdrawn, trial.answers]).toEqual([['t/0'], ['t/0'], []]);
+  });
+});
+
+describe('the shards of a limit', () => {
+  it('are together the limit with its slack', () => {
+    for (const burst of [0, 1, 4, 6, 95]) {
+      const shards = shardLimits({ name: 'a/b', ratePerS: 30, burst }, BOUNDS);
+      function total(of: (shard: (typeof shards)[number]) => number): number {
+        return Math.round(shards.reduce((sum, shard) => sum + of(shard), 0) * 1e6) / 1e6;
+      }
+      expect(shards.length).toEqual(shardCount({ burst }));
+      expect([total((shard) => shard.ratePerS), total((shard) => shard.burst)]).toEqual([30, burst]);
+      expect(total((shard) => shard.slack ?? NaN)).toEqual(BOUNDS.slack);
+    }
+  });
+
+  it('bear the name of their tenant, whatever stands in it', () => {
+    for (const tenant of ['a', 'a/0', '/']) expect(tenantOfShard(shardName(tenant, 2))).toEqual(tenant);
+  });
+});
--- a/packages/quotas/src/testing/core-node.ts
+++ b/packages/quotas/src/testing/core-node.ts
@@ -10,9 +10,10 @@
 } from '@rainrun/messages';
 import { QuotaAllocator, type HandoverOrder, type QuotaView } from '../allocator.js';
 import type { QuotaBounds, TenantLimit } from '../permits.js';
+import { shardLimits, shardName } from '../shards.js';
 import { TokenBucket } from '../token-bucket.js';
 import type { Machine, Network } from './machine.js';
-import type { Mutant } from './mutants.js';
+import { isSharded, type Mutant } from './mutants.js';
 
 /** Timings of the process group on a platform. */
 export const LEASE_MS = 600;
@@ -84,7 +85,7 @@
   }
 
   learnLimits(): void {
-    this.#allocator.updateLimits(this.#settings.limits(), this.machine.nowMs());
+    this.#allocator.updateLimits(this.#limitsOfShards(), this.machine.nowMs());
   }
 
   install(view: QuotaView): void {
@@ -119,9 +120,16 @@
     return create(QuotaGrantSchema, { draw, answers });
   }
 
+  #limitsOfShards(): TenantLimit[] {
+    const { bounds, limits, mutant } = this.#settings;
+    return limits().flatMap((limit) =>
+      isSharded(mutant) ? shardLimits(limit, bounds) : [{ ...limit, name: shardName(limit.name, 0) }],
+    );
+  }
+
   #goOn(orders: readonly HandoverOrder[], nowMs: number): void {
     for (const { tenant, level } of orders.flatMap(({ handover }) => handover.levels)) {
-      const limit = this.#settings.limits().find(({ name }) => name === tenant);
+      const limit = this.#limitsOfShards().find(({ name }) => name === tenant);
       const shape = { depth: level + (limit?.burst ?? 0), tokensPerMs: (limit?.ratePerS ?? 0) / 1000 };
       const bucket = new TokenBucket(shape, level);
       bucket.beginFilling(nowMs);
--- a/packages/quotas/src/testing/edge-node.ts
+++ b/packages/quotas/src/testing/edge-node.ts
@@ -4,10 +4,12 @@
 import { MemberSchema, type Member, type QuotaDraw } from '@rainrun/messages';
 import type { QuotaView } from '../allocator.js';
 import { QuotaClient } from '../client.js';
-import type { Permit, PermitAnswer, QuotaBounds } from '../permits.js';
+import type { Permit, PermitAnswer, QuotaBounds, TenantLimit } from '../permits.js';
+import { ShardedPermits } from '../sharded-permits.js';
+import { shardCount } from '../shards.js';
 import type { CoreNode } from './core-node.js';
 import type { Machine, Network } from './machine.js';
-import type { Mutant } from './mutants.js';
+import { isSharded, type Mutant } from './mutants.js';
 import type { RequestRecord } from './refusal-oracle.js';
 
 const TICK_MS = 25;
@@ -42,6 +44,8 @@
   /** For how long no worker takes a request. */
   readonly stalledForMs: () => number;
   readonly onSent: (tenant: string) => void;
+  /** The limit of a tenant as edges know it. */
+  readonly limitOf: (tenant: string) => Pick<TenantLimit, 'burst'>;
 }
 
 /** An edge and its client of quotas. */
@@ -50,6 +54,7 @@
   #settings: EdgeSettings;
   #member!: Member;
   #client!: QuotaClient;
+  #permits!: ShardedPermits;
 
   constructor(settings: EdgeSettings) {
     this.#settings = settings;
@@ -70,7 +75,16 @@
       send: (to, draw) => this.#sendDraw(to, draw),
       ...endless,
     });
-    machine.every(TICK_MS, () => this.#client.tick(machine.nowMs()));
+    this.#permits = new ShardedPermits({
+      clock: machine,
+      chance: random,
+      source: this.#client,
+      shardCountOf: (tenant) => (isSharded(mutant) ? shardCount(this.#settings.limitOf(tenant)) : 1),
+    });
+    machine.every(TICK_MS, () => {
+      this.#client.tick(machine.nowMs());
+      this.#permits.tick(machine.nowMs());
+    });
     machine.every(VIEW_POLL_LEAST_MS + random.next() ** 2 * VIEW_POLL_SPREAD_MS, () => this.#pollView());
   }
 
@@ -87,7 +101,7 @@
 
   #acquire(record: RequestRecord, again?: () => void): () => void {
     const retry = again ?? (() => this.#acquire(record));
-    return this.#client.acquire(record.tenant, (answer) => this.#onAnswer(record, answer, retry));
+    return this.#permits.acquire(record.tenant, (answer) => this.#onAnswer(record, answer, retry));
   }
 
   #onAnswer(record: RequestRecord, answer: PermitAnswer, retry: () => void): void {
--- a/packages/quotas/src/testing/mutants.ts
+++ b/packages/quotas/src/testing/mutants.ts
@@ -21,3 +21,8 @@
   'no-lease',
   'no-stop',
 ];
+
+/** Mutants are tried on quotas of one shard each, where an excess is not divided by the number of shards. */
+export function isSharded(mutant: Mutant | undefined): boolean {
+  return mutant === undefined;
+}
--- a/packages/quotas/src/testing/quota-trial.ts
+++ b/packages/quotas/src/testing/quota-trial.ts
@@ -4,6 +4,7 @@
  */
 import { SeededRandom } from '@rainrun/common';
 import { allocatorOf } from '../allocator-choice.js';
+import { shardLimits } from '../shards.js';
 import type { QuotaBounds, TenantLimit } from '../permits.js';
 import { BoundOracle, type BoundBreach } from './bound-oracle.js';
 import { CoreNode } from './core-node.js';
@@ -194,6 +195,7 @@
       mutant: this.#mutant,
       cores: this.#cores,
       coreOf: (incarnation) => this.#group.coreOf(incarnation),
+      limitOf: (tenant) => this.#limits.get(tenant) ?? { burst: 0 },
       nowMs: () => this.#events.nowMs,
       stalledForMs: () => Math.max(0, this.#stalledUntilMs - this.#events.nowMs),
       onSent: (tenant) => {
@@ -252,9 +254,12 @@
   /** Notes the tenants that get another allocator with a view. */
   #watchMoves(): void {
     this.#group.onChosen = (before, view) => {
-      for (const { name } of this.#plans) {
-        const isSame =
-          allocatorOf(name, before.members)?.incarnation === allocatorOf(name, view.members)?.incarnation;
+      for (const { name, limit } of this.#plans) {
+        const isSame = shardLimits(limit, this.#bounds).every(
+          (shard) =>
+            allocatorOf(shard.name, before.members)?.incarnation ===
+            allocatorOf(shard.name, view.members)?.incarnation,
+        );
         if (!isSame) this.#refusals.moves.push({ tenant: name, atMs: this.#events.nowMs });
       }
     };
