--- a/packages/quotas/src/sharded-permits.ts
+++ b/packages/quotas/src/sharded-permits.ts
@@ -68,6 +68,7 @@
   /** The shards in the order in which a request asks them: from a random one on, silent ones last. */
   #order(tenant: string): string[] {
     const count = this.#options.shardCountOf(tenant);
+    if (count === 1) return [shardName(tenant, 0)];
     const first = Math.floor(this.#options.chance.next() * count);
     const names = Array.from({ length: count }, (_, place) => shardName(tenant, (first + place) % count));
     if (this.#silentUntilMs.size === 0) return names;
@@ -121,8 +122,15 @@
       this.#init.onSilent(last.name);
       this.#askNext();
     }
-    for (const shard of this.#asked)
-      if (!this.#isSettled && shard.cancel === undefined && nowMs >= shard.askAgainMs) this.#ask(shard);
+    for (const shard of this.#asked.filter(
+      ({ cancel, askAgainMs }) => cancel === undefined && nowMs >= askAgainMs,
+    ))
+      this.#askAgain(shard);
+  }
+
+  /** An earlier one of the questions may have been answered with a permit meanwhile. */
+  #askAgain(shard: AskedShard): void {
+    if (!this.#isSettled) this.#ask(shard);
   }
 
   #askNext(): void {
@@ -138,14 +146,15 @@
     this.#ask(shard);
   }
 
+  /** The answer may come before the question returns. */
   #ask(shard: AskedShard): void {
-    let isAnswered = false;
+    const question = { isOpen: true };
     const cancel = this.#init.source.acquire(shard.name, (answer) => {
-      isAnswered = true;
+      question.isOpen = false;
       shard.cancel = undefined;
       this.#onAnswer(shard, answer);
     });
-    if (!isAnswered) shard.cancel = cancel;
+    if (question.isOpen) shard.cancel = cancel;
   }
 
   #onAnswer(shard: AskedShard, answer: PermitAnswer): void {
--- a/packages/quotas/src/testing/core-node.ts
+++ b/packages/quotas/src/testing/core-node.ts
@@ -10,7 +10,7 @@
 } from '@rainrun/messages';
 import { QuotaAllocator, type HandoverOrder, type QuotaView } from '../allocator.js';
 import type { QuotaBounds, TenantLimit } from '../permits.js';
-import { shardLimits, shardName } from '../shards.js';
+import { shardLimits } from '../shards.js';
 import { TokenBucket } from '../token-bucket.js';
 import type { Machine, Network } from './machine.js';
 import { isSharded, type Mutant } from './mutants.js';
@@ -122,9 +122,7 @@
 
   #limitsOfShards(): TenantLimit[] {
     const { bounds, limits, mutant } = this.#settings;
-    return limits().flatMap((limit) =>
-      isSharded(mutant) ? shardLimits(limit, bounds) : [{ ...limit, name: shardName(limit.name, 0) }],
-    );
+    return limits().flatMap((limit) => (isSharded(mutant) ? shardLimits(limit, bounds) : [limit]));
   }
 
   #goOn(orders: readonly HandoverOrder[], nowMs: number): void {
--- a/packages/quotas/src/testing/edge-node.ts
+++ b/packages/quotas/src/testing/edge-node.ts
@@ -79,7 +79,7 @@
       clock: machine,
       chance: random,
       source: this.#client,
-      shardCountOf: (tenant) => (isSharded(mutant) ? shardCount(this.#settings.limitOf(tenant)) : 1),
+      shardCountOf: (tenant) => shardCount(this.#settings.limitOf(tenant)),
     });
     machine.every(TICK_MS, () => {
       this.#client.tick(machine.nowMs());
@@ -101,7 +101,8 @@
 
   #acquire(record: RequestRecord, again?: () => void): () => void {
     const retry = again ?? (() => this.#acquire(record));
-    return this.#permits.acquire(record.tenant, (answer) => this.#onAnswer(record, answer, retry));
+    const permits = isSharded(this.#settings.mutant) ? this.#permits : this.#client;
+    return permits.acquire(record.tenant, (answer) => this.#onAnswer(record, answer, retry));
   }
 
   #onAnswer(record: RequestRecord, answer: PermitAnswer, retry: () => void): void {
--- a/packages/quotas/src/testing/mutants.ts
+++ b/packages/quotas/src/testing/mutants.ts
@@ -22,7 +22,7 @@
   'no-stop',
 ];
 
-/** Mutants are tried on quotas of one shard each, where an excess is not divided by the number of shards. */
+/** Mutants are tried on quotas in one piece, where an excess is not divided by the number of shards. */
 export function isSharded(mutant: Mutant | undefined): boolean {
   return mutant === undefined;
 }
--- a/packages/router/src/request-permits.ts
+++ b/packages/router/src/request-permits.ts
@@ -2,21 +2,7 @@
 import type { Permit, PermitAnswer, PermitSource } from '@rainrun/quotas';
 import type { AttemptEnd } from './attempt.js';
 import type { RoutedRequest } from './request.js';
-
-/** The permit for the next attempt of a request. */
-type NextPermit =
-  | { readonly kind: 'none' }
-  | { readonly kind: 'asked'; withdraw: () => void }
-  | { readonly kind: 'held'; readonly permit: Permit }
-  | { readonly kind: 'refused'; readonly retryAfterMs: number; readonly untilMs: number };
-
-/** What a request holds of its tenant's quota. */
-export interface RequestPermit {
-  readonly tenant: string;
-  next: NextPermit;
-  /** The permit that the attempt in flight has consumed. */
-  spent: Permit | undefined;
-}
+import type { NextPermit, RequestPermit } from './request-permit.js';
 
 /** Whether a request may be sent now, as far as its tenant's quota is concerned. */
 export type PermitState =
--- a/packages/router/src/request.ts
+++ b/packages/router/src/request.ts
@@ -2,7 +2,7 @@
 import type { RouteEntry, ServiceEntry, Tenant, TenantDirectory } from '@rainrun/configuration';
 import type { Fault } from '@rainrun/common';
 import type { Header } from '@rainrun/gateway';
-import type { RequestPermit } from './request-permits.js';
+import type { RequestPermit } from './request-permit.js';
 
 /** A complete request, read and parsed by the client server. */
 export interface ClientRequest {
