--- a/packages/quotas/src/allocation.ts
+++ b/packages/quotas/src/allocation.ts
@@ -3,7 +3,7 @@
 import { TokenBucket } from './token-bucket.js';
 
 /** After a takeover nothing is called over the quota for so long, unless the bucket was full before. */
-const SETTLING_MS = 6000;
+const SETTLING_MS = 4000;
 
 /** The same where the predecessor handed over a bucket at least so full, of which little was waited for. */
 const SETTLING_AFTER_HANDOVER_MS = 500;
