Router: a permit that has ended is renewed only once a worker can take the request

A permit is now drawn at arrival, and anew only when a worker was chosen. The test asked for one renewal a look among ten that wait; it asks for none now, and for ten once a worker is there.

--- a/packages/router/src/permit-spent-twice.test.ts
+++ b/packages/router/src/permit-spent-twice.test.ts
@@ -225,7 +225,7 @@
     ]);
   });
 
-  it('is not wasted while no worker can take any request: only the first of those that wait draws anew', () => {
+  it('is not wasted while no worker can take any request: none draws anew before one can', () => {
     const harness = withQuota();
     harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 50 } };
     for (let count = 0; count < 10; count += 1) submit(harness, '/often/x');
@@ -234,7 +234,10 @@
       harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 150 } };
       harness.later(100);
     }
-    expect([drawn, harness.permits.asked.length - drawn]).toEqual([10, 4]);
+    expect([drawn, harness.permits.asked.length - drawn]).toEqual([10, 0]);
+    harness.put(worker('w1', { slots: 20 }));
+    harness.later(20);
+    expect([harness.permits.asked.length - drawn, harness.link.sent.length]).toEqual([10, 10]);
   });
 
   it('is not sent twice when the answer to another request brings its own too', () => {
--- a/packages/router/src/request-permits.ts
+++ b/packages/router/src/request-permits.ts
@@ -50,6 +50,13 @@
     return state;
   }
 
+  /** Whether a request holds a permit that has not ended, or has asked for one, or needs none. */
+  isHeld(request: RoutedRequest): boolean {
+    const quota = this.#quotaOf(request);
+    if (quota === undefined || quota.next.kind === 'asked') return true;
+    return quota.next.kind === 'held' && this.#isValid(quota.next.permit);
+  }
+
   /** The last check before the first byte leaves: uses up the permit that is held, if it has not ended. */
   consume(request: RoutedRequest): boolean {
     const quota = this.#quotaOf(request);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -225,9 +225,21 @@
     if (request.responseStarted && !request.retryReserved) return this.#resume(request, nowMs);
     if (nowMs < request.notBeforeMs) return;
     if (request.excludedWorkers.size === 0 && unservable.has(request.key)) return;
-    if (this.#obtainPermit(request) !== 'ready') return;
-    const isSent = this.#dispatch(request, nowMs);
-    if (!isSent && request.excludedWorkers.size === 0) unservable.add(request.key);
+    const isSent = this.#mayObtainPermit(request) && this.#obtainAndDispatch(request, nowMs);
+    if (!isSent && request.waitReason !== 'no-permit' && request.excludedWorkers.size === 0)
+      unservable.add(request.key);
+  }
+
+  /** A permit ends soon: one that has ended is renewed only once a worker can take the request. */
+  #mayObtainPermit(request: RoutedRequest): boolean {
+    if (!request.admitted || this.#permits.isHeld(request)) return true;
+    const choice = this.#choose(request);
+    if (typeof choice === 'string') this.#wait(request, choice);
+    return typeof choice !== 'string';
+  }
+
+  #obtainAndDispatch(request: RoutedRequest, nowMs: number): boolean {
+    return this.#obtainPermit(request) === 'ready' && this.#dispatch(request, nowMs);
   }
 
   /** Whether a request has a permit of its tenant's quota or needs none; otherwise it waits, or has been rejected. */
