Quotas: what was spent stays spent when a limit changes; streams that wait renew no permit

Found on reading: a limit whose burst fell while its rate rose let a spent burst be spent again (allocator test, red before), shards that a changed limit ended went on filling (red before), levels handed to a joining core came before its limits, and a stream that waits to be resumed drew permits before a worker was chosen. For the last one the test guards the mended order but was green before as well: the way through #resume with a retry left over was not brought about.

--- a/packages/cluster-node/src/quota-allocation.ts
+++ b/packages/cluster-node/src/quota-allocation.ts
@@ -69,16 +69,16 @@
     this.#allocator = new QuotaAllocator({ bounds, leaseMs });
   }
 
-  /** A version has come into force here. */
+  /** A version has come into force here. Limits come first: a view may bring levels for tenants of the same version. */
   onState({ number, view, application }: QuotaState): void {
     const nowMs = this.#dependencies.clock.nowMs();
-    this.#installView(view, number, nowMs);
     if (this.#document !== application.document) {
       this.#document = application.document;
       const { bounds } = this.#dependencies;
       const limits = tenantLimitsOf(application).flatMap((limit) => shardLimits(limit, bounds));
       this.#allocator.updateLimits(limits, nowMs);
     }
+    this.#installView(view, number, nowMs);
     this.tick(nowMs);
   }
 
--- a/packages/quotas/src/allocation.ts
+++ b/packages/quotas/src/allocation.ts
@@ -80,6 +80,11 @@
     this.#bucket.reshape(budget.bucket, nowMs);
   }
 
+  /** The tenant is gone from the configuration: nothing is left for it, should it come back. */
+  drain(nowMs: number): void {
+    this.#bucket.drain(nowMs);
+  }
+
   hasStarted(nowMs: number): boolean {
     return this.#startMs !== undefined && nowMs >= this.#startMs;
   }
--- a/packages/quotas/src/allocator.test.ts
+++ b/packages/quotas/src/allocator.test.ts
@@ -10,7 +10,7 @@
 import { expect } from 'earl';
 import { allocatorOf } from './allocator-choice.js';
 import { QuotaAllocator, type QuotaView } from './allocator.js';
-import { quotaBudget, reserveIntervalMs } from './quota-budget.js';
+import { quotaBudget, reserveIntervalMs, windowBound } from './quota-budget.js';
 
 const BOUNDS = { windowMs: 5000, overshoot: 0.1, slack: 20 };
 const LIMIT = { name: 'tenant-1', ratePerS: 10, burst: 10 };
@@ -194,6 +194,28 @@
     expect(ask(allocator, 100, 20_020).granted).toEqual(0);
   });
 
+  it('lets nobody spend a burst again by a limit with less burst and a higher rate', () => {
+    const allocator = settledAllocator();
+    const deep = { ...LIMIT, ratePerS: 1, burst: 500 };
+    const steep = { ...LIMIT, ratePerS: 100, burst: 0 };
+    allocator.updateLimits([deep], 20_000);
+    let spent = 0;
+    for (let nowMs = 20_000; nowMs <= 600_000; nowMs += 100_000) spent = ask(allocator, 1000, nowMs).granted;
+    allocator.updateLimits([steep], 620_000);
+    for (let nowMs = 620_000; nowMs < 620_000 + BOUNDS.windowMs; nowMs += 20) {
+      spent += ask(allocator, 1000, nowMs).granted;
+      expect(spent <= Math.max(windowBound(deep, BOUNDS), windowBound(steep, BOUNDS))).toEqual(true);
+    }
+  });
+
+  it('lets no tenant come back to a bucket that has filled while it was gone', () => {
+    const allocator = settledAllocator();
+    ask(allocator, 100, 20_000);
+    allocator.updateLimits([], 20_010);
+    allocator.updateLimits([LIMIT], 23_000);
+    expect(ask(allocator, 100, 23_000).granted).toEqual(0);
+  });
+
   it('starts a new tenant empty and without a wait in a settled view', () => {
     const allocator = allocatorAt(0);
     allocator.updateLimits([], 0);
--- a/packages/quotas/src/allocator.ts
+++ b/packages/quotas/src/allocator.ts
@@ -97,7 +97,7 @@
     const known = this.#limits;
     this.#limits = new Map();
     for (const limit of limits) this.#limits.set(limit.name, limit);
-    for (const name of known.keys()) if (!this.#limits.has(name)) this.#removedMs.set(name, nowMs);
+    for (const name of known.keys()) if (!this.#limits.has(name)) this.#remove(name, nowMs);
     for (const limit of this.#limits.values()) this.#applyLimit(limit, false, nowMs);
     this.#forgetRemoved(nowMs);
   }
@@ -229,6 +229,12 @@
     allocation.startAt(Math.max(nowMs, this.#committedMs + this.#takeoverWaitMs));
   }
 
+  /** What a removed tenant was granted is remembered for a while, so that it cannot come back with a full bucket. */
+  #remove(name: string, nowMs: number): void {
+    this.#removedMs.set(name, nowMs);
+    this.#allocations.get(name)?.drain(nowMs);
+  }
+
   #forgetRemoved(nowMs: number): void {
     for (const [name, removedMs] of this.#removedMs) {
       if (nowMs - removedMs < this.#reserveIntervalMs) continue;
--- a/packages/quotas/src/token-bucket.ts
+++ b/packages/quotas/src/token-bucket.ts
@@ -53,7 +53,7 @@
   /** Takes up to so many whole tokens; returns how many. */
   take(wanted: number, nowMs: number): number {
     this.#fill(nowMs);
-    const taken = Math.min(wanted, Math.floor(this.#level));
+    const taken = Math.max(0, Math.min(wanted, Math.floor(this.#level)));
     this.#level -= taken;
     return taken;
   }
@@ -66,11 +66,21 @@
     return Math.max(nowMs, this.#filledUntilMs) + (1 - this.#level) / this.#shape.tokensPerMs;
   }
 
-  /** Goes on with another depth and speed; what the new depth cannot hold is lost. */
+  /**
+   * Goes on with another depth and speed. What was taken stays taken: where the depth falls, the level falls with it,
+   * below zero if more was taken than the new depth holds. A depth that grows brings no tokens.
+   */
   reshape(shape: BucketShape, nowMs: number): void {
     this.#fill(nowMs);
+    this.#level -= Math.max(0, this.#shape.depth - shape.depth);
     this.#shape = shape;
-    this.#level = Math.min(this.#level, shape.depth);
+  }
+
+  /** Empties the bucket and stops filling it. */
+  drain(nowMs: number): void {
+    this.#fill(nowMs);
+    this.#level = Math.min(this.#level, 0);
+    this.#shape = { ...this.#shape, tokensPerMs: 0 };
   }
 
   #fill(nowMs: number): void {
--- a/packages/router/src/permit-spent-twice.test.ts
+++ b/packages/router/src/permit-spent-twice.test.ts
@@ -151,6 +151,29 @@
     expect([harness.permits.asked.length, harness.link.sent.length - sendsBefore]).toEqual([2, 1]);
   });
 
+  it('is not wasted on a stream that waits to go on and finds no worker', () => {
+    const harness = withQuota('w1', 'w2');
+    earn(harness);
+    submit(harness, '/talk/x', 9000);
+    const first = harness.last();
+    first.start();
+    first.openStream('s1');
+    first.events('id: 1\ndata: a\n\n');
+    for (const id of ['w1', 'w2']) harness.put(worker(id, { draining: true }));
+    harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 50 } };
+    first.handler.failed(true, 'reset');
+    const drawn = harness.permits.asked.length;
+    for (let turn = 0; turn < 15; turn += 1) {
+      harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 150 } };
+      harness.later(100);
+    }
+    const whileNone = harness.permits.asked.length - drawn;
+    harness.permits.atOnce = FOR_EVER;
+    harness.put(worker('w3'));
+    for (let turn = 0; turn < 4; turn += 1) harness.later(100);
+    expect([whileNone, harness.permits.asked.length - drawn, harness.last() === first]).toEqual([0, 1, false]);
+  });
+
   it('is not used after its end: nothing leaves, and a new one is drawn', () => {
     const harness = withQuota('w1');
     harness.permits.atOnce = { kind: 'granted', permit: { endMs: harness.nowMs + 100 } };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -429,17 +429,25 @@
    * long as the client bears its silence and a worker may take it.
    */
   #resume(request: RoutedRequest, nowMs: number): void {
-    if (nowMs < request.notBeforeMs || this.#obtainPermit(request) !== 'ready') return;
-    request.notBeforeMs = nowMs + RESUME_POLICY.intervalMs;
-    if (!this.#budgets.reserve(request)) return;
+    if (nowMs < request.notBeforeMs) return;
+    const worker = this.#reserveResumption(request);
+    const permit = worker === undefined ? 'awaited' : this.#obtainPermit(request);
+    if (worker === undefined || permit === 'ready') request.notBeforeMs = nowMs + RESUME_POLICY.intervalMs;
+    if (worker === undefined) return;
+    if (permit !== 'ready') return this.#budgets.release(request);
     request.retryReserved = true;
+    this.#queue.delete(request);
+    this.#send(request, worker, nowMs);
+  }
+
+  /** The worker at which a stream may go on, with a retry reserved for it; undefined: none now. */
+  #reserveResumption(request: RoutedRequest): WorkerView | undefined {
+    if (!this.#budgets.reserve(request)) return undefined;
     const choice = this.#choose(request);
-    if (typeof choice !== 'string') {
-      this.#queue.delete(request);
-      return this.#send(request, choice, nowMs);
-    }
+    if (typeof choice !== 'string') return choice;
     this.#budgets.release(request);
     if (choice === 'none' && request.sentTo.size >= request.route.attempts) this.#completion.abort(request);
+    return undefined;
   }
 }
 
