--- a/packages/router/src/permit-spent-twice.test.ts
+++ b/packages/router/src/permit-spent-twice.test.ts
@@ -171,7 +171,11 @@
     harness.permits.atOnce = FOR_EVER;
     harness.put(worker('w3'));
     for (let turn = 0; turn < 4; turn += 1) harness.later(100);
-    expect([whileNone, harness.permits.asked.length - drawn, harness.last() === first]).toEqual([0, 1, false]);
+    expect([whileNone, harness.permits.asked.length - drawn, harness.last() === first]).toEqual([
+      0,
+      1,
+      false,
+    ]);
   });
 
   it('is not used after its end: nothing leaves, and a new one is drawn', () => {
