One frame builder, one checked configuration a document, one tenant without keys

Found on reading the change once more; behaviour stays. A frame with version, deployment, sender and addressee was put together in five places, two of them new (edge and core quotas), three before (process group, state updates, subscriptions): newFrame in messages. The document in force was checked whole three times on a core for each version (engines, limits, view): checkedConfiguration keeps it by document. Rate, burst and priority of a tenant were read three times over: tenantOf. RevocationBounds was RevocationGuardSettings again. EdgeReplica.quotaStats had no caller.

--- a/packages/cluster-node/src/edge-quota.ts
+++ b/packages/cluster-node/src/edge-quota.ts
@@ -1,6 +1,5 @@
 /** Quotas on an edge: draws to the cores that allocate, and their grants. Platform family. */
-import { create } from '@bufbuild/protobuf';
-import { FrameSchema, WIRE_VERSION, type Frame, type Member, type StateUpdate } from '@rainrun/messages';
+import { newFrame, type Frame, type Member, type StateUpdate } from '@rainrun/messages';
 import type { Clock, RandomSource } from '@rainrun/common';
 import {
   QuotaClient,
@@ -9,7 +8,6 @@
   type PermitSource,
   type TenantLimit,
   type QuotaBounds,
-  type QuotaClientStats,
 } from '@rainrun/quotas';
 
 /** What quotas on an edge need of its replica. */
@@ -57,10 +55,6 @@
     return this.#permits;
   }
 
-  get stats(): QuotaClientStats {
-    return this.#client.stats();
-  }
-
   /** Learns the newest view of the cores from an update that tells it. */
   onStateUpdate({ cores, viewEpoch, viewNumber }: StateUpdate): void {
     if (cores.length === 0 || viewNumber === 0) return;
@@ -81,13 +75,7 @@
 
   #send(to: Member, body: Frame['body']): void {
     const { deployment, self, send } = this.#dependencies;
-    const frame = create(FrameSchema, {
-      wire: WIRE_VERSION,
-      deployment,
-      from: self.incarnation,
-      to: to.incarnation,
-    });
-    frame.body = body;
-    send(to.address, frame);
+    const route = { deployment, from: self.incarnation, to: to.incarnation };
+    send(to.address, newFrame(route, body));
   }
 }
--- a/packages/cluster-node/src/edge-replica.ts
+++ b/packages/cluster-node/src/edge-replica.ts
@@ -1,10 +1,9 @@
 /** An edge's replica of the committed state and the worker table, by subscription to cores. Platform family. */
 import { create } from '@bufbuild/protobuf';
 import {
-  FrameSchema,
   MemberSchema,
+  newFrame,
   SubscribeSchema,
-  WIRE_VERSION,
   type Frame,
   type Member,
   type ModelDemand,
@@ -22,7 +21,7 @@
   type Deployment,
 } from '@rainrun/configuration';
 import { randomBytes, randomId, type Clock, type RandomSource } from '@rainrun/common';
-import type { PermitSource, QuotaBounds, QuotaClientStats } from '@rainrun/quotas';
+import type { PermitSource, QuotaBounds } from '@rainrun/quotas';
 import { CoreSelection, type Core } from './core-selection.js';
 import { DemandReporter } from './demand-reporter.js';
 import { EdgeCount } from './edge-count.js';
@@ -142,11 +141,6 @@
     return this.#quota.permits;
   }
 
-  /** Permits drawn and held here. */
-  get quotaStats(): QuotaClientStats {
-    return this.#quota.stats;
-  }
-
   /** How many edges there are, as far as the coordinator knows. */
   get edgeCount(): number {
     return this.#edgeCount.value;
@@ -214,14 +208,8 @@
       acceptsDeflate: true,
       ...fields,
     });
-    const frame = create(FrameSchema, {
-      wire: WIRE_VERSION,
-      deployment: this.#dependencies.deployment,
-      from: this.#self.incarnation,
-      to: '',
-    });
-    frame.body = { case: 'subscribe', value };
-    this.#dependencies.send(address, frame);
+    const route = { deployment: this.#dependencies.deployment, from: this.#self.incarnation, to: '' };
+    this.#dependencies.send(address, newFrame(route, { case: 'subscribe', value }));
   }
 
   #onStateUpdate(update: StateUpdate, from: string): void {
--- a/packages/cluster-node/src/engines.ts
+++ b/packages/cluster-node/src/engines.ts
@@ -1,5 +1,5 @@
 /** The engines that a configuration describes, in the form that placement reads. Platform family. */
-import { checkConfiguration, type Configuration, type Deployment } from '@rainrun/configuration';
+import { checkedConfiguration, type Configuration, type Deployment } from '@rainrun/configuration';
 import type { Engine } from '@rainrun/placement';
 
 /** Engines by the name of their service. */
@@ -41,9 +41,7 @@
 
   enginesOf(state: Deployment): EnginesByService {
     if (this.#cached?.state !== state) {
-      const checked = state.document === undefined ? undefined : checkConfiguration(state.document);
-      const configuration = checked?.isOk === true ? checked.value : undefined;
-      this.#cached = { state, engines: enginesOf(configuration) };
+      this.#cached = { state, engines: enginesOf(checkedConfiguration(state.document)) };
     }
     return this.#cached.engines;
   }
--- a/packages/cluster-node/src/quota-allocation.ts
+++ b/packages/cluster-node/src/quota-allocation.ts
@@ -1,16 +1,15 @@
 /** Quotas on a core: the allocator, driven by the views, the state and the frames that reach the core. Platform family. */
 import { create } from '@bufbuild/protobuf';
 import {
-  FrameSchema,
+  newFrame,
   QuotaGrantSchema,
-  WIRE_VERSION,
   type Frame,
   type Member,
   type QuotaDraw,
   type QuotaHandover,
   type View,
 } from '@rainrun/messages';
-import { tenantLimitsOf, type Deployment } from '@rainrun/configuration';
+import { tenantsOf, type Deployment } from '@rainrun/configuration';
 import type { Clock } from '@rainrun/common';
 import { QuotaAllocator, shardLimits, type AllocationStats, type QuotaBounds } from '@rainrun/quotas';
 
@@ -75,7 +74,7 @@
     if (this.#document !== application.document) {
       this.#document = application.document;
       const { bounds } = this.#dependencies;
-      const limits = tenantLimitsOf(application).flatMap((limit) => shardLimits(limit, bounds));
+      const limits = tenantsOf(application).flatMap((limit) => shardLimits(limit, bounds));
       this.#allocator.updateLimits(limits, nowMs);
     }
     this.#installView(view, number, nowMs);
@@ -125,13 +124,7 @@
 
   #send(to: Member, body: Frame['body']): void {
     const { deployment, group, send } = this.#dependencies;
-    const frame = create(FrameSchema, {
-      wire: WIRE_VERSION,
-      deployment,
-      from: group.self.incarnation,
-      to: to.incarnation,
-    });
-    frame.body = body;
-    send(to.address, frame);
+    const route = { deployment, from: group.self.incarnation, to: to.incarnation };
+    send(to.address, newFrame(route, body));
   }
 }
--- a/packages/cluster-node/src/tenant-status.ts
+++ b/packages/cluster-node/src/tenant-status.ts
@@ -1,5 +1,5 @@
 /** What operators see of the tenants: their limits and the state of their quotas, and never a key. Platform family. */
-import { checkConfiguration, type Deployment, type TenantEntry } from '@rainrun/configuration';
+import { checkedConfiguration, tenantOf, type Deployment, type TenantEntry } from '@rainrun/configuration';
 import type { Member } from '@rainrun/messages';
 import {
   allocatorOf,
@@ -56,26 +56,25 @@
   members: readonly Member[],
   quotaOf: QuotaStatusOf,
 ): TenantStatus[] | undefined {
-  if (document === undefined) return undefined;
-  const checked = checkConfiguration(document);
-  const tenants = checked.isOk ? checked.value.tenants : undefined;
-  return tenants?.map((tenant) => tenantStatus(tenant, members, quotaOf(tenant.name)));
+  return checkedConfiguration(document)?.tenants?.map((tenant) =>
+    tenantStatus(tenant, members, quotaOf(tenant.name)),
+  );
 }
 
 /** Names each field that is shown: a tenant's entry holds keys, and fields that are not known may hold anything. */
 function tenantStatus(
-  { name, apiKeys, ratePerS, burst, priority }: TenantEntry,
+  entry: TenantEntry,
   members: readonly Member[],
   quota: TenantQuotaStatus | undefined,
 ): TenantStatus {
-  const rate = ratePerS ?? 0;
+  const { name, ratePerS, burst, priority } = tenantOf(entry);
   return {
     name,
-    ratePerS: rate,
-    burst: burst ?? 0,
+    ratePerS,
+    burst,
     priority: priority ?? null,
-    keys: new Set(apiKeys).size,
-    allocators: rate === 0 ? [] : allocatorsOf({ name, burst: burst ?? 0 }, members),
+    keys: new Set(entry.apiKeys).size,
+    allocators: ratePerS === 0 ? [] : allocatorsOf({ name, burst }, members),
     quota: quota ?? null,
   };
 }
--- a/packages/cluster-node/src/update-publisher.ts
+++ b/packages/cluster-node/src/update-publisher.ts
@@ -1,9 +1,8 @@
 /** Builds state updates for the edges that subscribe to a core, and sends them when they are due. Platform family. */
 import { create } from '@bufbuild/protobuf';
 import {
-  FrameSchema,
+  newFrame,
   StateUpdateSchema,
-  WIRE_VERSION,
   WorkerRowSchema,
   type Frame,
   type Member,
@@ -111,14 +110,8 @@
     }
     if (available.tableId !== '') this.#addRows(update, subscriber, available, nowMs);
     subscriber.lastUpdateMs = nowMs;
-    const frame = create(FrameSchema, {
-      wire: WIRE_VERSION,
-      deployment,
-      from: group.self.incarnation,
-      to: subscriber.member.incarnation,
-    });
-    frame.body = { case: 'stateUpdate', value: update };
-    send(subscriber.member.address, frame);
+    const route = { deployment, from: group.self.incarnation, to: subscriber.member.incarnation };
+    send(subscriber.member.address, newFrame(route, { case: 'stateUpdate', value: update }));
   }
 
   #addView(update: StateUpdate, subscriber: Subscriber, nowMs: number): void {
--- a/packages/configuration/src/configuration.ts
+++ b/packages/configuration/src/configuration.ts
@@ -222,6 +222,25 @@
   return faults.length > 0 ? refusal(faults) : Result.ok(configuration);
 }
 
+/** What was checked before: documents are never changed in place. */
+const checkedDocuments = new WeakMap<object, Result<Configuration, Fault>>();
+
+/**
+ * The configuration that a document of the agreed state holds, checked once for each document; undefined where there
+ * is none, or an invalid one of an earlier build.
+ * @example
+ * checkedConfiguration(state.document)?.routes;
+ */
+export function checkedConfiguration(document: object | undefined): Configuration | undefined {
+  if (document === undefined) return undefined;
+  let checked = checkedDocuments.get(document);
+  if (checked === undefined) {
+    checked = checkConfiguration(document);
+    checkedDocuments.set(document, checked);
+  }
+  return checked.isOk ? checked.value : undefined;
+}
+
 /** Tenants as checked; null or undefined where the configuration has none, so that requests need no key. */
 function checkedTenants(
   list: readonly unknown[] | null | undefined,
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -5,4 +5,4 @@
 export * from './deployment.js';
 export * from './deployment-codec.js';
 export * from './tenant-directory.js';
-export * from './tenant-limits.js';
+export * from './tenants-in-force.js';
--- a/packages/configuration/src/tenant-directory.ts
+++ b/packages/configuration/src/tenant-directory.ts
@@ -37,7 +37,7 @@
   constructor(tenants: readonly TenantEntry[], secret: Uint8Array) {
     this.#secret = secret;
     for (const entry of tenants) {
-      const tenant = withoutKeys(entry);
+      const tenant = tenantOf(entry);
       this.#byName.set(tenant.name, tenant);
       for (const apiKey of entry.apiKeys ?? []) {
         const digest = this.#digest(apiKey);
@@ -68,7 +68,12 @@
   return digest.toString('latin1');
 }
 
-function withoutKeys({ name, ratePerS, burst, priority }: TenantEntry): Tenant {
+/**
+ * A tenant as it is configured, without its keys.
+ * @example
+ * tenantOf({ name: 'tenant-1', apiKeys: ['key-1'], ratePerS: null, burst: null }).ratePerS; // 0
+ */
+export function tenantOf({ name, ratePerS, burst, priority }: TenantEntry): Tenant {
   return { name, ratePerS: ratePerS ?? 0, burst: burst ?? 0, priority: priority ?? undefined };
 }
 
--- a/packages/messages/src/codec.ts
+++ b/packages/messages/src/codec.ts
@@ -1,5 +1,5 @@
 /** Frames between nodes as bytes, and which versions and deployments are understood. */
-import { fromBinary, toBinary } from '@bufbuild/protobuf';
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf';
 import { describeError, fault, type Fault } from '@rainrun/common';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
@@ -20,10 +20,30 @@
 /** No frame is larger. */
 export const FRAME_MAX_BYTES = 8 * 1024 * 1024;
 
+/** Who a frame is from and for. */
+export interface FrameRoute {
+  readonly deployment: string;
+  /** Incarnation of the sender. */
+  readonly from: string;
+  /** Incarnation of the addressee; empty: anybody at the address. */
+  readonly to: string;
+}
+
+/**
+ * A frame of this build's version.
+ * @example
+ * send(address, newFrame({ deployment, from: self.incarnation, to: '' }, { case: 'subscribe', value }));
+ */
+export function newFrame({ deployment, from, to }: FrameRoute, body: Frame['body']): Frame {
+  const frame = create(FrameSchema, { wire: WIRE_VERSION, deployment, from, to });
+  frame.body = body;
+  return frame;
+}
+
 /**
  * A frame as bytes.
  * @example
- * const bytes = encodeFrame(create(FrameSchema, { wire: WIRE_VERSION, deployment: 'd', from: 'a' }));
+ * const bytes = encodeFrame(newFrame(route, body));
  */
 export function encodeFrame(frame: Frame): Uint8Array {
   return toBinary(FrameSchema, frame);
--- a/packages/process-group/src/transport/transport.ts
+++ b/packages/process-group/src/transport/transport.ts
@@ -1,13 +1,5 @@
 /** Sending to other members: single frames, and messages in order over a channel each. */
-import { create } from '@bufbuild/protobuf';
-import {
-  OrderedChannel,
-  FrameSchema,
-  WIRE_VERSION,
-  type Frame,
-  type SequencedMessage,
-  type Member,
-} from '@rainrun/messages';
+import { OrderedChannel, newFrame, type Frame, type SequencedMessage, type Member } from '@rainrun/messages';
 import type { GroupDependencies } from '../group-dependencies.js';
 import type { Directory } from '../membership/directory.js';
 import type { LocalMember } from '../membership/local-member.js';
@@ -57,14 +49,8 @@
   /** Sends one frame to whoever is at an address; an empty incarnation means anybody. */
   sendToAddress(address: string, incarnation: string, body: Frame['body']): void {
     const { dependencies, local } = this.#collaborators;
-    const frame = create(FrameSchema, {
-      wire: WIRE_VERSION,
-      deployment: dependencies.deployment,
-      from: local.incarnation,
-      to: incarnation,
-    });
-    frame.body = body;
-    dependencies.send(address, frame);
+    const route = { deployment: dependencies.deployment, from: local.incarnation, to: incarnation };
+    dependencies.send(address, newFrame(route, body));
   }
 
   /** Sends a body in order; to this node itself it is delivered at once. */
--- a/packages/runtime/src/dialect.ts
+++ b/packages/runtime/src/dialect.ts
@@ -1,5 +1,5 @@
 /** The interface between the programs and the platform that they run on: settings, names and formats. */
-import type { OperatorCall, OperatorFormat } from '@rainrun/cluster-node';
+import type { OperatorCall, OperatorFormat, RevocationGuardSettings } from '@rainrun/cluster-node';
 import type { Fault } from '@rainrun/common';
 import type { HeaderNames } from '@rainrun/router';
 import type { QuotaBounds } from '@rainrun/quotas';
@@ -35,19 +35,12 @@
   readonly retries: { readonly ratio: number; readonly extra: number };
   /** How far the requests of a tenant, over all edges, may go above its limit. */
   readonly quota: QuotaBounds;
-  readonly revocation: RevocationBounds;
+  /** When a key that was taken away must no longer be served. */
+  readonly revocation: RevocationGuardSettings;
   readonly graceMs: number;
   readonly memoryMb: number;
 }
 
-/** When a key that was taken away must no longer be served. */
-export interface RevocationBounds {
-  /** Whether an edge that is not in touch with the cores must stop serving by the keys that it holds. */
-  readonly strict: boolean;
-  /** Milliseconds from the acknowledgement of the change that took the key away. */
-  readonly withinMs: number;
-}
-
 /** Names of the headers that an edge reads from its clients, lower case. */
 export interface ClientHeaderNames {
   readonly requestId: string;
--- a/packages/runtime/src/testing/edge-under-test.ts
+++ b/packages/runtime/src/testing/edge-under-test.ts
@@ -1,3 +1,4 @@
+import { STRICT_QUOTA_BOUNDS } from '@rainrun/quotas';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { create } from '@bufbuild/protobuf';
@@ -338,7 +339,7 @@
     },
     provider: { address: '', callsPerS: 1, lagMs: 1000 },
     retries: { ratio: 1, extra: 20 },
-    quota: { windowMs: 5000, overshoot: 0, slack: 0 },
+    quota: STRICT_QUOTA_BOUNDS,
     revocation: { strict: false, withinMs: 2000 },
     graceMs,
     memoryMb: 256,
