Review: the scripts end all processes also when they are ended or fail

A run whose record could not be written had left its cores running. Both cases again: exit code 1, 0 with TROUBLE=0, 2 on SIGTERM, no process left.

--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -144,7 +144,7 @@
     const node = { child, keepDown: false, exited: undefined };
     node.exited = new Promise((done) => {
       child.once('exit', (code, signal) => {
-        this.record.add(`${role} ${index} ended: code ${code}, signal ${signal}`);
+        if (!this.#closed) this.record.add(`${role} ${index} ended: code ${code}, signal ${signal}`);
         done();
         if (!node.keepDown && !this.#closed)
           setTimeout(() => {
@@ -337,21 +337,22 @@
 /** Runs a case, writes its record and exits: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
 export async function runCase(options, recordPath, play) {
   const deployment = new Deployment(options);
-  const timeout = setTimeout(() => {
-    deployment.record.add('the case took too long');
+  let isEnding = false;
+  /** Ends all processes before anything else that could fail. */
+  async function end(code, why) {
+    if (isEnding) return;
+    isEnding = true;
+    deployment.record.add(why);
+    await deployment.close();
     deployment.record.write(recordPath);
-    void deployment.close().then(() => process.exit(2));
-  }, 110_000);
-  let code = 2;
+    process.exit(code);
+  }
+  setTimeout(() => void end(2, 'the case took too long'), 110_000);
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => void end(2, `the case got ${signal}`));
   try {
     const broken = await play(deployment, process.env.TROUBLE !== '0');
-    deployment.record.add(broken === undefined ? 'the rule held' : `broken: ${broken}`);
-    code = broken === undefined ? 0 : 1;
+    await end(broken === undefined ? 0 : 1, broken === undefined ? 'the rule held' : `broken: ${broken}`);
   } catch (thrown) {
-    deployment.record.add(`the case could not run: ${thrown.message}`);
+    await end(2, `the case could not run: ${thrown.message}`);
   }
-  clearTimeout(timeout);
-  deployment.record.write(recordPath);
-  await deployment.close();
-  process.exit(code);
 }
