Let a stopping core wait for the writes that are under way

Seen: public-names.test.js failed now and then by an error after its last test (35 of 288 runs at 24 at once). Cause: stop() of both core nodes returned after a fixed pause while the record store still wrote; the test removed the folder, and the rename of the temporary file failed. Change: a stopping core closes its transport, so that no further write begins, and waits until the acceptor has no write under way, 5 s at most.

--- a/packages/runtime/src/acceptor-disk.ts
+++ b/packages/runtime/src/acceptor-disk.ts
@@ -1,9 +1,14 @@
-/** Opens the disk of a core node; shared by both systems. */
+/** Opens the disk of a core node, and waits for its last writes; shared by both systems. */
+import { setTimeout as pause } from 'node:timers/promises';
 import { Acceptor, readRecords, type OpenedDisk } from '@rainrun/process-group';
 import { RecordStore } from '@rainrun/storage';
 import { randomId, type Fault, type RandomSource } from '@rainrun/common';
 import { Result } from 'true-myth';
 
+/** How long a stopping node waits for its disk; well within a grace period of 8 s. */
+const LAST_WRITES_TIMEOUT_MS = 5000;
+const LAST_WRITES_POLL_MS = 10;
+
 /** The disk to open, and the callback for its failures. */
 export interface AcceptorDiskOptions {
   /** The data folder. */
@@ -44,3 +49,12 @@
   if (records.disk === undefined) acceptor.writeDiskRecord();
   return Result.ok(acceptor);
 }
+
+/**
+ * Waits until no write of a stopping node is under way, but not longer than `LAST_WRITES_TIMEOUT_MS`: a node
+ * whose disk hangs stops all the same. The node must have closed its listeners, so that no further write begins.
+ */
+export async function waitForLastWrites(acceptor: Acceptor): Promise<void> {
+  const endMs = performance.now() + LAST_WRITES_TIMEOUT_MS;
+  while (acceptor.hasPendingWrites && performance.now() < endMs) await pause(LAST_WRITES_POLL_MS);
+}
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -17,7 +17,7 @@
 } from '@rainrun/placement';
 import { Result } from 'true-myth';
 import { request } from 'undici';
-import { openAcceptor } from './acceptor-disk.js';
+import { openAcceptor, waitForLastWrites } from './acceptor-disk.js';
 import type { Dialect, PlatformSettings } from './dialect.js';
 import type { Log } from './log.js';
 import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
@@ -60,6 +60,7 @@
   #dialect: Dialect;
   #log: Log;
   #onFatal: (why: Fault) => void;
+  #acceptor: Acceptor;
   #transport: PeerTransport;
   #replica: CoreReplica;
   #workerLink = new PoolLink(WORKER_CONNECTION_TIMES);
@@ -85,6 +86,7 @@
     this.#dialect = dialect;
     this.#log = log;
     this.#onFatal = onFatal;
+    this.#acceptor = acceptor;
     this.#transport = new PeerTransport('system', (frame) => this.#replica.receive(frame));
     const seeds = seedAddresses(settings);
     this.#replica = new CoreReplica({
@@ -158,8 +160,8 @@
   }
 
   /**
-   * Graceful shutdown: rejects operator calls, leaves the group and stops the timers; the process should exit
-   * then.
+   * Graceful shutdown: rejects operator calls, leaves the group, stops the timers and waits for the disk; the
+   * process should exit then.
    */
   async stop(): Promise<void> {
     if (this.#stopping) return;
@@ -169,6 +171,8 @@
     this.#replica.group.leave();
     await pause(150);
     for (const timer of this.#timers) clearInterval(timer);
+    this.#transport.close();
+    await waitForLastWrites(this.#acceptor);
   }
 
   #tick(): void {
--- a/packages/runtime/src/spec-node.ts
+++ b/packages/runtime/src/spec-node.ts
@@ -13,7 +13,7 @@
 import { ServiceBroker, type ServiceSchema } from 'moleculer';
 import { pino, type Logger } from 'pino';
 import { Result, type Unit } from 'true-myth';
-import { openAcceptor } from './acceptor-disk.js';
+import { openAcceptor, waitForLastWrites } from './acceptor-disk.js';
 import { GracefulHttpServer } from './graceful-http-server.js';
 import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM } from './process-environment.js';
 import { apiService, operatorActions } from './spec-http-services.js';
@@ -48,6 +48,7 @@
   #role: Role;
   #log: Logger;
   #onFatal: (why: Fault) => void;
+  #acceptor: Acceptor | undefined;
   #transport: PeerTransport;
   #clusterNode: ClusterNode;
   #edge: SpecEdge | undefined;
@@ -76,6 +77,7 @@
     this.#settings = settings;
     this.#role = role;
     this.#log = log;
+    this.#acceptor = acceptor;
     this.#transport = new PeerTransport(settings.deployment, (frame) => this.#clusterNode.receive(frame));
     this.#clusterNode = this.#makeClusterNode(acceptor);
     if (role === 'edge') this.#edge = this.#makeEdge();
@@ -105,7 +107,9 @@
     return services.map(() => node);
   }
 
-  /** Graceful shutdown: rejects new requests, waits for those in flight, then leaves the group. */
+  /**
+   * Graceful shutdown: rejects new requests, waits for those in flight, leaves the group, then waits for the disk.
+   */
   async stop(): Promise<void> {
     this.#log.info({ inFlight: this.#edge?.gateway.inFlight ?? 0 }, 'stopping');
     this.#edge?.gateway.drain();
@@ -122,6 +126,7 @@
     await this.#recorder?.close();
     await this.#sender.close();
     this.#transport.close();
+    if (this.#acceptor !== undefined) await waitForLastWrites(this.#acceptor);
   }
 
   #makeClusterNode(acceptor: Acceptor | undefined): ClusterNode {
