--- a/scripts/unit.mjs
+++ b/scripts/unit.mjs
@@ -1,6 +1,9 @@
 #!/usr/bin/env node
 // Runs the unit tests and heeds KNOWN-RED.txt: only a test listed there may fail, each is printed with its cause,
 // and a listed test that passes fails the run. A line there: FILE > TEST > ... | cause | issue
+//   node scripts/unit.mjs            all unit tests, many files at a time
+//   node scripts/unit.mjs --crowd    the tests that put a crowd of clients before a process, one file at a time
+//   node scripts/unit.mjs FILE...    these files
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import { join, relative } from 'node:path';
 import { run } from 'node:test';
@@ -22,6 +25,16 @@
   );
 }
 
+/** The entries of the list whose test file is among those that are run. */
+export function knownInFiles(known, files) {
+  return new Map([...known].filter(([name]) => files.includes(name.split(' > ')[0])));
+}
+
+/** Whether a file holds tests that need the machine for themselves. */
+export function isCrowdTest(file) {
+  return file.endsWith('.crowd.test.js');
+}
+
 /** What the run comes to: tests that failed unlisted, and listed ones that did not fail. */
 export function verdict(failed, known) {
   return {
@@ -42,11 +55,24 @@
   );
 }
 
-async function main(files) {
-  const known = existsSync('KNOWN-RED.txt') ? readKnownRed(readFileSync('KNOWN-RED.txt', 'utf8')) : new Map();
+/** The files to run, by the arguments of the command. */
+function selectFiles(args) {
+  if (args[0] === '--crowd') return testFiles().filter(isCrowdTest);
+  return args.length > 0 ? args : testFiles().filter((file) => !isCrowdTest(file));
+}
+
+async function main(args) {
+  const files = selectFiles(args);
+  const listed = existsSync('KNOWN-RED.txt')
+    ? readKnownRed(readFileSync('KNOWN-RED.txt', 'utf8'))
+    : new Map();
+  const known = knownInFiles(
+    listed,
+    files.map((file) => relative('.', file)),
+  );
   const failed = new Set();
   const counts = { passed: 0, failed: 0, skipped: 0 };
-  const stream = run({ files, concurrency: true });
+  const stream = run({ files, concurrency: !files.some(isCrowdTest) });
   stream.on('test:pass', ({ details, skip }) => {
     if (details?.type === 'suite') return;
     if (skip === undefined) counts.passed += 1;
@@ -68,5 +94,4 @@
   process.exit(unlisted.length + stale.length > 0 || counts.passed === 0 ? 1 : 0);
 }
 
-if (import.meta.url === `file://${process.argv[1]}`)
-  await main(process.argv.length > 2 ? process.argv.slice(2) : testFiles());
+if (import.meta.url === `file://${process.argv[1]}`) await main(process.argv.slice(2));
--- a/scripts/unit.test.mjs
+++ b/scripts/unit.test.mjs
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { readKnownRed, verdict } from './unit.mjs';
+import { isCrowdTest, knownInFiles, readKnownRed, verdict } from './unit.mjs';
 
 describe('the list of tests known to fail', () => {
   const known = readKnownRed('# why\n\na.test.js > one | the disk lies | issue 9\n');
@@ -15,7 +15,18 @@
     ]);
   });
 
+  it('counts only for the files that are run', () => {
+    expect([...knownInFiles(known, ['b.test.js'])]).toEqual([]);
+    expect([...knownInFiles(known, ['b.test.js', 'a.test.js']).keys()]).toEqual(['a.test.js > one']);
+  });
+
   it('must not name a test that passes', () => {
     expect(verdict(new Set(), known).stale).toEqual(['a.test.js > one']);
   });
 });
+
+describe('the choice of test files', () => {
+  it('keeps tests with crowds of clients apart', () => {
+    expect(['dist/a.crowd.test.js', 'dist/a.test.js'].map(isCrowdTest)).toEqual([true, false]);
+  });
+});
