Bound the bodies that an edge holds, and let stalled ones give way

Callers saw: 300 bodies just short of their end took an edge to 1,266 MB of 350; it was killed for it, and with it everybody's requests. Cause: nothing counted what the bodies of all requests hold together, and a body that stopped was kept for a minute. Change: MemoryBudget (a sixteenth of MemoryMb, or two bodies of the largest size) counts a body from its first block until its answer is sent. When it is used up, the body that has stalled longest gives way, then one larger than the one that asks; its last quarter is for bodies of up to 64 KiB, so ordinary requests pass while a crowd stands. Who gives way or finds no room gets 429 with Retry-After: no part of it was forwarded. A body of which nothing comes for IdleTimeoutMs gets 408.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -4,6 +4,7 @@
 export * from './hash.js';
 export * from './slab.js';
 export * from './name-index.js';
+export * from './memory-budget.js';
 
 /** A monotonic clock. */
 export interface Clock {
--- /dev/null
+++ b/packages/common/src/memory-budget.ts
@@ -0,0 +1,169 @@
+/** Memory that many holders share, for example the bodies of all requests of a process. */
+import type { Clock } from './index.js';
+
+/** Options of a memory budget. */
+export interface MemoryBudgetOptions {
+  /** Bytes that all holders together may hold. */
+  readonly limitBytes: number;
+  /** A holder of at most this many bytes is small: the last `RESERVED_SHARE` of the budget is for small ones. */
+  readonly smallBytes: number;
+  readonly clock: Clock;
+}
+
+/** Events of a memory budget since the start, and what is held now. */
+export interface MemoryBudgetCounts {
+  readonly heldBytes: number;
+  readonly limitBytes: number;
+  /** Holders that had to give way. */
+  readonly evicted: number;
+  /** Requests for memory that were refused. */
+  readonly refused: number;
+}
+
+/** Share of a budget that only small holders may use. */
+const RESERVED_SHARE = 0.25;
+/** A holder that has made no progress for this long gives way before any other. */
+const STALLED_MS = 1000;
+
+/**
+ * A budget of memory. When it is used up, a holder that makes no progress gives way, the one stalled longest
+ * first, then one that holds more than the one that asks. A holder that cannot give way keeps what it has.
+ * @example
+ * const budget = new MemoryBudget({ limitBytes: 2 ** 25, smallBytes: 2 ** 16, clock });
+ * const reservation = budget.open(() => closeConnection());
+ * if (!reservation.grow(chunk.length)) refuse();
+ */
+export class MemoryBudget {
+  readonly #options: MemoryBudgetOptions;
+  #limitBytes: number;
+  readonly #reservations = new Set<MemoryReservation>();
+  #heldBytes = 0;
+  #evicted = 0;
+  #refused = 0;
+
+  constructor(options: MemoryBudgetOptions) {
+    this.#options = options;
+    this.#limitBytes = options.limitBytes;
+  }
+
+  /** Changes the limit; what is held beyond a lower one is kept. */
+  set limitBytes(limitBytes: number) {
+    this.#limitBytes = limitBytes;
+  }
+
+  get counts(): MemoryBudgetCounts {
+    return {
+      heldBytes: this.#heldBytes,
+      limitBytes: this.#limitBytes,
+      evicted: this.#evicted,
+      refused: this.#refused,
+    };
+  }
+
+  /** Opens a reservation of 0 bytes. `onEvicted` is called when it has to give way; it is released by then. */
+  open(onEvicted: () => void): MemoryReservation {
+    const reservation = new MemoryReservation(this, this.#options.clock, onEvicted);
+    this.#reservations.add(reservation);
+    return reservation;
+  }
+
+  /** Called by a reservation that needs more; false if no other can give way for it. */
+  request(asking: MemoryReservation, bytes: number): boolean {
+    const wantedBytes = asking.heldBytes + bytes;
+    const isSmall = wantedBytes <= this.#options.smallBytes;
+    const usableBytes = isSmall ? this.#limitBytes : this.#limitBytes * (1 - RESERVED_SHARE);
+    while (this.#heldBytes + bytes > usableBytes) {
+      const victim = this.#chooseVictim(asking, wantedBytes);
+      if (victim === undefined) {
+        this.#refused += 1;
+        return false;
+      }
+      this.#evicted += 1;
+      victim.evict();
+    }
+    this.#heldBytes += bytes;
+    return true;
+  }
+
+  /** Called by a reservation that gives back some of its bytes. */
+  giveBack(bytes: number): void {
+    this.#heldBytes -= bytes;
+  }
+
+  /** Called by a reservation that has given back all of its bytes and asks for no more. */
+  forget(reservation: MemoryReservation): void {
+    this.#reservations.delete(reservation);
+  }
+
+  #chooseVictim(asking: MemoryReservation, wantedBytes: number): MemoryReservation | undefined {
+    const stalledSinceMs = this.#options.clock.nowMs() - STALLED_MS;
+    let stalled: MemoryReservation | undefined;
+    let largest: MemoryReservation | undefined;
+    for (const one of this.#reservations) {
+      if (one === asking || !one.canGiveWay || one.heldBytes === 0) continue;
+      if (one.lastProgressMs <= stalledSinceMs && one.lastProgressMs < (stalled?.lastProgressMs ?? Infinity))
+        stalled = one;
+      if (one.heldBytes > (largest?.heldBytes ?? wantedBytes)) largest = one;
+    }
+    return stalled ?? largest;
+  }
+}
+
+/** The bytes that one holder has reserved. */
+export class MemoryReservation {
+  readonly #budget: MemoryBudget;
+  readonly #clock: Clock;
+  readonly #onEvicted: () => void;
+  #heldBytes = 0;
+  #lastProgressMs: number;
+  /** Whether its holder may be made to give way. */
+  canGiveWay = true;
+
+  constructor(budget: MemoryBudget, clock: Clock, onEvicted: () => void) {
+    this.#budget = budget;
+    this.#clock = clock;
+    this.#lastProgressMs = clock.nowMs();
+    this.#onEvicted = onEvicted;
+  }
+
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /** When its holder last made progress, on the clock of the budget. */
+  get lastProgressMs(): number {
+    return this.#lastProgressMs;
+  }
+
+  /** Records that its holder has made progress. */
+  recordProgress(): void {
+    this.#lastProgressMs = this.#clock.nowMs();
+  }
+
+  /** Reserves further bytes; false if the budget is used up. */
+  grow(bytes: number): boolean {
+    if (!this.#budget.request(this, bytes)) return false;
+    this.#heldBytes += bytes;
+    return true;
+  }
+
+  /** Gives back what it holds beyond this many bytes. */
+  shrinkTo(bytes: number): void {
+    const surplusBytes = this.#heldBytes - bytes;
+    if (surplusBytes <= 0) return;
+    this.#heldBytes = bytes;
+    this.#budget.giveBack(surplusBytes);
+  }
+
+  /** Gives back everything for good; may be called again. */
+  release(): void {
+    this.shrinkTo(0);
+    this.#budget.forget(this);
+  }
+
+  /** Releases it and tells its holder. */
+  evict(): void {
+    this.release();
+    this.#onEvicted();
+  }
+}
--- a/packages/runtime/src/client-server.test.ts
+++ b/packages/runtime/src/client-server.test.ts
@@ -5,6 +5,7 @@
 import type { ClientRequest, ResponseSink } from '@rainrun/router';
 import { expect } from 'earl';
 import { ClientServer } from './client-server.js';
+import { MONOTONIC_CLOCK } from './process-environment.js';
 import { splitAddress } from './peer-transport.js';
 import { LoopbackHost } from './testing/loopback-host.js';
 import { RawClient } from './testing/raw-client.js';
@@ -31,13 +32,16 @@
   readonly receivedRequests: { clientRequest: ClientRequest; sink: ResponseSink }[] = [];
   cancelledCount = 0;
   isDraining = false;
+  limits = { ...DEFAULT_LIMITS, headerBytes: 2000, bodyBytes: 100 };
   /** Called for each request that the server passes on. */
   onRequest: (clientRequest: ClientRequest, sink: ResponseSink) => void = (_, sink) =>
     sink.respond(200, [['x-mark', 'm']], Buffer.from('well'));
   readonly agent = new Agent({ keepAlive: true, maxSockets: 1 });
   readonly clientServer = new ClientServer({
     headerNames: HEADER_NAMES,
-    limits: () => ({ ...DEFAULT_LIMITS, headerBytes: 2000, bodyBytes: 100 }),
+    machine: { memoryMb: 256 },
+    clock: MONOTONIC_CLOCK,
+    limits: () => this.limits,
     isDraining: () => this.isDraining,
     onRequest: (clientRequest, sink) => {
       this.receivedRequests.push({ clientRequest, sink });
@@ -97,6 +101,18 @@
   let harness: ClientServerHarness | undefined;
   afterEach(() => harness?.close());
 
+  it('rejects a body of which nothing comes for the idle time, and says that nothing has run', async () => {
+    harness = await ClientServerHarness.open();
+    harness.limits = { ...harness.limits, idleMs: 300 };
+    const client = await RawClient.connect(harness.address);
+    client.send('POST /a HTTP/1.1\r\nHost: a\r\nx-id: 1\r\nContent-Length: 10\r\n\r\nhalf');
+    const { status, headers, body } = await client.next();
+    expect([status, headers.get('connection')]).toEqual([408, 'close']);
+    expect(body).toEqual(expect.includes('"ran":"no"'));
+    expect(harness.receivedRequests).toEqual([]);
+    client.close();
+  });
+
   it('passes on method, path, body and headers unchanged, without hop-by-hop headers', async () => {
     harness = await ClientServerHarness.open();
     const answer = await harness.send(
--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -2,14 +2,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { DEFAULT_LIMITS, type Limits } from '@rainrun/configuration';
-import { fault } from '@rainrun/common';
+import { fault, type Clock, type Fault, type MemoryBudget } from '@rainrun/common';
 import type { ClientRequest, ResponseSink } from '@rainrun/router';
-import { ByteCollector } from './byte-collector.js';
+import { BodyReader, type BodyRejection } from './body-reader.js';
 import { ClientConnections } from './client-connections.js';
 import { checkHead, toClientRequest } from './client-request.js';
 import { ClientResponse } from './client-response.js';
 import type { ClientHeaderNames } from './dialect.js';
 import { splitAddress } from './peer-transport.js';
+import { bodyBudget, bodyMemoryBytes, type MachineLimits } from './resource-limits.js';
 
 const HEADERS_MAX_BYTES = 128 * 1024;
 /** Status line for a request that cannot be parsed or read in time, by the code of Node's error. */
@@ -18,9 +19,21 @@
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
 ]);
 
+/** How often bodies are looked for of which nothing comes any more. */
+const IDLE_CHECK_INTERVAL_MS = 1000;
+
+/** The response to a request whose body is not read to its end: none of them has run. */
+const BODY_REJECTIONS: Readonly<Record<BodyRejection, { readonly status: number; readonly why: Fault }>> = {
+  'too-large': { status: 413, why: fault('too-large', 'the body is too large') },
+  'no-memory': { status: 429, why: fault('over-share', 'the bodies of all requests here are too large') },
+  idle: { status: 408, why: fault('bad-request', 'nothing of the body came for the idle time') },
+};
+
 /** What the client server needs from its node. */
 export interface ClientServerDependencies {
   readonly headerNames: ClientHeaderNames;
+  readonly machine: MachineLimits;
+  readonly clock: Clock;
   limits(): Limits | undefined;
   /** Whether each connection is closed after its current response. */
   isDraining(): boolean;
@@ -39,9 +52,15 @@
   #server: Server;
   #connections = new ClientConnections();
   #openRequests = 0;
+  #bodies: MemoryBudget;
+  #unfinishedBodies = new Set<BodyReader>();
+  #idleCheck: NodeJS.Timeout;
 
   constructor(dependencies: ClientServerDependencies) {
     this.#dependencies = dependencies;
+    const { machine, clock } = dependencies;
+    this.#bodies = bodyBudget(machine, DEFAULT_LIMITS.bodyBytes, clock);
+    this.#idleCheck = setInterval(() => this.#rejectIdleBodies(), IDLE_CHECK_INTERVAL_MS).unref();
     this.#server = createServer(
       { maxHeaderSize: HEADERS_MAX_BYTES, connectionsCheckingInterval: 500, noDelay: true },
       (req, res) => this.#receive(req, res),
@@ -60,9 +79,10 @@
     return this.#openRequests;
   }
 
-  /** Applies the timeouts of the current configuration to the server. */
+  /** Applies the timeouts and the largest body of the current configuration to the server. */
   applyLimits(): void {
-    const { headerMs, idleMs } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
+    const { headerMs, idleMs, bodyBytes } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
+    this.#bodies.limitBytes = bodyMemoryBytes(this.#dependencies.machine, bodyBytes);
     this.#server.headersTimeout = headerMs;
     this.#server.requestTimeout = headerMs + 4 * idleMs;
     this.#server.keepAliveTimeout = idleMs;
@@ -83,6 +103,7 @@
 
   /** Closes every connection immediately, also those with pending responses. */
   closeAllConnections(): void {
+    clearInterval(this.#idleCheck);
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -110,34 +131,41 @@
     const response = new ClientResponse(res, () => this.#dependencies.isDraining());
     const rejection = checkHead(req, this.#dependencies.headerNames, limits);
     if (rejection !== undefined) return response.end(rejection.status, rejection.why, true);
-    this.#readBody(req, limits.bodyBytes, response, (body) => {
-      if (!res.destroyed) this.#dispatch(req, res, body, response);
-    });
+    this.#readBody(req, res, limits.bodyBytes, response);
   }
 
-  /** Reads the body; one above the limit is rejected immediately, and the rest of it is discarded. */
-  #readBody(
-    req: IncomingMessage,
-    maxBytes: number,
-    response: ClientResponse,
-    complete: (body: Buffer) => void,
-  ): void {
-    const collector = new ByteCollector(announcedBytes(req));
-    let rejected = false;
-    req.on('data', (chunk: Buffer) => {
-      if (rejected) return;
-      if (collector.lengthBytes + chunk.length <= maxBytes) return collector.append(chunk);
-      rejected = true;
-      collector.clear();
-      response.end(413, fault('too-large', 'the body is too large'), true);
-    });
-    // A broken connection is handled by the response's 'close' event.
-    req.on('error', () => undefined);
-    req.on('end', () => {
-      if (!rejected && req.complete) complete(collector.take());
+  /** Reads the body, which counts as held until the response is closed, then dispatches the request. */
+  #readBody(req: IncomingMessage, res: ServerResponse, maxBytes: number, response: ClientResponse): void {
+    const reader = new BodyReader(
+      req,
+      { maxBytes, budget: this.#bodies },
+      {
+        complete: (body) => {
+          this.#unfinishedBodies.delete(reader);
+          if (!res.destroyed) this.#dispatch(req, res, body, response);
+        },
+        rejected: (reason) => {
+          this.#unfinishedBodies.delete(reader);
+          const { status, why } = BODY_REJECTIONS[reason];
+          response.end(status, why, true);
+        },
+      },
+    );
+    this.#unfinishedBodies.add(reader);
+    res.on('close', () => {
+      this.#unfinishedBodies.delete(reader);
+      reader.release();
     });
   }
 
+  /** Rejects each body of which nothing came for the idle time. */
+  #rejectIdleBodies(): void {
+    const { idleMs } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
+    const sinceMs = this.#dependencies.clock.nowMs() - idleMs;
+    for (const reader of this.#unfinishedBodies)
+      if ((reader.unfinishedSinceMs ?? Infinity) <= sinceMs) reader.rejectIdle();
+  }
+
   #dispatch(req: IncomingMessage, res: ServerResponse, body: Buffer, response: ClientResponse): void {
     const { headerNames } = this.#dependencies;
     const cancel = this.#dependencies.onRequest(toClientRequest(req, headerNames, body), response);
@@ -146,9 +174,3 @@
     });
   }
 }
-
-/** Length of the body that the client announced; undefined where it comes in chunks. */
-function announcedBytes({ headers }: IncomingMessage): number | undefined {
-  const length = headers['content-length'];
-  return length === undefined ? undefined : Number(length);
-}
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -99,6 +99,8 @@
     });
     this.#clientServer = new ClientServer({
       headerNames: dialect.clientHeaderNames,
+      machine: settings,
+      clock,
       limits: () => this.#replica.configuration?.limits ?? undefined,
       isDraining: () => this.#stopping,
       onRequest: (request, sink) => this.#router.submit(request, sink),
