Free the buffers of bodies soon after they are dead

Callers saw: as before, an edge over the memory of its machine; with the bodies bounded, whole bodies that waited for a worker still took it to 204 MB of 200. Cause: V8 counts memory outside of its heap coarsely and lets about 64 MB of dead buffers add up; its young generation grows to 48 MB besides.

--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -1,6 +1,7 @@
 /** Reads the body of an HTTP request within the limits on one body and on all bodies of the process. */
 import type { IncomingMessage } from 'node:http';
 import type { MemoryBudget, MemoryReservation } from '@rainrun/common';
+import { recordShortLivedBuffer } from './buffer-garbage.js';
 import { ByteCollector } from './byte-collector.js';
 
 /** Why a body is not read to its end. */
@@ -67,6 +68,7 @@
   }
 
   #take(chunk: Buffer): void {
+    recordShortLivedBuffer(chunk.length);
     if (this.#isRejected) return;
     this.#reservation.recordProgress();
     if (this.#collector.lengthBytes + chunk.length > this.#maxBytes) return this.#reject('too-large');
