Bound the bodies that a core holds at its port for operators

Callers saw: crowds that end an edge did the same to a core: 1,288 MB of 346, or an exhausted heap, and a restart. Cause: OperatorServer read bodies as ClientServer did, each chunk a Buffer of its own, with no count over all calls and 300 s for a call that stops. Change: it uses BodyReader and a MemoryBudget of its own, a sixteenth of MemoryMb. No room is 429, a body of which nothing comes for 15 s is 408; callers go to another node after both. A call has 60 s, its head 10 s.

--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -11,6 +11,7 @@
 import type { ClientHeaderNames } from './dialect.js';
 import { splitAddress } from './peer-transport.js';
 import { bodyBudget, bodyMemoryBytes, type MachineLimits } from './resource-limits.js';
+import { UnfinishedBodies } from './unfinished-bodies.js';
 
 const HEADERS_MAX_BYTES = 128 * 1024;
 /** Status line for a request that cannot be parsed or read in time, by the code of Node's error. */
@@ -53,7 +54,7 @@
   #connections = new ClientConnections();
   #openRequests = 0;
   #bodies: MemoryBudget;
-  #unfinishedBodies = new Set<BodyReader>();
+  #unfinishedBodies = new UnfinishedBodies();
   #idleCheck: NodeJS.Timeout;
 
   constructor(dependencies: ClientServerDependencies) {
@@ -141,29 +142,22 @@
       { maxBytes, budget: this.#bodies },
       {
         complete: (body) => {
-          this.#unfinishedBodies.delete(reader);
           if (!res.destroyed) this.#dispatch(req, res, body, response);
         },
         rejected: (reason) => {
-          this.#unfinishedBodies.delete(reader);
           const { status, why } = BODY_REJECTIONS[reason];
           response.end(status, why, true);
         },
       },
     );
-    this.#unfinishedBodies.add(reader);
-    res.on('close', () => {
-      this.#unfinishedBodies.delete(reader);
-      reader.release();
-    });
+    this.#unfinishedBodies.add(reader, res);
+    res.on('close', () => reader.release());
   }
 
   /** Rejects each body of which nothing came for the idle time. */
   #rejectIdleBodies(): void {
     const { idleMs } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
-    const sinceMs = this.#dependencies.clock.nowMs() - idleMs;
-    for (const reader of this.#unfinishedBodies)
-      if ((reader.unfinishedSinceMs ?? Infinity) <= sinceMs) reader.rejectIdle();
+    this.#unfinishedBodies.rejectIdle(this.#dependencies.clock.nowMs() - idleMs);
   }
 
   #dispatch(req: IncomingMessage, res: ServerResponse, body: Buffer, response: ClientResponse): void {
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -118,7 +118,13 @@
       format: dialect,
       status: () => coreStatus(this.#replica, quotaStatusesOf(this.#replica.quotaStats)),
     });
-    this.#operatorServer = new OperatorServer(dialect, this.#operators, log);
+    this.#operatorServer = new OperatorServer({
+      dialect,
+      handler: this.#operators,
+      log,
+      machine: settings,
+      clock: MONOTONIC_CLOCK,
+    });
   }
 
   /**
--- a/packages/runtime/src/operator-server.test.ts
+++ b/packages/runtime/src/operator-server.test.ts
@@ -11,6 +11,7 @@
 import { jsonDepth } from './json-depth.js';
 import type { Log } from './log.js';
 import { BODY_MAX_BYTES, OperatorServer } from './operator-server.js';
+import { MONOTONIC_CLOCK } from './process-environment.js';
 
 function readCall(
   _method: string,
@@ -41,7 +42,13 @@
     },
     failure,
   };
-  const server = new OperatorServer(dialect as Dialect, answers, log);
+  const server = new OperatorServer({
+    dialect: dialect as Dialect,
+    handler: answers,
+    log,
+    machine: { memoryMb: 256 },
+    clock: MONOTONIC_CLOCK,
+  });
   await new Promise<void>((resolve) => server.listen('127.0.0.1', 0, resolve));
   return { server, calls, address: `127.0.0.1:${server.port}` };
 }
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -2,12 +2,15 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import type { OperatorCall, OperatorReply, OperatorService } from '@rainrun/cluster-node';
-import { fault, type Fault } from '@rainrun/common';
+import { fault, type Clock, type Fault, type MemoryBudget } from '@rainrun/common';
 import { Result } from 'true-myth';
 import { tryOrElse } from 'true-myth/result';
+import { BodyReader, type BodyRejection } from './body-reader.js';
 import type { Dialect } from './dialect.js';
 import { jsonDepth } from './json-depth.js';
 import type { Log } from './log.js';
+import { bodyBudget, type MachineLimits } from './resource-limits.js';
+import { UnfinishedBodies } from './unfinished-bodies.js';
 
 /**
  * Limit for a request body: a configuration has at most 3 MiB, but a caller's JSON may hold more whitespace.
@@ -15,6 +18,29 @@
 export const BODY_MAX_BYTES = 4 * 1024 * 1024;
 const JSON_DEPTH_MAX = 64;
 
+/** Timeouts of connections; an operator's machine sends even a large configuration within a few seconds. */
+const SERVER_TIMEOUTS = { headersTimeout: 10_000, requestTimeout: 60_000 } as const;
+/** Time after which a body of which nothing came is given up. */
+const BODY_IDLE_TIMEOUT_MS = 15_000;
+const IDLE_CHECK_INTERVAL_MS = 1000;
+const STATUS_REQUEST_TIMEOUT = 408;
+
+/** What is wrong with a body that is not read to its end; the rest is discarded, so that the caller gets a reply. */
+const BODY_FAULTS: Readonly<Record<BodyRejection, Fault>> = {
+  'too-large': fault('too-large', `the body is larger than ${BODY_MAX_BYTES} bytes`),
+  'no-memory': fault('over-share', 'the bodies of all calls here are too large'),
+  idle: fault('bad-request', 'nothing of the body came for a time'),
+};
+
+/** What the operator server needs from its node. */
+export interface OperatorServerDependencies {
+  readonly dialect: Dialect;
+  readonly handler: OperatorCallHandler;
+  readonly log: Log;
+  readonly machine: MachineLimits;
+  readonly clock: Clock;
+}
+
 /** The part of the operator service that this server calls. */
 export type OperatorCallHandler = Pick<OperatorService, 'answer' | 'failure'>;
 
@@ -22,7 +48,7 @@
  * Reads operator calls, passes them to the operator service and logs each. A call whose caller has
  * disconnected is dropped: the caller may already have sent it to another node.
  * @example
- * const server = new OperatorServer(dialect, service, log);
+ * const server = new OperatorServer({ dialect, handler: service, log, machine, clock });
  * server.listen('10.0.0.4', 8146);
  */
 export class OperatorServer {
@@ -30,17 +56,25 @@
   #handler: OperatorCallHandler;
   #log: Log;
   #server: Server;
+  #bodies: MemoryBudget;
+  #unfinishedBodies = new UnfinishedBodies();
+  #idleCheck: NodeJS.Timeout;
 
-  constructor(dialect: Dialect, handler: OperatorCallHandler, log: Log) {
+  constructor({ dialect, handler, log, machine, clock }: OperatorServerDependencies) {
     this.#dialect = dialect;
     this.#handler = handler;
     this.#log = log;
-    this.#server = createServer((req, res) => {
+    this.#bodies = bodyBudget(machine, BODY_MAX_BYTES, clock);
+    this.#server = createServer(SERVER_TIMEOUTS, (req, res) => {
       this.#receive(req, res).catch((thrown: unknown) => {
         log.error({ err: thrown, detail: String(thrown) }, 'operator call failed');
         res.destroy();
       });
     });
+    this.#idleCheck = setInterval(
+      () => this.#unfinishedBodies.rejectIdle(clock.nowMs() - BODY_IDLE_TIMEOUT_MS),
+      IDLE_CHECK_INTERVAL_MS,
+    ).unref();
   }
 
   /** The port on which the server listens, 0 before it does. */
@@ -54,12 +88,13 @@
   }
 
   close(): void {
+    clearInterval(this.#idleCheck);
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
   async #receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const body = await readBody(req);
+    const body = await this.#readBody(req, res);
     // The end of a connection is read one turn of the event loop after the call on it.
     await nextTurn();
     await nextTurn();
@@ -73,11 +108,28 @@
     res.end(reply.body);
   }
 
-  async #answer(req: IncomingMessage, body: Result<string, Fault>): Promise<OperatorReply> {
-    const call = body.andThen((text) =>
-      this.#dialect.readCall(req.method ?? '', req.url ?? '', req.headers, text),
-    );
-    const reply = call.isOk ? await this.#execute(call.value, req) : this.#handler.failure(call.error);
+  /** Reads a body; its memory counts as held until the response is closed. */
+  #readBody(req: IncomingMessage, res: ServerResponse): Promise<Result<Buffer, BodyRejection>> {
+    return new Promise((resolve) => {
+      const reader = new BodyReader(
+        req,
+        { maxBytes: BODY_MAX_BYTES, budget: this.#bodies },
+        {
+          complete: (body) => resolve(Result.ok(body)),
+          rejected: (reason) => resolve(Result.err(reason)),
+        },
+      );
+      this.#unfinishedBodies.add(reader, res);
+      res.on('close', () => reader.release());
+    });
+  }
+
+  async #answer(req: IncomingMessage, body: Result<Buffer, BodyRejection>): Promise<OperatorReply> {
+    const call = body
+      .mapErr((reason) => BODY_FAULTS[reason])
+      .andThen(readText)
+      .andThen((text) => this.#dialect.readCall(req.method ?? '', req.url ?? '', req.headers, text));
+    const reply = call.isOk ? await this.#execute(call.value, req) : this.#reject(call.error, body);
     this.#log.info(
       call.isOk ? callLogFields(call.value, reply) : rejectionLogFields(call.error, reply),
       'operator',
@@ -85,6 +137,12 @@
     return reply;
   }
 
+  /** The reply to a call that is not executed; after 408, unlike 400, a caller tries again. */
+  #reject(why: Fault, body: Result<Buffer, BodyRejection>): OperatorReply {
+    const reply = this.#handler.failure(why);
+    return body.isErr && body.error === 'idle' ? { ...reply, status: STATUS_REQUEST_TIMEOUT } : reply;
+  }
+
   #execute(call: OperatorCall, req: IncomingMessage): Promise<OperatorReply> {
     return new Promise((resolve) => this.#handler.answer(call, resolve, () => isCallerGone(req)));
   }
@@ -107,29 +165,7 @@
   return req.socket.readableEnded || req.socket.destroyed;
 }
 
-/**
- * The body of a call as text. One that is too large is read and discarded, so that the caller gets a
- * response, not a reset.
- */
-function readBody(req: IncomingMessage): Promise<Result<string, Fault>> {
-  const tooLarge = fault('too-large', `the body is larger than ${BODY_MAX_BYTES} bytes`);
-  return new Promise((resolve) => {
-    const parts: Buffer[] = [];
-    let bytes = 0;
-    req.on('data', (part: Buffer) => {
-      bytes += part.length;
-      if (bytes <= BODY_MAX_BYTES) {
-        parts.push(part);
-        return;
-      }
-      parts.length = 0;
-      resolve(Result.err(tooLarge));
-    });
-    req.on('end', () => resolve(readText(Buffer.concat(parts))));
-    req.on('error', (thrown) => resolve(Result.err(fault('bad-request', thrown.message))));
-  });
-}
-
+/** The body of a call as text. */
 function readText(bytes: Buffer): Result<string, Fault> {
   return tryOrElse(
     () => fault('bad-request', 'the body is not UTF-8 text'),
--- /dev/null
+++ b/packages/runtime/src/unfinished-bodies.ts
@@ -0,0 +1,28 @@
+/** The bodies that a server is reading, to give up those of which nothing comes any more. */
+import type { ServerResponse } from 'node:http';
+import type { BodyReader } from './body-reader.js';
+
+/**
+ * Bodies that are not complete yet.
+ * @example
+ * unfinishedBodies.add(reader, res);
+ * setInterval(() => unfinishedBodies.rejectIdle(clock.nowMs() - idleMs), 1000);
+ */
+export class UnfinishedBodies {
+  readonly #readers = new Set<BodyReader>();
+
+  /** Adds a body until the response to its request is closed. */
+  add(reader: BodyReader, response: ServerResponse): void {
+    this.#readers.add(reader);
+    response.on('close', () => this.#readers.delete(reader));
+  }
+
+  /** Rejects each body of which nothing came since this time, on the clock of its budget. */
+  rejectIdle(sinceMs: number): void {
+    for (const reader of this.#readers) {
+      const { unfinishedSinceMs } = reader;
+      if (unfinishedSinceMs === undefined) this.#readers.delete(reader);
+      else if (unfinishedSinceMs <= sinceMs) reader.rejectIdle();
+    }
+  }
+}
