Read connections that send tiny pieces in turns

Callers saw: twelve clients that sent bodies in chunks of one byte held a core up for 1.4 s at a time; it lost its lease and answered ordinary operators with 503. Ordinary calls took up to 1.9 s. Cause: one read of 64 KiB holds some 11,000 such chunks, libuv reads a full connection up to 32 times in a row, and all of them are parsed before anything else runs.

--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -3,6 +3,7 @@
 import type { MemoryBudget, MemoryReservation } from '@rainrun/common';
 import { recordShortLivedBuffer } from './buffer-garbage.js';
 import { ByteCollector } from './byte-collector.js';
+import type { ReadPacer } from './read-pacer.js';
 
 /** Why a body is not read to its end. */
 export type BodyRejection =
@@ -13,6 +14,15 @@
   /** Nothing of it came for the idle time. */
   | 'idle';
 
+/** What bounds the reading of a body. */
+export interface BodyLimits {
+  /** Largest size of one body. */
+  readonly maxBytes: number;
+  /** The memory of all bodies together. */
+  readonly budget: MemoryBudget;
+  readonly pacer: ReadPacer;
+}
+
 /** What becomes of a body; exactly one of the two is called, or none if the connection breaks before its end. */
 export interface BodyHandler {
   complete(body: Buffer): void;
@@ -24,24 +34,22 @@
  * Reads one body. Its memory stays reserved until `release` is called, since the body is held until the
  * request is answered.
  * @example
- * const reader = new BodyReader(req, { maxBytes: 4_194_304, budget }, handler);
+ * const reader = new BodyReader(req, { maxBytes: 4_194_304, budget, pacer }, handler);
  * res.on('close', () => reader.release());
  */
 export class BodyReader {
   readonly #request: IncomingMessage;
   readonly #maxBytes: number;
+  readonly #pacer: ReadPacer;
   readonly #handler: BodyHandler;
   readonly #collector: ByteCollector;
   readonly #reservation: MemoryReservation;
   #isRejected = false;
 
-  constructor(
-    request: IncomingMessage,
-    { maxBytes, budget }: { readonly maxBytes: number; readonly budget: MemoryBudget },
-    handler: BodyHandler,
-  ) {
+  constructor(request: IncomingMessage, { maxBytes, budget, pacer }: BodyLimits, handler: BodyHandler) {
     this.#request = request;
     this.#maxBytes = maxBytes;
+    this.#pacer = pacer;
     this.#handler = handler;
     this.#collector = new ByteCollector(announcedBytes(request));
     this.#reservation = budget.open(() => this.#reject('no-memory'));
@@ -69,6 +77,7 @@
 
   #take(chunk: Buffer): void {
     recordShortLivedBuffer(chunk.length);
+    this.#pacer.record(this.#request.socket, chunk.length);
     if (this.#isRejected) return;
     this.#reservation.recordProgress();
     if (this.#collector.lengthBytes + chunk.length > this.#maxBytes) return this.#reject('too-large');
--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -10,6 +10,7 @@
 import { ClientResponse } from './client-response.js';
 import type { ClientHeaderNames } from './dialect.js';
 import { splitAddress } from './peer-transport.js';
+import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, bodyMemoryBytes, type MachineLimits } from './resource-limits.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
@@ -55,6 +56,7 @@
   #openRequests = 0;
   #bodies: MemoryBudget;
   #unfinishedBodies = new UnfinishedBodies();
+  #pacer = new ReadPacer();
   #idleCheck: NodeJS.Timeout;
 
   constructor(dependencies: ClientServerDependencies) {
@@ -139,7 +141,7 @@
   #readBody(req: IncomingMessage, res: ServerResponse, maxBytes: number, response: ClientResponse): void {
     const reader = new BodyReader(
       req,
-      { maxBytes, budget: this.#bodies },
+      { maxBytes, budget: this.#bodies, pacer: this.#pacer },
       {
         complete: (body) => {
           if (!res.destroyed) this.#dispatch(req, res, body, response);
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -9,6 +9,7 @@
 import type { Dialect } from './dialect.js';
 import { jsonDepth } from './json-depth.js';
 import type { Log } from './log.js';
+import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, type MachineLimits } from './resource-limits.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
@@ -58,6 +59,7 @@
   #server: Server;
   #bodies: MemoryBudget;
   #unfinishedBodies = new UnfinishedBodies();
+  #pacer = new ReadPacer();
   #idleCheck: NodeJS.Timeout;
 
   constructor({ dialect, handler, log, machine, clock }: OperatorServerDependencies) {
@@ -113,7 +115,7 @@
     return new Promise((resolve) => {
       const reader = new BodyReader(
         req,
-        { maxBytes: BODY_MAX_BYTES, budget: this.#bodies },
+        { maxBytes: BODY_MAX_BYTES, budget: this.#bodies, pacer: this.#pacer },
         {
           complete: (body) => resolve(Result.ok(body)),
           rejected: (reason) => resolve(Result.err(reason)),
