Let the parser of an edge take heads up to MaxHeaderBytes only

Callers saw: clients that sent 120,000 bytes of head and never ended it took an edge to an exhausted heap and SIGABRT. Cause: the parser took heads of up to 128 KiB, whatever MaxHeaderBytes is; checkHead sees a head only once it is whole. Change: the parser's limit follows the configuration. Its count is below that of checkHead, so no head that was taken before is refused.

--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -14,7 +14,6 @@
 import { bodyBudget, bodyMemoryBytes, type MachineLimits } from './resource-limits.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
-const HEADERS_MAX_BYTES = 128 * 1024;
 /** Status line for a request that cannot be parsed or read in time, by the code of Node's error. */
 const MALFORMED_REQUEST_STATUS: ReadonlyMap<string, string> = new Map([
   ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
@@ -64,9 +63,8 @@
     const { machine, clock } = dependencies;
     this.#bodies = bodyBudget(machine, DEFAULT_LIMITS.bodyBytes, clock);
     this.#idleCheck = setInterval(() => this.#rejectIdleBodies(), IDLE_CHECK_INTERVAL_MS).unref();
-    this.#server = createServer(
-      { maxHeaderSize: HEADERS_MAX_BYTES, connectionsCheckingInterval: 500, noDelay: true },
-      (req, res) => this.#receive(req, res),
+    this.#server = createServer({ connectionsCheckingInterval: 500, noDelay: true }, (req, res) =>
+      this.#receive(req, res),
     );
     this.#server.on('connection', (socket) => this.#connections.add(socket));
     this.#server.on('clientError', (thrown: NodeJS.ErrnoException, socket) =>
@@ -82,9 +80,11 @@
     return this.#openRequests;
   }
 
-  /** Applies the timeouts and the largest body of the current configuration to the server. */
+  /** Applies the timeouts and sizes of the current configuration to the server. */
   applyLimits(): void {
-    const { headerMs, idleMs, bodyBytes } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
+    const { headerBytes, headerMs, idleMs, bodyBytes } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
+    // Read by Node.js for each new connection, but missing in its types.
+    Object.assign(this.#server, { maxHeaderSize: headerBytes });
     this.#bodies.limitBytes = bodyMemoryBytes(this.#dependencies.machine, bodyBytes);
     this.#server.headersTimeout = headerMs;
     this.#server.requestTimeout = headerMs + 4 * idleMs;
