Refuse operators' documents of more values than a core has room for

Callers saw: one call of 4 MiB whose document holds 1.4 million empty objects exhausted the heap of a core, and the core restarted. Cause: the size of a body was bounded, but a value of three bytes takes some sixty once it is parsed, and unknown fields are kept. Change: the pass that finds the depth of a text counts its values too; above 300,000 the call gets 413. Routes, models and keys take more than 11 bytes a value, and a configuration has at most 3 MiB, so none comes near.

--- a/packages/runtime/src/operator-server.test.ts
+++ b/packages/runtime/src/operator-server.test.ts
@@ -8,7 +8,7 @@
 import { Result } from 'true-myth';
 import { request } from 'undici';
 import type { Dialect } from './dialect.js';
-import { jsonDepth } from './json-depth.js';
+import { jsonExtent } from './json-extent.js';
 import type { Log } from './log.js';
 import { BODY_MAX_BYTES, OperatorServer } from './operator-server.js';
 import { MONOTONIC_CLOCK } from './process-environment.js';
@@ -116,6 +116,11 @@
 
 describe('the nesting depth of a JSON text', () => {
   it('counts arrays and objects, but no brackets within strings', () => {
-    expect(['1', '{}', '{"a":[{"b":"[[["}]}', '"\\"[["', '[[]'].map(jsonDepth)).toEqual([0, 1, 3, 0, 2]);
+    expect(
+      ['1', '{}', '{"a":[{"b":"[[["}]}', '"\\"[["', '[[]'].map((text) => jsonExtent(text).depth),
+    ).toEqual([0, 1, 3, 0, 2]);
+    expect(['1', '{}', '[1,2,3]', '{"a":[1,2],"b":","}'].map((text) => jsonExtent(text).values)).toEqual([
+      1, 2, 4, 5,
+    ]);
   });
 });
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -7,7 +7,7 @@
 import { tryOrElse } from 'true-myth/result';
 import { BodyReader, type BodyRejection } from './body-reader.js';
 import type { Dialect } from './dialect.js';
-import { jsonDepth } from './json-depth.js';
+import { jsonExtent } from './json-extent.js';
 import type { Log } from './log.js';
 import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, type MachineLimits } from './resource-limits.js';
@@ -18,6 +18,8 @@
  */
 export const BODY_MAX_BYTES = 4 * 1024 * 1024;
 const JSON_DEPTH_MAX = 64;
+/** Routes, models and keys take more than 11 bytes a value: a configuration of 3 MiB stays below it. */
+const JSON_VALUES_MAX = 300_000;
 
 /** Timeouts of connections; an operator's machine sends even a large configuration within a few seconds. */
 const SERVER_TIMEOUTS = { headersTimeout: 10_000, requestTimeout: 60_000 } as const;
@@ -172,9 +174,15 @@
   return tryOrElse(
     () => fault('bad-request', 'the body is not UTF-8 text'),
     () => new TextDecoder('utf-8', { fatal: true }).decode(bytes),
-  ).andThen((text) =>
-    jsonDepth(text) > JSON_DEPTH_MAX
-      ? Result.err<string, Fault>(fault('bad-request', `the body is nested deeper than ${JSON_DEPTH_MAX}`))
-      : Result.ok<string, Fault>(text),
-  );
+  ).andThen(checkExtent);
+}
+
+/** Rejects a text that is nested too deeply to be parsed, or holds more values than a core has room for. */
+function checkExtent(text: string): Result<string, Fault> {
+  const { depth, values } = jsonExtent(text);
+  if (depth > JSON_DEPTH_MAX)
+    return Result.err(fault('bad-request', `the body is nested deeper than ${JSON_DEPTH_MAX}`));
+  if (values > JSON_VALUES_MAX)
+    return Result.err(fault('too-large', `the body holds more than ${JSON_VALUES_MAX} values`));
+  return Result.ok(text);
 }
