Bound the requests that a connection sends without waiting for answers

Callers saw: 100 connections that each sent 2000 requests at once exhausted the heap of an edge (SIGABRT); the same at a core's port for operators left ordinary calls without an answer. Cause: nothing bounded the unanswered requests of a connection. And Node.js emits no 'close' on a response that waits behind another one when its connection breaks: openRequests never came down again, and what was reserved for such a request stayed. Change: a connection with 16 unanswered requests is closed at the next one; onResponseClose tells of the end of a response also when its connection ends first.

--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -11,8 +11,10 @@
 import { ConnectionLimit } from './connection-limit.js';
 import type { ClientHeaderNames } from './dialect.js';
 import { splitAddress } from './peer-transport.js';
+import { PipelineLimit } from './pipeline-limit.js';
 import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, bodyMemoryBytes, edgeConnectionLimits, type MachineLimits } from './resource-limits.js';
+import { onResponseClose } from './response-close.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
 /** Status line for a request that cannot be parsed or read in time, by the code of Node's error. */
@@ -54,6 +56,7 @@
   #server: Server;
   #connections = new ClientConnections();
   #connectionLimit: ConnectionLimit;
+  #pipelineLimit = new PipelineLimit();
   #openRequests = 0;
   #bodies: MemoryBudget;
   #unfinishedBodies = new UnfinishedBodies();
@@ -130,9 +133,9 @@
   }
 
   #receive(req: IncomingMessage, res: ServerResponse): void {
-    if (!this.#connections.requestStarted(req)) return;
+    if (!this.#pipelineLimit.accept(req, res) || !this.#connections.requestStarted(req)) return;
     this.#openRequests += 1;
-    res.on('close', () => {
+    onResponseClose(req, res, () => {
       this.#openRequests -= 1;
       this.#connections.responseClosed(req);
     });
@@ -158,8 +161,8 @@
         },
       },
     );
-    this.#unfinishedBodies.add(reader, res);
-    res.on('close', () => reader.release());
+    this.#unfinishedBodies.add(reader, req, res);
+    onResponseClose(req, res, () => reader.release());
   }
 
   /** Rejects each body of which nothing came for the idle time. */
@@ -172,7 +175,7 @@
     const { headerNames } = this.#dependencies;
     this.#connectionLimit.begin(req.socket);
     const cancel = this.#dependencies.onRequest(toClientRequest(req, headerNames, body), response);
-    res.on('close', () => {
+    onResponseClose(req, res, () => {
       this.#connectionLimit.end(req.socket);
       if (!res.writableFinished) cancel();
     });
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -10,8 +10,10 @@
 import type { Dialect } from './dialect.js';
 import { jsonExtent } from './json-extent.js';
 import type { Log } from './log.js';
+import { PipelineLimit } from './pipeline-limit.js';
 import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, coreConnectionLimits, type MachineLimits } from './resource-limits.js';
+import { onResponseClose } from './response-close.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
 /**
@@ -62,6 +64,7 @@
   #server: Server;
   #bodies: MemoryBudget;
   #connectionLimit: ConnectionLimit;
+  #pipelineLimit = new PipelineLimit();
   #unfinishedBodies = new UnfinishedBodies();
   #pacer = new ReadPacer();
   #idleCheck: NodeJS.Timeout;
@@ -73,12 +76,15 @@
     this.#connectionLimit = new ConnectionLimit(coreConnectionLimits(machine).operators, clock);
     this.#bodies = bodyBudget(machine, BODY_MAX_BYTES, clock);
     this.#server = createServer(SERVER_TIMEOUTS, (req, res) => {
+      if (!this.#pipelineLimit.accept(req, res)) return;
       this.#receive(req, res).catch((thrown: unknown) => {
         log.error({ err: thrown, detail: String(thrown) }, 'operator call failed');
         res.destroy();
       });
     });
-    this.#server.on('connection', (socket) => this.#connectionLimit.add(socket));
+    this.#server.on('connection', (socket) => {
+      this.#connectionLimit.add(socket);
+    });
     this.#idleCheck = setInterval(
       () => this.#unfinishedBodies.rejectIdle(clock.nowMs() - BODY_IDLE_TIMEOUT_MS),
       IDLE_CHECK_INTERVAL_MS,
@@ -104,7 +110,7 @@
   async #receive(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const body = await this.#readBody(req, res);
     this.#connectionLimit.begin(req.socket);
-    res.on('close', () => this.#connectionLimit.end(req.socket));
+    onResponseClose(req, res, () => this.#connectionLimit.end(req.socket));
     // The end of a connection is read one turn of the event loop after the call on it.
     await nextTurn();
     await nextTurn();
@@ -129,8 +135,8 @@
           rejected: (reason) => resolve(Result.err(reason)),
         },
       );
-      this.#unfinishedBodies.add(reader, res);
-      res.on('close', () => reader.release());
+      this.#unfinishedBodies.add(reader, req, res);
+      onResponseClose(req, res, () => reader.release());
     });
   }
 
--- a/packages/runtime/src/unfinished-bodies.ts
+++ b/packages/runtime/src/unfinished-bodies.ts
@@ -1,20 +1,21 @@
 /** The bodies that a server is reading, to give up those of which nothing comes any more. */
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { BodyReader } from './body-reader.js';
+import { onResponseClose } from './response-close.js';
 
 /**
  * Bodies that are not complete yet.
  * @example
- * unfinishedBodies.add(reader, res);
+ * unfinishedBodies.add(reader, req, res);
  * setInterval(() => unfinishedBodies.rejectIdle(clock.nowMs() - idleMs), 1000);
  */
 export class UnfinishedBodies {
   readonly #readers = new Set<BodyReader>();
 
   /** Adds a body until the response to its request is closed. */
-  add(reader: BodyReader, response: ServerResponse): void {
+  add(reader: BodyReader, request: IncomingMessage, response: ServerResponse): void {
     this.#readers.add(reader);
-    response.on('close', () => this.#readers.delete(reader));
+    onResponseClose(request, response, () => this.#readers.delete(reader));
   }
 
   /** Rejects each body of which nothing came since this time, on the clock of its budget. */
