Bound the frames that a node is receiving from its peers

Callers saw: 60 connections to the port for peers, each with a frame of 8 MiB that never ended, took an edge to 852 MB and a core to 860 MB of 200, and 10 to 18 s of copying. Cause: each connection joined what it had with every further chunk, and nothing counted what all connections hold. Change: FrameReader collects a frame in blocks, and one that comes whole in a chunk is not copied at all. A MemoryBudget (a sixteenth of MemoryMb, or two frames of the largest size) counts frames in progress; a stalled one gives way, and its connection is closed. The last quarter is for frames of up to 64 KiB: heartbeats, answers, changes.

--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -22,7 +22,7 @@
 import type { Log } from './log.js';
 import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
 import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM } from './process-environment.js';
-import { coreConnectionLimits } from './resource-limits.js';
+import { coreConnectionLimits, frameMemoryBytes } from './resource-limits.js';
 import { OperatorServer } from './operator-server.js';
 import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
@@ -88,11 +88,10 @@
     this.#log = log;
     this.#onFatal = onFatal;
     this.#acceptor = acceptor;
-    this.#transport = new PeerTransport(
-      'system',
-      (frame) => this.#replica.receive(frame),
-      coreConnectionLimits(settings).peers,
-    );
+    this.#transport = new PeerTransport('system', (frame) => this.#replica.receive(frame), {
+      connections: coreConnectionLimits(settings).peers,
+      frameBytes: frameMemoryBytes(settings),
+    });
     const seeds = seedAddresses(settings);
     this.#replica = new CoreReplica({
       name: settings.name,
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -10,7 +10,7 @@
 import type { EdgeDialect, PlatformSettings } from './dialect.js';
 import { ClientServer } from './client-server.js';
 import { ConnectionLimit } from './connection-limit.js';
-import { edgeConnectionLimits } from './resource-limits.js';
+import { edgeConnectionLimits, frameMemoryBytes } from './resource-limits.js';
 import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
 import type { Log } from './log.js';
 import { MONOTONIC_CLOCK, processUsage, SECURE_RANDOM } from './process-environment.js';
@@ -68,11 +68,10 @@
     this.#clock = clock;
     this.#log = log;
     const connectionLimits = edgeConnectionLimits(settings);
-    this.#transport = new PeerTransport(
-      'system',
-      (frame) => this.#replica.receive(frame),
-      connectionLimits.peers,
-    );
+    this.#transport = new PeerTransport('system', (frame) => this.#replica.receive(frame), {
+      connections: connectionLimits.peers,
+      frameBytes: frameMemoryBytes(settings),
+    });
     this.#replica = new EdgeReplica({
       name: settings.name,
       zone: settings.zone,
--- a/packages/runtime/src/peer-transport.ts
+++ b/packages/runtime/src/peer-transport.ts
@@ -1,10 +1,11 @@
 /** Transport of frames between nodes over TCP, shared by both systems. */
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
-import { FRAME_MAX_BYTES, encodeFrame, decodeFrame, type Frame } from '@rainrun/messages';
-import { backoffMs, fault, type BackoffPolicy, type Fault } from '@rainrun/common';
+import { encodeFrame, decodeFrame, type Frame } from '@rainrun/messages';
+import { backoffMs, fault, MemoryBudget, type BackoffPolicy, type Fault } from '@rainrun/common';
 import { Result, type Unit } from 'true-myth';
 import { ConnectionLimit } from './connection-limit.js';
+import { FrameReader } from './frame-reader.js';
 import { MONOTONIC_CLOCK } from './process-environment.js';
 
 /** Bytes buffered for one peer above which further frames are dropped. */
@@ -22,6 +23,20 @@
 /** Time after which listening on a port that stays in use is given up. */
 export const LISTEN_GIVE_UP_MS = 30_000;
 
+/** Frames up to this size have the last part of the memory for themselves: heartbeats, answers, changes. */
+const SMALL_FRAME_BYTES = 64 * 1024;
+
+/** What a transport may hold for its peers. */
+export interface PeerLimits {
+  /** Most accepted connections at the same time. */
+  readonly connections: number;
+  /** Memory of the frames that are being received on all of them, in bytes. */
+  readonly frameBytes: number;
+}
+
+/** For nodes without settings of their machine. */
+const DEFAULT_PEER_LIMITS: PeerLimits = { connections: 4096, frameBytes: 64 * 2 ** 20 };
+
 /** Counters of the transport. */
 export interface TransportCounts {
   framesIn: number;
@@ -62,6 +77,8 @@
   #lastFailureMs = new Map<string, number>();
   #acceptedSockets = new Set<Socket>();
   #connectionLimit: ConnectionLimit;
+  /** Memory of the frames that are being received. */
+  #frames: MemoryBudget;
   #closed = false;
   readonly counts: TransportCounts = {
     framesIn: 0,
@@ -75,11 +92,19 @@
     listenFailures: 0,
   };
 
-  /** @param maxAccepted - most connections of peers to keep open at the same time */
-  constructor(deployment: string, onFrame: (frame: Frame) => void, maxAccepted = Infinity) {
+  constructor(
+    deployment: string,
+    onFrame: (frame: Frame) => void,
+    { connections, frameBytes }: PeerLimits = DEFAULT_PEER_LIMITS,
+  ) {
     this.#deployment = deployment;
     this.#onFrame = onFrame;
-    this.#connectionLimit = new ConnectionLimit(maxAccepted, MONOTONIC_CLOCK);
+    this.#connectionLimit = new ConnectionLimit(connections, MONOTONIC_CLOCK);
+    this.#frames = new MemoryBudget({
+      limitBytes: frameBytes,
+      smallBytes: SMALL_FRAME_BYTES,
+      clock: MONOTONIC_CLOCK,
+    });
   }
 
   /** The port on which the transport listens, 0 before it does. */
@@ -179,7 +204,6 @@
   }
 
   #accept(socket: Socket): void {
-    let buffered: Buffer = Buffer.alloc(0);
     let ackTimer: NodeJS.Timeout | undefined;
     function acknowledgeSoon(): void {
       ackTimer ??= setTimeout(() => {
@@ -196,28 +220,18 @@
       clearTimeout(ackTimer);
       this.#acceptedSockets.delete(socket);
     });
+    const reader = new FrameReader(this.#frames, {
+      frame: (bytes) => this.#receive(bytes),
+      failed: (reason) => {
+        if (reason === 'malformed') this.counts.malformed += 1;
+        socket.destroy();
+      },
+    });
+    socket.on('close', () => reader.release());
     socket.on('data', (chunk: Buffer) => {
-      buffered = buffered.length === 0 ? chunk : Buffer.concat([buffered, chunk]);
-      let hasReadFrame = false;
-      for (;;) {
-        if (hasReadFrame && buffered.length < 4) acknowledgeSoon();
-        if (buffered.length < 4) return;
-        const length = buffered.readUInt32BE();
-        if (length > FRAME_MAX_BYTES) {
-          this.counts.malformed += 1;
-          socket.destroy();
-          return;
-        }
-        if (buffered.length < 4 + length) {
-          acknowledgeSoon();
-          return;
-        }
-        const bytes = buffered.subarray(4, 4 + length);
-        buffered = buffered.subarray(4 + length);
-        this.#receive(bytes);
-        this.#connectionLimit.touch(socket);
-        hasReadFrame = true;
-      }
+      const hasReadFrame = reader.take(chunk);
+      if (hasReadFrame) this.#connectionLimit.touch(socket);
+      if (hasReadFrame || reader.isInFrame) acknowledgeSoon();
     });
   }
 
--- a/packages/runtime/src/resource-limits.ts
+++ b/packages/runtime/src/resource-limits.ts
@@ -1,5 +1,6 @@
 /** How a node divides the memory and descriptors of its machine; docs/CAPACITY.md has the sum. */
 import { MemoryBudget, type Clock } from '@rainrun/common';
+import { FRAME_MAX_BYTES } from '@rainrun/messages';
 
 /** What the machine has for one process. */
 export interface MachineLimits {
@@ -22,7 +23,11 @@
 const BYTES_PER_MB = 2 ** 20;
 /** Share of the memory for the bodies of requests, from the first byte until the answer is sent. */
 const BODY_MEMORY_SHARE = 1 / 16;
-/** Bodies and answers up to this size are small: crowds of larger ones do not use up their room. */
+/** Share of the memory for frames between nodes that are being received. */
+const FRAME_MEMORY_SHARE = 1 / 16;
+/** Frames of the largest size for which there is room on any machine. */
+const LARGEST_FRAMES = 2;
+/** Bodies up to this size are small: crowds of larger ones do not use up their room. */
 const SMALL_BYTES = 64 * 1024;
 /** Bodies of the largest size for which there is room on any machine: a single one is always served. */
 const LARGEST_BODIES = 2;
@@ -38,6 +43,11 @@
   return new MemoryBudget({ limitBytes, smallBytes: SMALL_BYTES, clock });
 }
 
+/** Bytes for the frames that a process is receiving from its peers. */
+export function frameMemoryBytes({ memoryMb }: MachineLimits): number {
+  return Math.max(memoryMb * BYTES_PER_MB * FRAME_MEMORY_SHARE, LARGEST_FRAMES * FRAME_MAX_BYTES);
+}
+
 /** The most connections that each listener of an edge keeps open. */
 export function edgeConnectionLimits(
   machine: MachineLimits,
