Count what clients hold, its bounds, and who gave way

Operators could not see a crowd: nothing said what its bodies and connections hold. The counters of an edge and of a core name the bytes of bodies and open connections with their limits, bodies and connections that gave way or were refused, connections closed for requests sent ahead, and frames evicted. They are logged every 10 s as before, not once a client, and hold nothing of a body or key. public-names.test.ts passes with the added names.

--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -9,13 +9,29 @@
 
 /** Names that later builds added, by fixture; additions do not break readers of the earlier names. */
 const ADDED_NAMES: Readonly<Record<string, readonly string[]>> = {
-  'metrics/site.json': ['rainrun_resets', 'rainrun_listenFailures', 'resets', 'listenFailures'],
+  'metrics/site.json': [
+    'rainrun_resets',
+    'rainrun_listenFailures',
+    'rainrun_framesEvicted',
+    'resets',
+    'listenFailures',
+    'framesEvicted',
+  ],
   'metrics/platform.json': [
     'without coordinator ms',
     'disk wait ms',
     'peer resets',
     'listen failures',
     'unexplained',
+    'framesEvicted',
+    'bodyBytes',
+    'bodyBytesLimit',
+    'bodiesEvicted',
+    'bodiesRefused',
+    'connections',
+    'connectionsLimit',
+    'connectionsEvicted',
+    'pipelinesClosed',
   ],
 };
 
--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -15,6 +15,7 @@
 import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, bodyMemoryBytes, edgeConnectionLimits, type MachineLimits } from './resource-limits.js';
 import { onResponseClose } from './response-close.js';
+import { serverCounts } from './server-counts.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
 /** Status line for a request that cannot be parsed or read in time, by the code of Node's error. */
@@ -89,6 +90,15 @@
     return this.#openRequests;
   }
 
+  /** What clients hold here, the bounds on it, and how many of them gave way, by the names of the counters. */
+  get counts(): Readonly<Record<string, number>> {
+    return serverCounts({
+      bodies: this.#bodies,
+      connections: this.#connectionLimit,
+      pipelines: this.#pipelineLimit,
+    });
+  }
+
   /** Applies the timeouts and sizes of the current configuration to the server. */
   applyLimits(): void {
     const { headerBytes, headerMs, idleMs, bodyBytes } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -345,6 +345,8 @@
       'peer resets': this.#transport.counts.resets,
       'listen failures': this.#transport.counts.listenFailures,
       bytesOut: this.#transport.counts.bytesOut,
+      framesEvicted: this.#transport.counts.framesEvicted,
+      ...this.#operatorServer.counts,
       ...processUsage(),
     };
   }
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -254,6 +254,8 @@
       edition: this.#replica.state.edition,
       framesIn: this.#transport.counts.framesIn,
       bytesIn: this.#transport.counts.bytesIn,
+      framesEvicted: this.#transport.counts.framesEvicted,
+      ...this.#clientServer.counts,
       ...processUsage(),
     };
   }
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -14,6 +14,7 @@
 import { ReadPacer } from './read-pacer.js';
 import { bodyBudget, coreConnectionLimits, type MachineLimits } from './resource-limits.js';
 import { onResponseClose } from './response-close.js';
+import { serverCounts } from './server-counts.js';
 import { UnfinishedBodies } from './unfinished-bodies.js';
 
 /**
@@ -97,6 +98,15 @@
     return typeof bound === 'object' && bound !== null ? bound.port : 0;
   }
 
+  /** What callers hold here, and how many of them gave way, by the names of the counters. */
+  get counts(): Readonly<Record<string, number>> {
+    return serverCounts({
+      bodies: this.#bodies,
+      connections: this.#connectionLimit,
+      pipelines: this.#pipelineLimit,
+    });
+  }
+
   listen(host: string, port: number, listening: () => void = () => undefined): void {
     this.#server.listen({ host, port, backlog: 256 }, listening);
   }
--- a/packages/runtime/src/peer-transport.ts
+++ b/packages/runtime/src/peer-transport.ts
@@ -50,6 +50,8 @@
   resets: number;
   /** Failed attempts to listen. */
   listenFailures: number;
+  /** Connections closed because frames on all of them took too much memory. */
+  framesEvicted: number;
 }
 
 interface PeerConnection {
@@ -90,6 +92,7 @@
     dropped: 0,
     resets: 0,
     listenFailures: 0,
+    framesEvicted: 0,
   };
 
   constructor(
@@ -224,6 +227,7 @@
       frame: (bytes) => this.#receive(bytes),
       failed: (reason) => {
         if (reason === 'malformed') this.counts.malformed += 1;
+        else this.counts.framesEvicted += 1;
         socket.destroy();
       },
     });
