Do not count a connection again that closed before its request began

Seen in review, shown by a test: a caller that closed its connection just before its body was read through was registered as busy after its close, for good. Each one took a place from the bound on connections. ConnectionLimit ignores a request on a closed connection, and a BodyReader that was released reads nothing further. 'does not count a connection again whose request begins after its close' failed before.

--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -44,7 +44,7 @@
   readonly #handler: BodyHandler;
   readonly #collector: ByteCollector;
   readonly #reservation: MemoryReservation;
-  #isRejected = false;
+  #isOver = false;
 
   constructor(request: IncomingMessage, { maxBytes, budget, pacer }: BodyLimits, handler: BodyHandler) {
     this.#request = request;
@@ -61,7 +61,7 @@
 
   /** When the last bytes came, on the clock of the budget; undefined once the body is whole or rejected. */
   get unfinishedSinceMs(): number | undefined {
-    return this.#reservation.canGiveWay && !this.#isRejected ? this.#reservation.lastProgressMs : undefined;
+    return this.#reservation.canGiveWay && !this.#isOver ? this.#reservation.lastProgressMs : undefined;
   }
 
   /** Rejects a body of which nothing comes any more. */
@@ -69,8 +69,9 @@
     this.#reject('idle');
   }
 
-  /** Gives the memory back. */
+  /** Gives the memory back; nothing further is read. */
   release(): void {
+    this.#isOver = true;
     this.#collector.clear();
     this.#reservation.release();
   }
@@ -78,7 +79,7 @@
   #take(chunk: Buffer): void {
     recordShortLivedBuffer(chunk.length);
     this.#pacer.record(this.#request.socket, chunk.length);
-    if (this.#isRejected) return;
+    if (this.#isOver) return;
     this.#reservation.recordProgress();
     if (this.#collector.lengthBytes + chunk.length > this.#maxBytes) return this.#reject('too-large');
     const growthBytes = this.#collector.growthFor(chunk.length);
@@ -87,7 +88,7 @@
   }
 
   #end(): void {
-    if (this.#isRejected || !this.#request.complete) return;
+    if (this.#isOver || !this.#request.complete) return;
     this.#reservation.canGiveWay = false;
     const body = this.#collector.take();
     this.#reservation.shrinkTo(body.length);
@@ -95,8 +96,7 @@
   }
 
   #reject(reason: BodyRejection): void {
-    if (this.#isRejected) return;
-    this.#isRejected = true;
+    if (this.#isOver) return;
     this.release();
     this.#handler.rejected(reason);
   }
--- a/packages/runtime/src/connection-limit.test.ts
+++ b/packages/runtime/src/connection-limit.test.ts
@@ -60,6 +60,14 @@
     expect(closed()).toEqual([0, 3]);
   });
 
+  it('does not count a connection again whose request begins after its close', async () => {
+    add(0);
+    sockets[0]?.destroy();
+    await new Promise((resolve) => setImmediate(resolve));
+    limit.begin(sockets[0] as Socket);
+    expect(limit.counts.open).toEqual(0);
+  });
+
   it('counts closed connections no longer', async () => {
     add(0, 1, 2);
     limit.begin(sockets[2] as Socket);
--- a/packages/runtime/src/connection-limit.ts
+++ b/packages/runtime/src/connection-limit.ts
@@ -51,8 +51,12 @@
     socket.on('close', () => this.#forget(socket));
   }
 
-  /** Records that a request on this connection is in progress: until `end`, it does not give way. */
+  /**
+   * Records that a request on this connection is in progress: until `end`, it does not give way. A connection
+   * that was closed meanwhile is not counted again.
+   */
   begin(socket: Socket): void {
+    if (socket.destroyed) return;
     this.#unused.delete(socket);
     this.#resting.delete(socket);
     this.#busy.set(socket, (this.#busy.get(socket) ?? 0) + 1);
