Log no line for each operator call whose body found no room

Bodies that are refused for memory or given up as idle are only counted (bodiesEvicted, bodiesRefused). operator-server.test.ts passes: what it logs of rejected calls is as before.

--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -52,7 +52,7 @@
 export type OperatorCallHandler = Pick<OperatorService, 'answer' | 'failure'>;
 
 /**
- * Reads operator calls, passes them to the operator service and logs each. A call whose caller has
+ * Reads operator calls, passes them to the operator service and logs each that was read. A call whose caller has
  * disconnected is dropped: the caller may already have sent it to another node.
  * @example
  * const server = new OperatorServer({ dialect, handler: service, log, machine, clock });
@@ -156,10 +156,12 @@
       .andThen(readText)
       .andThen((text) => this.#dialect.readCall(req.method ?? '', req.url ?? '', req.headers, text));
     const reply = call.isOk ? await this.#execute(call.value, req) : this.#reject(call.error, body);
-    this.#log.info(
-      call.isOk ? callLogFields(call.value, reply) : rejectionLogFields(call.error, reply),
-      'operator',
-    );
+    // Bodies without room or end are only counted: a crowd of them would fill the log.
+    if (body.isOk || body.error === 'too-large')
+      this.#log.info(
+        call.isOk ? callLogFields(call.value, reply) : rejectionLogFields(call.error, reply),
+        'operator',
+      );
     return reply;
   }
 
