--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -28,6 +28,7 @@
     'bodyBytesLimit',
     'bodiesEvicted',
     'bodiesRefused',
+    'bodiesIdle',
     'connections',
     'connectionsLimit',
     'connectionsEvicted',
--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -94,6 +94,7 @@
   get counts(): Readonly<Record<string, number>> {
     return serverCounts({
       bodies: this.#bodies,
+      unfinishedBodies: this.#unfinishedBodies,
       connections: this.#connectionLimit,
       pipelines: this.#pipelineLimit,
     });
--- a/packages/runtime/src/operator-server.ts
+++ b/packages/runtime/src/operator-server.ts
@@ -102,6 +102,7 @@
   get counts(): Readonly<Record<string, number>> {
     return serverCounts({
       bodies: this.#bodies,
+      unfinishedBodies: this.#unfinishedBodies,
       connections: this.#connectionLimit,
       pipelines: this.#pipelineLimit,
     });
--- a/packages/runtime/src/server-counts.ts
+++ b/packages/runtime/src/server-counts.ts
@@ -2,16 +2,19 @@
 import type { MemoryBudget } from '@rainrun/common';
 import type { ConnectionLimit } from './connection-limit.js';
 import type { PipelineLimit } from './pipeline-limit.js';
+import type { UnfinishedBodies } from './unfinished-bodies.js';
 
 /** The bounds of a server that are counted. */
 export interface ServerBounds {
   readonly bodies: MemoryBudget;
+  readonly unfinishedBodies: UnfinishedBodies;
   readonly connections: ConnectionLimit;
   readonly pipelines: PipelineLimit;
 }
 
 /** What is held and its bounds, and how many bodies and connections gave way, were refused or closed. */
-export function serverCounts({ bodies, connections, pipelines }: ServerBounds): Record<string, number> {
+export function serverCounts(bounds: ServerBounds): Record<string, number> {
+  const { bodies, unfinishedBodies, connections, pipelines } = bounds;
   const { heldBytes, limitBytes, evicted, refused } = bodies.counts;
   const { open, limit, closed } = connections.counts;
   return {
@@ -19,6 +22,7 @@
     bodyBytesLimit: Math.round(limitBytes),
     bodiesEvicted: evicted,
     bodiesRefused: refused,
+    bodiesIdle: unfinishedBodies.idleCount,
     connections: open,
     connectionsLimit: limit,
     connectionsEvicted: closed,
--- a/packages/runtime/src/unfinished-bodies.ts
+++ b/packages/runtime/src/unfinished-bodies.ts
@@ -11,6 +11,12 @@
  */
 export class UnfinishedBodies {
   readonly #readers = new Set<BodyReader>();
+  #idleCount = 0;
+
+  /** Number of bodies that were rejected since nothing of them came. */
+  get idleCount(): number {
+    return this.#idleCount;
+  }
 
   /** Adds a body until the response to its request is closed. */
   add(reader: BodyReader, request: IncomingMessage, response: ServerResponse): void {
@@ -23,7 +29,10 @@
     for (const reader of this.#readers) {
       const { unfinishedSinceMs } = reader;
       if (unfinishedSinceMs === undefined) this.#readers.delete(reader);
-      else if (unfinishedSinceMs <= sinceMs) reader.rejectIdle();
+      else if (unfinishedSinceMs <= sinceMs) {
+        this.#idleCount += 1;
+        reader.rejectIdle();
+      }
     }
   }
 }
