--- a/packages/common/src/memory-budget.ts
+++ b/packages/common/src/memory-budget.ts
@@ -1,5 +1,5 @@
 /** Memory that many holders share, for example the bodies of all requests of a process. */
-import type { Clock } from './index.js';
+import type { Clock } from './clock.js';
 
 /** Options of a memory budget. */
 export interface MemoryBudgetOptions {
