Count what workers send, what incomplete answers hold, and the worker that sent most

The line of counters now has the bytes and pieces of all workers, those that came after the verdict, what incomplete answers hold, heap and buffers beside resident memory, and the worker that sent the most since the line before. An attempt tells its link when nobody needs the rest of an answer; so far that is only counted, and no byte is read differently.

--- a/packages/compatibility/src/data-plane-counters.ts
+++ b/packages/compatibility/src/data-plane-counters.ts
@@ -13,6 +13,7 @@
 
 const NO_OP_CONTROLS = {
   abort: () => undefined,
+  discard: () => undefined,
   pause: () => undefined,
   resume: () => undefined,
 };
--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -16,6 +16,10 @@
     'resets',
     'listenFailures',
     'framesEvicted',
+    'rainrun_heapMb',
+    'rainrun_buffersMb',
+    'heapMb',
+    'buffersMb',
   ],
   'metrics/platform.json': [
     'without coordinator ms',
@@ -33,6 +37,13 @@
     'connectionsLimit',
     'connectionsEvicted',
     'pipelinesClosed',
+    'heapMb',
+    'buffersMb',
+    'answerBytesHeld',
+    'answerPiecesHeld',
+    'workerBytes',
+    'workerPieces',
+    'workerBytesUnneeded',
   ],
 };
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,3 +12,4 @@
 export * from './event-stream.js';
 export * from './gateway-request.js';
 export * from './link.js';
+export * from './worker-traffic.js';
--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, Pool } from './undici-client.js';
+import { WorkerTraffic } from './worker-traffic.js';
 
 /** An HTTP header as it is on the wire, with its name's case unchanged. */
 export type Header = readonly [name: string, value: string];
@@ -18,6 +19,8 @@
 /** Handle of a send in progress. */
 export interface LinkSend {
   abort(): void;
+  /** Says that nobody needs the rest of the response any more. */
+  discard(): void;
   pause(): void;
   resume(): void;
 }
@@ -77,14 +80,17 @@
 class DispatchedRequest implements Dispatcher.DispatchHandler, LinkSend {
   #handler: LinkHandler;
   #controller: Dispatcher.DispatchController | undefined;
-  #method: string;
+  #request: LinkRequest;
+  #traffic: WorkerTraffic;
   #sent = false;
   #ended = false;
   #aborted = false;
+  #discarded = false;
 
-  constructor(handler: LinkHandler, method: string) {
+  constructor(handler: LinkHandler, request: LinkRequest, traffic: WorkerTraffic) {
     this.#handler = handler;
-    this.#method = method;
+    this.#request = request;
+    this.#traffic = traffic;
   }
 
   abort(): void {
@@ -92,6 +98,10 @@
     this.#controller?.abort(new Error('send aborted'));
   }
 
+  discard(): void {
+    this.#discarded = true;
+  }
+
   pause(): void {
     this.#controller?.pause();
   }
@@ -112,12 +122,13 @@
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200) return;
     const headers = headerPairs(controller.rawHeaders);
-    if (this.#method !== 'HEAD' && !hasExplicitEnd(status, headers))
+    if (this.#request.method !== 'HEAD' && !hasExplicitEnd(status, headers))
       return controller.abort(new Error('the response has neither content-length nor chunked encoding'));
     this.#handler.head(status, headers);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#traffic.record(this.#request.address, chunk.length, !this.#discarded);
     if (!this.#ended) this.#handler.chunk(chunk);
   }
 
@@ -163,6 +174,8 @@
 export class PoolLink implements Link {
   #options: Pool.Options;
   #pools = new Map<string, Pool>();
+  /** What the workers send. */
+  readonly traffic = new WorkerTraffic();
 
   constructor({ connectMs, ...poolOptions }: LinkTimes) {
     this.#options = { ...poolOptions, pipelining: 1, connect: resettingConnector(connectMs) };
@@ -170,7 +183,7 @@
 
   send(request: LinkRequest, handler: LinkHandler): LinkSend {
     const { address, method, target, headers, body, stallMs, ownConnection } = request;
-    const flight = new DispatchedRequest(handler, method);
+    const flight = new DispatchedRequest(handler, request, this.traffic);
     const dispatcher = ownConnection === true ? this.#client(address) : this.#pool(address);
     dispatcher.dispatch(
       {
--- a/packages/gateway/src/testing/gateway-harness.ts
+++ b/packages/gateway/src/testing/gateway-harness.ts
@@ -40,6 +40,9 @@
   abort(): void {
     this.aborted = true;
   }
+  discard(): void {
+    this.aborted ||= false;
+  }
   pause(): void {
     this.aborted ||= false;
   }
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -30,6 +30,13 @@
   readonly workerFailed?: boolean;
 }
 
+/** Memory that incomplete responses take. */
+export interface HeldResponse {
+  readonly bytes: number;
+  /** Number of separate buffers. */
+  readonly pieces: number;
+}
+
 /** What an attempt needs from its router. */
 export interface AttemptContext {
   /** Monotonic, in milliseconds. */
@@ -95,6 +102,14 @@
     this.#lastActivityMs = this.#createdMs;
   }
 
+  /** What this attempt holds of a response that is not complete. */
+  get held(): HeldResponse {
+    return {
+      bytes: this.#bodyBytes + (this.#splitter?.incompleteBytes ?? 0),
+      pieces: this.#body.length,
+    };
+  }
+
   /** Attaches the send on the link; aborts it if the attempt has ended by then. */
   attach(send: LinkSend): void {
     this.#send = send;
@@ -161,9 +176,12 @@
     const check = checkResponseHead(this.#request.clientRequest.id, this.#headerNames, status, headers);
     if (check.kind === 'invalid') return this.#abandon(check.reason);
     if (check.kind === 'misdirected')
-      return this.#end({ outcome: 'misdirected', reason: `${this.#worker.id} is not there` });
+      return this.#endDiscarding({ outcome: 'misdirected', reason: `${this.#worker.id} is not there` });
     if (check.kind === 'not-run')
-      return this.#end({ outcome: 'not-run', reason: `${this.#worker.id} took no more (${status})` });
+      return this.#endDiscarding({
+        outcome: 'not-run',
+        reason: `${this.#worker.id} took no more (${status})`,
+      });
     this.#context.onResponseHead(this.#lastActivityMs - this.#createdMs);
     this.#status = status;
     this.#headers = endToEndHeaders(headers);
@@ -264,6 +282,12 @@
     this.#send?.abort();
   }
 
+  /** Ends the attempt on the head of a response whose body nobody needs. */
+  #endDiscarding(end: AttemptEnd): void {
+    this.#send?.discard();
+    this.#end(end);
+  }
+
   #endAsFailed(reason: string): void {
     this.#end({ outcome: 'failed', reason: `${this.#worker.id}: ${reason}` });
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,7 +4,7 @@
 import type { Configuration, RouteEntry, TenantDirectory } from '@rainrun/configuration';
 import { fault, type Clock, type Fault } from '@rainrun/common';
 import { newRoutedRequest, TargetResolver } from './admission.js';
-import { Attempt, type AttemptContext, type AttemptEnd } from './attempt.js';
+import { Attempt, type AttemptContext, type AttemptEnd, type HeldResponse } from './attempt.js';
 import { Balancer } from './balancer.js';
 import { Counters } from './counters.js';
 import { DemandMeter, type EdgeDemand } from './demand-meter.js';
@@ -108,6 +108,17 @@
     return this.#attempts.size;
   }
 
+  /** What all attempts hold of responses that are not complete. */
+  get held(): HeldResponse {
+    let bytes = 0;
+    let pieces = 0;
+    for (const { held } of this.#attempts) {
+      bytes += held.bytes;
+      pieces += held.pieces;
+    }
+    return { bytes, pieces };
+  }
+
   /** Requests that wait for a worker. */
   get waiting(): number {
     return this.#queue.size;
--- a/packages/router/src/testing/router-harness.ts
+++ b/packages/router/src/testing/router-harness.ts
@@ -132,6 +132,7 @@
   readonly request: LinkRequest;
   readonly handler: LinkHandler;
   aborted = false;
+  discarded = false;
   paused = false;
   constructor(request: LinkRequest, handler: LinkHandler) {
     this.request = request;
@@ -140,6 +141,9 @@
   abort(): void {
     this.aborted = true;
   }
+  discard(): void {
+    this.discarded = true;
+  }
   pause(): void {
     this.paused = true;
   }
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -20,7 +20,7 @@
 import { openAcceptor, waitForLastWrites } from './acceptor-disk.js';
 import type { Dialect, PlatformSettings } from './dialect.js';
 import type { Log } from './log.js';
-import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
+import { WORKER_CONNECTION_TIMES, workerTrafficCounts } from './worker-connections.js';
 import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM } from './process-environment.js';
 import { coreConnectionLimits, frameMemoryBytes } from './resource-limits.js';
 import { OperatorServer } from './operator-server.js';
@@ -158,7 +158,7 @@
     this.#operatorServer.listen(host, splitAddress(listen.operators).port);
     this.#timers.push(
       setInterval(() => this.#tick(), TICK_MS),
-      setInterval(() => this.#log.info({ counters: this.#counters() }, 'counters'), COUNTERS_INTERVAL_MS),
+      setInterval(() => this.#logCounters(), COUNTERS_INTERVAL_MS),
     );
     this.#log.info({ operators: listen.operators, founding: this.#settings.founding }, 'started');
   }
@@ -327,6 +327,11 @@
     }, ORDER_TIMEOUT_MS + 100);
   }
 
+  #logCounters(): void {
+    const busiestWorker = this.#workerLink.traffic.takeBusiest();
+    this.#log.info({ counters: this.#counters(), busiestWorker }, 'counters');
+  }
+
   #counters(): Record<string, number> {
     const { group, planner, subscriberCount: followers, workerTable } = this.#replica;
     return {
@@ -347,6 +352,7 @@
       bytesOut: this.#transport.counts.bytesOut,
       framesEvicted: this.#transport.counts.framesEvicted,
       ...this.#operatorServer.counts,
+      ...workerTrafficCounts(this.#workerLink.traffic),
       ...processUsage(),
     };
   }
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -11,7 +11,7 @@
 import { ClientServer } from './client-server.js';
 import { ConnectionLimit } from './connection-limit.js';
 import { edgeConnectionLimits, frameMemoryBytes } from './resource-limits.js';
-import { WORKER_CONNECTION_TIMES } from './worker-connections.js';
+import { WORKER_CONNECTION_TIMES, workerTrafficCounts } from './worker-connections.js';
 import type { Log } from './log.js';
 import { MONOTONIC_CLOCK, processUsage, SECURE_RANDOM } from './process-environment.js';
 import { listenForPeers } from './peer-listener.js';
@@ -236,12 +236,13 @@
     return this.#router.demands().map((demand) => create(ModelDemandSchema, demand));
   }
 
-  /** The counters, with requests by tenant if the configuration has tenants. */
+  /** The counters, the worker that sent the most since the last ones, and requests by tenant if there are any. */
   #counterLogFields(): object {
     const counters = this.#counters();
+    const busiestWorker = this.#workerLink.traffic.takeBusiest();
     return this.#replica.tenants === undefined
-      ? { counters }
-      : { counters, tenants: this.#router.tenantCounts };
+      ? { counters, busiestWorker }
+      : { counters, busiestWorker, tenants: this.#router.tenantCounts };
   }
 
   #counters(): Record<string, number> {
@@ -256,6 +257,9 @@
       bytesIn: this.#transport.counts.bytesIn,
       framesEvicted: this.#transport.counts.framesEvicted,
       ...this.#clientServer.counts,
+      answerBytesHeld: this.#router.held.bytes,
+      answerPiecesHeld: this.#router.held.pieces,
+      ...workerTrafficCounts(this.#workerLink.traffic),
       ...processUsage(),
     };
   }
--- a/packages/runtime/src/process-environment.ts
+++ b/packages/runtime/src/process-environment.ts
@@ -16,10 +16,17 @@
   next: () => randomInt(SECURE_RANDOM_RANGE) / SECURE_RANDOM_RANGE,
 };
 
-/** Processor time since the process started, in milliseconds, and resident memory, in MiB. */
+const BYTES_PER_MB = 2 ** 20;
+
+/** Processor time since the process started, in milliseconds, and memory, in MiB. */
 export interface ProcessUsage {
   readonly cpuMs: number;
+  /** Resident memory. */
   readonly heldMb: number;
+  /** Objects on the JavaScript heap. */
+  readonly heapMb: number;
+  /** Buffers outside of the JavaScript heap. */
+  readonly buffersMb: number;
 }
 
 /**
@@ -29,8 +36,11 @@
  */
 export function processUsage(): ProcessUsage {
   const { user, system } = process.cpuUsage();
+  const { rss, heapUsed, arrayBuffers } = process.memoryUsage();
   return {
     cpuMs: Math.round((user + system) / 1000),
-    heldMb: Math.round(process.memoryUsage.rss() / 2 ** 20),
+    heldMb: Math.round(rss / BYTES_PER_MB),
+    heapMb: Math.round(heapUsed / BYTES_PER_MB),
+    buffersMb: Math.round(arrayBuffers / BYTES_PER_MB),
   };
 }
--- a/packages/runtime/src/worker-connections.ts
+++ b/packages/runtime/src/worker-connections.ts
@@ -1,5 +1,5 @@
-/** Timeouts of connections from edges and cores on the platform to workers. */
-import type { LinkTimes } from '@rainrun/gateway';
+/** Connections from edges and cores on the platform to workers: their timeouts, and counters of what comes on them. */
+import type { LinkTimes, WorkerTraffic } from '@rainrun/gateway';
 
 /**
  * Timeouts for connections to workers: new ones are expensive, so idle ones are kept as long as the worker
@@ -11,3 +11,12 @@
   keepAliveMaxTimeout: 300_000,
   keepAliveTimeoutThreshold: 1000,
 };
+
+/** What all workers have sent since the start, by the names of the counters. */
+export function workerTrafficCounts({ total }: WorkerTraffic): Record<string, number> {
+  return {
+    workerBytes: total.bytes,
+    workerPieces: total.pieces,
+    workerBytesUnneeded: total.unneededBytes,
+  };
+}
--- a/packages/simulator/src/connections.ts
+++ b/packages/simulator/src/connections.ts
@@ -97,6 +97,10 @@
     this.#toWorker.send(() => this.#connection?.closed());
   }
 
+  discard(): void {
+    return;
+  }
+
   pause(): void {
     return;
   }
@@ -207,6 +211,11 @@
         this.#isPowered,
       );
     this.#context.time.after(1, () => this.#runAtEdge(() => handler.failed(false, 'no such address')));
-    return { abort: () => undefined, pause: () => undefined, resume: () => undefined };
+    return {
+      abort: () => undefined,
+      discard: () => undefined,
+      pause: () => undefined,
+      resume: () => undefined,
+    };
   }
 }
