Move the collector of bytes to packages/common

Bodies of clients and frames of peers are collected in blocks; answers of workers are going to be, in packages that may not use runtime.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,3 +6,5 @@
 export * from './slab.js';
 export * from './name-index.js';
 export * from './memory-budget.js';
+export * from './byte-collector.js';
+export * from './buffer-garbage.js';
--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -1,8 +1,11 @@
 /** Reads the body of an HTTP request within the limits on one body and on all bodies of the process. */
 import type { IncomingMessage } from 'node:http';
-import type { MemoryBudget, MemoryReservation } from '@rainrun/common';
-import { recordShortLivedBuffer } from './buffer-garbage.js';
-import { ByteCollector } from './byte-collector.js';
+import {
+  ByteCollector,
+  recordShortLivedBuffer,
+  type MemoryBudget,
+  type MemoryReservation,
+} from '@rainrun/common';
 import type { ReadPacer } from './read-pacer.js';
 
 /** Why a body is not read to its end. */
--- a/packages/runtime/src/frame-reader.ts
+++ b/packages/runtime/src/frame-reader.ts
@@ -1,8 +1,11 @@
 /** Reads length-prefixed frames from one connection within the memory for all frames that are being received. */
 import { FRAME_MAX_BYTES } from '@rainrun/messages';
-import type { MemoryBudget, MemoryReservation } from '@rainrun/common';
-import { recordShortLivedBuffer } from './buffer-garbage.js';
-import { ByteCollector } from './byte-collector.js';
+import {
+  ByteCollector,
+  recordShortLivedBuffer,
+  type MemoryBudget,
+  type MemoryReservation,
+} from '@rainrun/common';
 
 /** Length of the prefix that gives the length of a frame, in bytes. */
 const PREFIX_BYTES = 4;
