--- a/packages/runtime/src/testing/edge-under-test.ts
+++ b/packages/runtime/src/testing/edge-under-test.ts
@@ -84,6 +84,8 @@
   readonly id: string;
   readonly address: string;
   readonly leaving?: boolean;
+  /** `look` unless it is named. */
+  readonly service?: string;
 }
 
 /**
@@ -162,11 +164,11 @@
       rows:
         subscribe.tableRow === this.#row
           ? []
-          : this.#workers.map(({ id, address, leaving }, index) =>
+          : this.#workers.map(({ id, address, leaving, service }, index) =>
               create(WorkerRowSchema, {
                 id,
                 address,
-                service: 'look',
+                service: service ?? 'look',
                 zone: 'north',
                 slots: 8,
                 draining: leaving ?? false,
