--- a/packages/router/src/event-splitter.test.ts
+++ b/packages/router/src/event-splitter.test.ts
@@ -45,6 +45,21 @@
     ]);
   });
 
+  it('gives up an event that does not end in pieces of one byte, without going over its bytes again', () => {
+    const splitter = new EventSplitter();
+    const piece = Buffer.from('x');
+    let pieces = 0;
+    while (splitter.take(piece) !== 'endless') pieces += 1;
+    expect(pieces).toEqual(1024 * 1024);
+  });
+
+  it('ends an event whose empty line is split between pieces after many other lines', () => {
+    expect(split('data: a\n', 'data: b\r', '\n', '\r', '\nid: 2').parts).toEqual([
+      'data: a\ndata: b\r\n\r\n',
+    ]);
+    expect(split('\n', 'data: a\n\n').parts).toEqual(['\ndata: a\n\n']);
+  });
+
   it('accepts lines that end with carriage return and line feed', () => {
     const text = 'id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n';
     const single = split(...text.split(''));
