Collect answers of workers in blocks, not in a Buffer for each piece

An edge ended by its heap, and with it the requests of all of its clients, when a worker sent a body in chunks of one byte: the body is bounded at 16 MiB, but each piece was kept as a Buffer of its own, some hundred bytes each.

Bodies are copied into blocks, in both data planes, and pieces that were copied are collected soon, like those of clients.

--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -40,7 +40,6 @@
     'heapMb',
     'buffersMb',
     'answerBytesHeld',
-    'answerPiecesHeld',
     'workerBytes',
     'workerPieces',
     'workerBytesUnneeded',
--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -1,3 +1,4 @@
+import { recordShortLivedBuffer } from '@rainrun/common';
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, Pool } from './undici-client.js';
 import { WorkerTraffic } from './worker-traffic.js';
@@ -128,6 +129,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    recordShortLivedBuffer(chunk.length);
     this.#traffic.record(this.#request.address, chunk.length, !this.#discarded);
     if (!this.#ended) this.#handler.chunk(chunk);
   }
--- a/packages/gateway/src/send.ts
+++ b/packages/gateway/src/send.ts
@@ -1,5 +1,5 @@
 /** One attempt to send a request to a worker, and the handling of the response. */
-import { fault, type Fault } from '@rainrun/common';
+import { ByteCollector, fault, type Fault } from '@rainrun/common';
 import { EventStreamValidator } from './event-stream.js';
 import type { GatewayWorker } from './dependencies.js';
 import type { SendHandler, SendHandle } from './sender.js';
@@ -44,8 +44,7 @@
   #status = 0;
   #contentType = '';
   #eventStream: EventStreamValidator | undefined;
-  #body: Buffer[] = [];
-  #bodyBytes = 0;
+  #body = new ByteCollector();
   #opened = false;
   #started = false;
   #startDenied = false;
@@ -116,9 +115,9 @@
   chunk(bytes: Buffer): void {
     if (this.#ended) return;
     if (this.#eventStream === undefined) {
-      this.#bodyBytes += bytes.length;
-      if (this.#bodyBytes > MAX_BUFFERED_BYTES) return this.#abort('the response exceeds the size limit');
-      this.#body.push(bytes);
+      if (this.#body.lengthBytes + bytes.length > MAX_BUFFERED_BYTES)
+        return this.#abort('the response exceeds the size limit');
+      this.#body.append(bytes);
       return;
     }
     const checked = this.#eventStream.take(bytes);
@@ -129,7 +128,7 @@
   end(): void {
     if (this.#ended) return;
     if (this.#eventStream !== undefined) return this.#endStream(this.#eventStream);
-    const body = Buffer.concat(this.#body);
+    const body = this.#body.take();
     if (this.#status === 429 || this.#status === 503) {
       return this.#fail(
         true,
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -1,4 +1,5 @@
 /** One attempt to send a request to one worker, in the router of the platform system. */
+import { ByteCollector } from '@rainrun/common';
 import type { Header, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gateway';
 import { EventSplitter } from './event-splitter.js';
 import { attemptHeaders, endToEndHeaders, headerValue, type HeaderNames } from './headers.js';
@@ -30,13 +31,6 @@
   readonly workerFailed?: boolean;
 }
 
-/** Memory that incomplete responses take. */
-export interface HeldResponse {
-  readonly bytes: number;
-  /** Number of separate buffers. */
-  readonly pieces: number;
-}
-
 /** What an attempt needs from its router. */
 export interface AttemptContext {
   /** Monotonic, in milliseconds. */
@@ -81,8 +75,7 @@
   #headers: Header[] = [];
   /** Set once the worker responds with an event stream. */
   #splitter: EventSplitter | undefined;
-  #body: Buffer[] = [];
-  #bodyBytes = 0;
+  #body = new ByteCollector();
   #started = false;
   /** Whether the last check before the first byte withheld the request. */
   #withheld = false;
@@ -102,12 +95,9 @@
     this.#lastActivityMs = this.#createdMs;
   }
 
-  /** What this attempt holds of a response that is not complete. */
-  get held(): HeldResponse {
-    return {
-      bytes: this.#bodyBytes + (this.#splitter?.incompleteBytes ?? 0),
-      pieces: this.#body.length,
-    };
+  /** Bytes that this attempt holds of a response that is not complete. */
+  get heldBytes(): number {
+    return this.#body.lengthBytes + (this.#splitter?.incompleteBytes ?? 0);
   }
 
   /** Attaches the send on the link; aborts it if the attempt has ended by then. */
@@ -201,7 +191,7 @@
     if (this.#ended) return;
     const { sink } = this.#request;
     if (this.#splitter === undefined) {
-      sink.respond(this.#status, this.#headers, Buffer.concat(this.#body));
+      sink.respond(this.#status, this.#headers, this.#body.take());
       return this.#end({ outcome: 'served', reason: '', workerFailed: this.#status >= 500 });
     }
     if (this.#splitter.incompleteBytes > 0) return this.#abandon('the stream ended within an event');
@@ -232,10 +222,9 @@
   }
 
   #buffer(bytes: Buffer): void {
-    this.#bodyBytes += bytes.length;
-    if (this.#bodyBytes > ATTEMPT_POLICY.maxBufferedBytes)
+    if (this.#body.lengthBytes + bytes.length > ATTEMPT_POLICY.maxBufferedBytes)
       return this.#abandon('the response exceeds the buffer limit');
-    this.#body.push(bytes);
+    this.#body.append(bytes);
   }
 
   /**
@@ -295,6 +284,7 @@
   #end(end: AttemptEnd): void {
     if (this.#ended) return;
     this.#ended = true;
+    this.#body.clear();
     this.#context.onEnd(end);
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,7 +4,7 @@
 import type { Configuration, RouteEntry, TenantDirectory } from '@rainrun/configuration';
 import { fault, type Clock, type Fault } from '@rainrun/common';
 import { newRoutedRequest, TargetResolver } from './admission.js';
-import { Attempt, type AttemptContext, type AttemptEnd, type HeldResponse } from './attempt.js';
+import { Attempt, type AttemptContext, type AttemptEnd } from './attempt.js';
 import { Balancer } from './balancer.js';
 import { Counters } from './counters.js';
 import { DemandMeter, type EdgeDemand } from './demand-meter.js';
@@ -108,15 +108,11 @@
     return this.#attempts.size;
   }
 
-  /** What all attempts hold of responses that are not complete. */
-  get held(): HeldResponse {
+  /** Bytes that all attempts hold of responses that are not complete. */
+  get heldBytes(): number {
     let bytes = 0;
-    let pieces = 0;
-    for (const { held } of this.#attempts) {
-      bytes += held.bytes;
-      pieces += held.pieces;
-    }
-    return { bytes, pieces };
+    for (const { heldBytes } of this.#attempts) bytes += heldBytes;
+    return bytes;
   }
 
   /** Requests that wait for a worker. */
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -257,8 +257,7 @@
       bytesIn: this.#transport.counts.bytesIn,
       framesEvicted: this.#transport.counts.framesEvicted,
       ...this.#clientServer.counts,
-      answerBytesHeld: this.#router.held.bytes,
-      answerPiecesHeld: this.#router.held.pieces,
+      answerBytesHeld: this.#router.heldBytes,
       ...workerTrafficCounts(this.#workerLink.traffic),
       ...processUsage(),
     };
