Close the connections of clients that do not read their answers

Since the memory of answers has one bound, such answers would keep it from others for as long as their connections stay open.

A body is written in pieces of 64 KiB, as fast as the client reads, and its connection is closed once the client has read nothing for IdleTimeoutMs.

--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -43,6 +43,7 @@
     'answerBytesLimit',
     'answersEvicted',
     'answersRefused',
+    'answersUnread',
     'workerBytes',
     'workerPieces',
     'workerBytesUnneeded',
--- a/packages/runtime/src/client-response.ts
+++ b/packages/runtime/src/client-response.ts
@@ -3,28 +3,29 @@
 import { FAULT_RESPONSES, type Fault } from '@rainrun/common';
 import type { Header } from '@rainrun/gateway';
 import type { ResponseSink } from '@rainrun/router';
-import { onResponseClose } from './response-close.js';
+import type { BodyWriters } from './body-writer.js';
 
 /**
  * Writes one response; after the connection is closed, further writes are ignored.
  * @example
- * const response = new ClientResponse(res, () => draining);
+ * const response = new ClientResponse(res, bodyWriters, () => draining);
  * response.reject(fault('over-share', 'too many requests wait here'));
  */
 export class ClientResponse implements ResponseSink {
   #res: ServerResponse;
+  #bodyWriters: BodyWriters;
   #isDraining: () => boolean;
 
-  constructor(res: ServerResponse, isDraining: () => boolean) {
+  constructor(res: ServerResponse, bodyWriters: BodyWriters, isDraining: () => boolean) {
     this.#res = res;
+    this.#bodyWriters = bodyWriters;
     this.#isDraining = isDraining;
   }
 
   respond(status: number, headers: readonly Header[], body: Buffer, released: () => void): void {
     if (this.#res.destroyed) return released();
-    onResponseClose(this.#res.req, this.#res, released);
     this.#head(status, this.#hasNoBody(status) ? headers : withLength(headers, body.length));
-    this.#res.end(body);
+    this.#bodyWriters.write(this.#res, body, released);
   }
 
   /** Sends an error response with the status that `FAULT_RESPONSES` gives for the kind of the fault. */
--- a/packages/runtime/src/client-server.ts
+++ b/packages/runtime/src/client-server.ts
@@ -5,6 +5,7 @@
 import { fault, type Clock, type Fault, type MemoryBudget } from '@rainrun/common';
 import type { ClientRequest, ResponseSink } from '@rainrun/router';
 import { BodyReader, type BodyRejection } from './body-reader.js';
+import { BodyWriters } from './body-writer.js';
 import { ClientConnections } from './client-connections.js';
 import { checkHead, toClientRequest } from './client-request.js';
 import { ClientResponse } from './client-response.js';
@@ -24,7 +25,7 @@
   ['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
 ]);
 
-/** How often bodies are looked for of which nothing comes any more. */
+/** How often bodies are looked for of which nothing comes, or is read, any more. */
 const IDLE_CHECK_INTERVAL_MS = 1000;
 
 /** The response to a request whose body is not read to its end: none of them has run. */
@@ -61,6 +62,7 @@
   #openRequests = 0;
   #bodies: MemoryBudget;
   #unfinishedBodies = new UnfinishedBodies();
+  #bodyWriters: BodyWriters;
   #pacer = new ReadPacer();
   #idleCheck: NodeJS.Timeout;
 
@@ -69,7 +71,8 @@
     const { machine, clock } = dependencies;
     this.#connectionLimit = new ConnectionLimit(edgeConnectionLimits(machine).clients, clock);
     this.#bodies = bodyBudget(machine, DEFAULT_LIMITS.bodyBytes, clock);
-    this.#idleCheck = setInterval(() => this.#rejectIdleBodies(), IDLE_CHECK_INTERVAL_MS).unref();
+    this.#bodyWriters = new BodyWriters(clock);
+    this.#idleCheck = setInterval(() => this.#closeIdle(), IDLE_CHECK_INTERVAL_MS).unref();
     this.#server = createServer({ connectionsCheckingInterval: 500, noDelay: true }, (req, res) =>
       this.#receive(req, res),
     );
@@ -92,12 +95,13 @@
 
   /** What clients hold here, the bounds on it, and how many of them gave way, by the names of the counters. */
   get counts(): Readonly<Record<string, number>> {
-    return serverCounts({
+    const counts = serverCounts({
       bodies: this.#bodies,
       unfinishedBodies: this.#unfinishedBodies,
       connections: this.#connectionLimit,
       pipelines: this.#pipelineLimit,
     });
+    return { ...counts, answersUnread: this.#bodyWriters.unreadCount };
   }
 
   /** Applies the timeouts and sizes of the current configuration to the server. */
@@ -151,7 +155,7 @@
       this.#connections.responseClosed(req);
     });
     const limits = this.#dependencies.limits() ?? DEFAULT_LIMITS;
-    const response = new ClientResponse(res, () => this.#dependencies.isDraining());
+    const response = new ClientResponse(res, this.#bodyWriters, () => this.#dependencies.isDraining());
     const rejection = checkHead(req, this.#dependencies.headerNames, limits);
     if (rejection !== undefined) return response.end(rejection.status, rejection.why, true);
     this.#readBody(req, res, limits.bodyBytes, response);
@@ -176,10 +180,12 @@
     onResponseClose(req, res, () => reader.release());
   }
 
-  /** Rejects each body of which nothing came for the idle time. */
-  #rejectIdleBodies(): void {
+  /** Gives up each body of a request of which nothing came, and of a response of which nothing was read, for the idle time. */
+  #closeIdle(): void {
     const { idleMs } = this.#dependencies.limits() ?? DEFAULT_LIMITS;
-    this.#unfinishedBodies.rejectIdle(this.#dependencies.clock.nowMs() - idleMs);
+    const sinceMs = this.#dependencies.clock.nowMs() - idleMs;
+    this.#unfinishedBodies.rejectIdle(sinceMs);
+    this.#bodyWriters.closeUnread(sinceMs);
   }
 
   #dispatch(req: IncomingMessage, res: ServerResponse, body: Buffer, response: ClientResponse): void {
