Bound what workers send outside of bodies, in bytes and in lines

200 callers before 8 workers that sent header fields without end ended an edge by its heap: a head is bounded at 16 KiB of names and values, and each field of two bytes takes two Buffers. Nothing at all bounded a status line, interim responses, or a chunk's extension: 78 and 86 MB of them were read in 5 s.

Each connection to a worker has a meter that sees the bytes before the parser: at most 512 lines in a head, and 128 KiB since the last piece of a body. Beyond that the connection is closed and the attempt fails.

--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, Pool } from './undici-client.js';
 import type { LinkTimer } from './link-timer.js';
+import { ConnectionMeter } from './connection-meter.js';
 import { WorkerTraffic } from './worker-traffic.js';
 
 /** An HTTP header as it is on the wire, with its name's case unchanged. */
@@ -62,7 +63,7 @@
  * of an aborted request that are still in the kernel's send buffer, so they cannot arrive after a network
  * partition heals.
  */
-function resettingConnector(connectMs: number): buildConnector.connector {
+function resettingConnector(connectMs: number, meter: ConnectionMeter): buildConnector.connector {
   const connect = buildConnector({ timeout: connectMs });
   return (options, callback) => {
     connect(options, (...[thrown, socket]: Parameters<buildConnector.Callback>) => {
@@ -76,6 +77,7 @@
         cause = reason;
         return socket.resetAndDestroy();
       };
+      meter.watch(socket);
       callback(null, socket);
     });
   };
@@ -99,6 +101,8 @@
   #request: LinkRequest;
   #traffic: WorkerTraffic;
   #timer: LinkTimer;
+  /** The meter of its connection; undefined while it has none. */
+  #meter: ConnectionMeter | undefined;
   #sent = false;
   #ended = false;
   #aborted = false;
@@ -117,6 +121,11 @@
     return this.#request.address;
   }
 
+  /** Tells which connection the request was dispatched to. */
+  useMeter(meter: ConnectionMeter): void {
+    this.#meter = meter;
+  }
+
   abort(): void {
     this.#aborted = true;
     this.#controller?.abort(new Error('send aborted'));
@@ -143,10 +152,12 @@
       return;
     }
     this.#sent = true;
+    this.#meter?.responseAwaited();
   }
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200) return;
+    this.#meter?.headReceived();
     const headers = headerPairs(controller.rawHeaders);
     if (this.#request.method !== 'HEAD' && !hasExplicitEnd(status, headers))
       return controller.abort(new Error('the response has neither content-length nor chunked encoding'));
@@ -154,6 +165,7 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#meter?.bodyReceived();
     recordShortLivedBuffer(chunk.length);
     this.#traffic.record(this.address, chunk.length, this.#discardableBytes === undefined);
     if (this.#ended || this.#aborted) return;
@@ -186,6 +198,26 @@
   }
 }
 
+/** Options of a dispatch with the request itself, which learns from the client on which connection it goes. */
+interface FlightOptions extends Dispatcher.DispatchOptions {
+  readonly flight: DispatchedRequest;
+}
+
+/** One connection to a worker, with its meter. */
+class MeteredClient extends Client {
+  readonly #meter: ConnectionMeter;
+
+  constructor(origin: string | URL, options: Client.Options, meter: ConnectionMeter) {
+    super(origin, options);
+    this.#meter = meter;
+  }
+
+  override dispatch(options: FlightOptions, handler: Dispatcher.DispatchHandler): boolean {
+    options.flight.useMeter(this.#meter);
+    return super.dispatch(options, handler);
+  }
+}
+
 function headerPairs(raw: unknown): Header[] {
   const headers: Header[] = [];
   if (!Array.isArray(raw)) return headers;
@@ -214,6 +246,7 @@
  */
 export class PoolLink implements Link {
   #options: Pool.Options;
+  #connectMs: number;
   #pools = new Map<string, Pool>();
   #state: LinkState;
   /** What the workers send. */
@@ -221,14 +254,16 @@
 
   constructor({ connectMs, ...poolOptions }: LinkTimes, timer: LinkTimer) {
     this.#state = { traffic: this.traffic, timer };
-    this.#options = { ...poolOptions, pipelining: 1, connect: resettingConnector(connectMs) };
+    this.#options = { ...poolOptions, pipelining: 1 };
+    this.#connectMs = connectMs;
   }
 
   send(request: LinkRequest, handler: LinkHandler): LinkSend {
     const { address, method, target, headers, body, stallMs, ownConnection } = request;
     const flight = new DispatchedRequest(handler, request, this.#state);
     const dispatcher = ownConnection === true ? this.#client(address) : this.#pool(address);
-    const options: Dispatcher.DispatchOptions = {
+    const options: FlightOptions = {
+      flight,
       method,
       path: target,
       headers: headers.flat(),
@@ -259,13 +294,25 @@
 
   /** A client for a single request; the caller closes it after the dispatch. */
   #client(address: string): Client {
-    return new Client(`http://${address}`, this.#options);
+    return this.#meteredClient(`http://${address}`, this.#options);
+  }
+
+  #meteredClient(origin: string | URL, options: object): Client {
+    const meter = new ConnectionMeter();
+    return new MeteredClient(
+      origin,
+      { ...options, connect: resettingConnector(this.#connectMs, meter) },
+      meter,
+    );
   }
 
   #pool(address: string): Pool {
     let pool = this.#pools.get(address);
     if (pool === undefined) {
-      pool = new Pool(`http://${address}`, this.#options);
+      pool = new Pool(`http://${address}`, {
+        ...this.#options,
+        factory: (origin, options) => this.#meteredClient(origin, options),
+      });
       this.#pools.set(address, pool);
     }
     return pool;
