Let responses that cause much work take turns

Class of fault: work without a bound for each turn of the loop.

A response is held up, by backpressure on its connection, after the work of 1000 small pieces or 2 MiB, and one is read on each 5 ms: workers take turns first, then the responses of each, so that one with many does not slow others. Responses of fewer pieces are never held up.

--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -3,6 +3,7 @@
 import { buildConnector, Client, Pool } from './undici-client.js';
 import type { LinkTimer } from './link-timer.js';
 import { ConnectionMeter } from './connection-meter.js';
+import { ResponsePacer, type PacedResponse } from './response-pacer.js';
 import { WorkerTraffic } from './worker-traffic.js';
 
 /** An HTTP header as it is on the wire, with its name's case unchanged. */
@@ -91,30 +92,36 @@
 /** What all requests of a link share. */
 interface LinkState {
   readonly traffic: WorkerTraffic;
+  readonly pacer: ResponsePacer;
   readonly timer: LinkTimer;
 }
 
 /** One request dispatched to undici: translates undici's callbacks into those of a `LinkHandler`. */
-class DispatchedRequest implements Dispatcher.DispatchHandler, LinkSend {
+class DispatchedRequest implements Dispatcher.DispatchHandler, LinkSend, PacedResponse {
   #handler: LinkHandler;
   #controller: Dispatcher.DispatchController | undefined;
   #request: LinkRequest;
   #traffic: WorkerTraffic;
+  #pacer: ResponsePacer;
   #timer: LinkTimer;
   /** The meter of its connection; undefined while it has none. */
   #meter: ConnectionMeter | undefined;
   #sent = false;
   #ended = false;
   #aborted = false;
+  /** Whether its reader, and whether the pacer, has stopped the reading. */
+  #isPaused = false;
+  #isHeldUp = false;
   /** Bytes of the rest that may still come; undefined while the response is needed. */
   #discardableBytes: number | undefined;
   #cancelDiscardTimer: (() => void) | undefined;
 
-  constructor(handler: LinkHandler, request: LinkRequest, { traffic, timer }: LinkState) {
+  constructor(handler: LinkHandler, request: LinkRequest, { traffic, pacer, timer }: LinkState) {
     this.#timer = timer;
     this.#handler = handler;
     this.#request = request;
     this.#traffic = traffic;
+    this.#pacer = pacer;
   }
 
   get address(): string {
@@ -138,11 +145,23 @@
   }
 
   pause(): void {
+    this.#isPaused = true;
     this.#controller?.pause();
   }
 
   resume(): void {
-    this.#controller?.resume();
+    this.#isPaused = false;
+    if (!this.#isHeldUp) this.#controller?.resume();
+  }
+
+  holdUp(): void {
+    this.#isHeldUp = true;
+    this.#controller?.pause();
+  }
+
+  readOn(): void {
+    this.#isHeldUp = false;
+    if (!this.#isPaused) this.#controller?.resume();
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -171,6 +190,7 @@
     if (this.#ended || this.#aborted) return;
     if (this.#discardableBytes !== undefined) return this.#discardChunk(chunk);
     this.#handler.chunk(chunk);
+    this.#pacer.record(this, chunk.length);
   }
 
   #discardChunk(chunk: Buffer): void {
@@ -195,6 +215,7 @@
   #finish(): void {
     this.#ended = true;
     this.#cancelDiscardTimer?.();
+    this.#pacer.forget(this);
   }
 }
 
@@ -253,7 +274,7 @@
   readonly traffic = new WorkerTraffic();
 
   constructor({ connectMs, ...poolOptions }: LinkTimes, timer: LinkTimer) {
-    this.#state = { traffic: this.traffic, timer };
+    this.#state = { traffic: this.traffic, pacer: new ResponsePacer(timer), timer };
     this.#options = { ...poolOptions, pipelining: 1 };
     this.#connectMs = connectMs;
   }
