Log which worker's answers were stopped, at which bound, and count them

Each answer that is stopped is told with its bound, its part and what had come of it: one line at the first of each worker and bound, one in 10 s while it goes on, never one an answer, and the counter answersStopped. A worker that goes on after a refusal now counts as failing, for the ranking here and for the coordinator.

--- a/packages/compatibility/src/data-plane-counters.ts
+++ b/packages/compatibility/src/data-plane-counters.ts
@@ -1,7 +1,14 @@
 /** The counters of both data planes, the router and the gateway, for each outcome of a request. */
 import { checkConfiguration, readSpec, type Configuration, type Spec } from '@rainrun/configuration';
 import { MemoryBudget, type Fault } from '@rainrun/common';
-import { Gateway, type Link, type LinkHandler, type LinkRequest, type SendHandler } from '@rainrun/gateway';
+import {
+  Gateway,
+  type Link,
+  type LinkHandler,
+  type LinkRequest,
+  type LinkSend,
+  type SendHandler,
+} from '@rainrun/gateway';
 import { DIALECT } from '@rainrun/platform/dialect';
 import { Router } from '@rainrun/router';
 import { fail } from './scripted-group.js';
@@ -12,7 +19,8 @@
 const LONG_DURATION_MS = 10_000;
 const RESPONSE_MEMORY_BYTES = 2 ** 20;
 
-const NO_OP_CONTROLS = {
+const NO_OP_CONTROLS: LinkSend = {
+  received: { part: 'head', bytes: 0, pieces: 0 },
   abort: () => undefined,
   discard: () => undefined,
   pause: () => undefined,
@@ -81,6 +89,7 @@
       edges: () => 1,
       incarnation: () => 'incarnation-1',
       regionOf: () => 'west',
+      onResponseExcess: () => undefined,
       onModelMissing: () => undefined,
       onWaiting: () => undefined,
     });
--- a/packages/compatibility/src/public-names.test.ts
+++ b/packages/compatibility/src/public-names.test.ts
@@ -44,6 +44,7 @@
     'answersEvicted',
     'answersRefused',
     'answersUnread',
+    'answersStopped',
     'workerBytes',
     'workerPieces',
     'workerBytesUnneeded',
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,4 +13,5 @@
 export * from './gateway-request.js';
 export * from './link.js';
 export * from './worker-traffic.js';
+export * from './response-excess.js';
 export * from './link-timer.js';
--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -2,7 +2,8 @@
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, Pool } from './undici-client.js';
 import type { LinkTimer } from './link-timer.js';
-import { ConnectionMeter } from './connection-meter.js';
+import { ConnectionMeter, FramingError } from './connection-meter.js';
+import type { ReceivedResponse, ResponseBound, ResponseExcess } from './response-excess.js';
 import { ResponsePacer, type PacedResponse } from './response-pacer.js';
 import { WorkerTraffic } from './worker-traffic.js';
 
@@ -18,10 +19,14 @@
   end(): void;
   /** The send failed; `sent` tells whether any byte may have been written. */
   failed(sent: boolean, reason: string): void;
+  /** The response reached a bound of the link; called before `failed`, or after the response was discarded. */
+  exceeded?(excess: ResponseExcess): void;
 }
 
 /** Handle of a send in progress. */
 export interface LinkSend {
+  /** What has come of the response so far. */
+  readonly received: ReceivedResponse;
   abort(): void;
   /**
    * Says that nobody needs the rest of the response any more: the connection is kept if the rest is small and
@@ -106,6 +111,9 @@
   #timer: LinkTimer;
   /** The meter of its connection; undefined while it has none. */
   #meter: ConnectionMeter | undefined;
+  #hasHead = false;
+  #bytes = 0;
+  #pieces = 0;
   #sent = false;
   #ended = false;
   #aborted = false;
@@ -124,6 +132,10 @@
     this.#pacer = pacer;
   }
 
+  get received(): ReceivedResponse {
+    return { part: this.#hasHead ? 'body' : 'head', bytes: this.#bytes, pieces: this.#pieces };
+  }
+
   get address(): string {
     return this.#request.address;
   }
@@ -141,7 +153,7 @@
   discard(): void {
     if (this.#ended || this.#discardableBytes !== undefined) return;
     this.#discardableBytes = DISCARD_MAX_BYTES;
-    this.#cancelDiscardTimer = this.#timer(DISCARD_MAX_MS, () => this.abort());
+    this.#cancelDiscardTimer = this.#timer(DISCARD_MAX_MS, () => this.#stopAt('unneeded'));
   }
 
   pause(): void {
@@ -176,6 +188,7 @@
 
   onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
     if (status < 200) return;
+    this.#hasHead = true;
     this.#meter?.headReceived();
     const headers = headerPairs(controller.rawHeaders);
     if (this.#request.method !== 'HEAD' && !hasExplicitEnd(status, headers))
@@ -184,6 +197,8 @@
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#bytes += chunk.length;
+    this.#pieces += 1;
     this.#meter?.bodyReceived();
     recordShortLivedBuffer(chunk.length);
     this.#traffic.record(this.address, chunk.length, this.#discardableBytes === undefined);
@@ -197,7 +212,13 @@
     // A piece costs as much as some bytes do, so that the bound also holds for tiny ones.
     this.#discardableBytes =
       (this.#discardableBytes ?? 0) - Math.max(chunk.length, DISCARD_MIN_BYTES_PER_PIECE);
-    if (this.#discardableBytes < 0) this.abort();
+    if (this.#discardableBytes < 0) this.#stopAt('unneeded');
+  }
+
+  #stopAt(bound: ResponseBound): void {
+    if (this.#aborted) return;
+    this.#handler.exceeded?.({ bound, ...this.received });
+    this.abort();
   }
 
   onResponseEnd(): void {
@@ -209,6 +230,7 @@
   onResponseError(_controller: Dispatcher.DispatchController, thrown: Error): void {
     if (this.#ended) return;
     this.#finish();
+    if (thrown instanceof FramingError) this.#handler.exceeded?.({ bound: thrown.bound, ...this.received });
     this.#handler.failed(this.#sent, thrown.message);
   }
 
--- a/packages/gateway/src/sender.ts
+++ b/packages/gateway/src/sender.ts
@@ -14,7 +14,7 @@
 }
 
 /** Handle of a send in progress. */
-export type SendHandle = LinkSend;
+export type SendHandle = Omit<LinkSend, 'received'>;
 
 /** One HTTP request to a worker. */
 export interface SendRequest {
--- a/packages/router/src/attempt.ts
+++ b/packages/router/src/attempt.ts
@@ -1,6 +1,13 @@
 /** One attempt to send a request to one worker, in the router of the platform system. */
 import { ByteCollector, type MemoryReservation } from '@rainrun/common';
-import type { Header, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gateway';
+import type {
+  Header,
+  LinkHandler,
+  LinkRequest,
+  LinkSend,
+  ResponseBound,
+  ResponseExcess,
+} from '@rainrun/gateway';
 import { EventSplitter } from './event-splitter.js';
 import { attemptHeaders, endToEndHeaders, headerValue, type HeaderNames } from './headers.js';
 import type { RoutedRequest, WorkerView } from './request.js';
@@ -49,6 +56,8 @@
   onSilent(): void;
   /** Opens the account of the memory that the response takes; `onEvicted` is called if it has to give way. */
   openMemory(onEvicted: () => void): MemoryReservation;
+  /** Called when the response is stopped at a bound, also after the attempt has ended. */
+  onExcess(excess: ResponseExcess): void;
   /** Called with the head of a valid response; `waitMs` is the time since the attempt was created. */
   onResponseHead(waitMs: number): void;
   /** Called exactly once, when the attempt ends. */
@@ -184,7 +193,7 @@
     this.#recordActivity();
     if (this.#splitter === undefined) return this.#buffer(bytes);
     const events = this.#splitter.take(bytes);
-    if (events === 'endless') return this.#abandon('an event exceeds the buffer limit');
+    if (events === 'endless') return this.#stopAt('event', 'an event exceeds the buffer limit');
     if (!this.#hold(this.#splitter.incompleteBytes)) return;
     if (events.bytes.length > 0) this.#forward(events.bytes, events.lastId);
   }
@@ -207,6 +216,10 @@
     this.#end({ outcome: this.#withheld ? 'not-sent' : 'unreached', reason });
   }
 
+  exceeded(excess: ResponseExcess): void {
+    this.#context.onExcess(excess);
+  }
+
   #recordActivity(): void {
     this.#lastActivityMs = this.#context.nowMs();
     this.#context.onHeard();
@@ -215,7 +228,7 @@
   /** Decides how the body of a valid response is read. */
   #acceptHead(status: number, contentType: string): void {
     this.#memory = this.#context.openMemory(() =>
-      this.#abandon('gave way to other responses, as the largest of the worker that holds most'),
+      this.#stopAt('memory', 'gave way to other responses, as the largest of the worker that holds most'),
     );
     if (this.#request.streamed && status < 300 && contentType.startsWith('text/event-stream'))
       this.#splitter = new EventSplitter();
@@ -227,7 +240,7 @@
 
   #buffer(bytes: Buffer): void {
     if (this.#body.lengthBytes + bytes.length > ATTEMPT_POLICY.maxBufferedBytes)
-      return this.#abandon('the response exceeds the buffer limit');
+      return this.#stopAt('body', 'the response exceeds the buffer limit');
     if (this.#grow(this.#body.growthFor(bytes.length))) this.#body.append(bytes);
   }
 
@@ -296,6 +309,11 @@
     this.#send?.resume();
   }
 
+  #stopAt(bound: ResponseBound, reason: string): void {
+    if (this.#send !== undefined) this.exceeded({ bound, ...this.#send.received });
+    this.#abandon(reason);
+  }
+
   #abandon(reason: string, hadNoMemory = false): void {
     if (this.#started) this.#endAsFailed(reason, hadNoMemory);
     else this.#end({ outcome: 'not-sent', reason });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -1,5 +1,5 @@
 /** Data plane of an edge of the platform system: dispatches requests to workers, retries and resumes them. */
-import type { Link } from '@rainrun/gateway';
+import type { Link, ResponseExcess } from '@rainrun/gateway';
 import type { PermitSource } from '@rainrun/quotas';
 import type { Configuration, RouteEntry, TenantDirectory } from '@rainrun/configuration';
 import { fault, type Clock, type Fault, type MemoryBudget } from '@rainrun/common';
@@ -42,6 +42,8 @@
   workers(): ReadonlyMap<string, WorkerView>;
   /** The region that a zone belongs to; empty if it belongs to none. */
   regionOf(zone: string): string;
+  /** A response of this worker was stopped at a bound. */
+  onResponseExcess(worker: WorkerView, excess: ResponseExcess): void;
   /** A model is requested that no worker has loaded. */
   onModelMissing(): void;
   /** A request has begun to wait: from now on `tick` must be called often enough to dispatch it. */
@@ -326,12 +328,21 @@
       onHeard: () => statuses.recordHeard(worker.id),
       reserveFailover: () => this.#reserveFailover(request, worker),
       onSilent: () => statuses.recordFailure(worker.id),
+      onExcess: (excess) => this.#onResponseExcess(worker, excess),
       openMemory: (onEvicted) => this.#dependencies.responseMemory.open(onEvicted, worker.id),
       onResponseHead: (waitMs) => this.#demand.recordResponseWait(request, waitMs),
       onEnd,
     };
   }
 
+  /** Where the attempt went on, its end is recorded as a failure of the worker; what it had declined is recorded here. */
+  #onResponseExcess(worker: WorkerView, excess: ResponseExcess): void {
+    this.#dependencies.onResponseExcess(worker, excess);
+    if (excess.bound !== 'unneeded') return;
+    this.#balancer.statuses.recordFailure(worker.id);
+    this.#outcomes.add(worker.id, false);
+  }
+
   /** The last check before the first byte is sent; spends the retry reserved for this attempt. */
   #mayStart(request: RoutedRequest, worker: WorkerView): boolean {
     const known = this.#dependencies.workers().get(worker.id);
--- a/packages/router/src/testing/router-harness.ts
+++ b/packages/router/src/testing/router-harness.ts
@@ -1,5 +1,13 @@
 /** Test harness for the router: scripted link, client sink, permits and workers. */
-import type { Header, Link, LinkHandler, LinkRequest, LinkSend } from '@rainrun/gateway';
+import type {
+  Header,
+  Link,
+  LinkHandler,
+  LinkRequest,
+  LinkSend,
+  ReceivedResponse,
+  ResponseBound,
+} from '@rainrun/gateway';
 import {
   checkConfiguration,
   TENANT_SECRET_BYTES,
@@ -131,6 +139,7 @@
 export class SentRequest implements LinkSend {
   readonly request: LinkRequest;
   readonly handler: LinkHandler;
+  received: ReceivedResponse = { part: 'head', bytes: 0, pieces: 0 };
   aborted = false;
   discarded = false;
   paused = false;
@@ -290,6 +299,8 @@
   configured = true;
   configuration = testConfiguration();
   tenants: TenantDirectory | undefined;
+  /** The responses that were stopped, by worker and bound. */
+  readonly excesses: (readonly [worker: string, bound: ResponseBound])[] = [];
   readonly link = new RecordingLink();
   readonly permits = new ScriptedPermits();
   readonly responseMemory = new MemoryBudget({
@@ -322,6 +333,9 @@
       edges: () => this.edges,
       incarnation: () => incarnation,
       regionOf: (zone) => (zone === 'south-a' ? 'south' : 'elsewhere'),
+      onResponseExcess: (by, { bound }) => {
+        this.excesses.push([by.id, bound]);
+      },
       onModelMissing: () => {
         this.modelMissingCount += 1;
       },
--- a/packages/runtime/src/edge-node.ts
+++ b/packages/runtime/src/edge-node.ts
@@ -13,6 +13,7 @@
 import { edgeConnectionLimits, frameMemoryBytes, responseBudget } from './resource-limits.js';
 import { WORKER_CONNECTION_TIMES, responseMemoryCounts, workerTrafficCounts } from './worker-connections.js';
 import type { Log } from './log.js';
+import { ResponseExcessLog } from './response-excess-log.js';
 import { MONOTONIC_CLOCK, processUsage, SECURE_RANDOM, startTimer } from './process-environment.js';
 import { listenForPeers } from './peer-listener.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
@@ -53,6 +54,7 @@
   #replica: EdgeReplica;
   #workerLink = new PoolLink(WORKER_CONNECTION_TIMES, startTimer);
   #responseMemory: MemoryBudget;
+  #excessLog: ResponseExcessLog;
   #router: Router;
   #clientServer: ClientServer;
   #readiness: Server;
@@ -68,6 +70,7 @@
     this.#settings = settings;
     this.#clock = clock;
     this.#log = log;
+    this.#excessLog = new ResponseExcessLog(log);
     const connectionLimits = edgeConnectionLimits(settings);
     this.#transport = new PeerTransport('system', (frame) => this.#replica.receive(frame), {
       connections: connectionLimits.peers,
@@ -103,6 +106,7 @@
       edges: () => this.#replica.edgeCount,
       incarnation: () => this.#replica.incarnation,
       regionOf: (zone) => settings.regions[zone] ?? '',
+      onResponseExcess: ({ id }, excess) => this.#excessLog.record(id, excess),
       onModelMissing: () => this.#requestUpdateSoon(),
       onWaiting: () => this.#tickWithin(TICK_MS),
     });
@@ -235,6 +239,7 @@
   }
 
   #logCounters(): void {
+    this.#excessLog.flush();
     this.#log.info(this.#counterLogFields(), 'counters');
   }
 
@@ -260,6 +265,7 @@
       framesEvicted: this.#transport.counts.framesEvicted,
       ...this.#clientServer.counts,
       ...responseMemoryCounts(this.#responseMemory),
+      answersStopped: this.#excessLog.total,
       ...workerTrafficCounts(this.#workerLink.traffic),
       ...processUsage(),
     };
