Bound the replies to the calls of a core, and the pages of the platform's list

A core ended by its heap, or held 797 and 887 MB of 200, when 24 workers answered its requests for reports without end, and 3,018 MB over one page of the platform's list; a list could also have pages without end.

Both go through BoundedCalls now, over the same link with its meter, pacer and discard: 256 KiB a reply of a worker, 4 MiB, 300,000 values and 3 s a page, 1000 pages, 50,000 workers, and a sixteenth of the memory for all replies together, of which the largest of the worker that holds most gives way.

--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -47,6 +47,8 @@
   readonly stallMs: number;
   /** Whether to use a new connection, on which no response to an earlier request can still arrive. */
   readonly ownConnection?: boolean;
+  /** Whether a response may have no length and end with its connection. */
+  readonly mayEndWithConnection?: boolean;
 }
 
 /** Transport for requests to workers; tests supply their own implementation. */
@@ -191,7 +193,7 @@
     this.#hasHead = true;
     this.#meter?.headReceived();
     const headers = headerPairs(controller.rawHeaders);
-    if (this.#request.method !== 'HEAD' && !hasExplicitEnd(status, headers))
+    if (this.#mustShowItsEnd() && !hasExplicitEnd(status, headers))
       return controller.abort(new Error('the response has neither content-length nor chunked encoding'));
     this.#handler.head(status, headers);
   }
@@ -234,6 +236,10 @@
     this.#handler.failed(this.#sent, thrown.message);
   }
 
+  #mustShowItsEnd(): boolean {
+    return this.#request.method !== 'HEAD' && this.#request.mayEndWithConnection !== true;
+  }
+
   #finish(): void {
     this.#ended = true;
     this.#cancelDiscardTimer?.();
--- a/packages/runtime/src/core-node.ts
+++ b/packages/runtime/src/core-node.ts
@@ -5,34 +5,31 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { PROTOCOL_LEVELS } from '@rainrun/messages';
 import { PLATFORM_TIMES, type Acceptor } from '@rainrun/process-group';
-import { PoolLink, type Header } from '@rainrun/gateway';
+import { PoolLink, type Header, type LinkRequest } from '@rainrun/gateway';
 import { CoreReplica, coreStatus, OperatorService, quotaStatusesOf } from '@rainrun/cluster-node';
 import { fault, type Fault } from '@rainrun/common';
-import type {
-  WorkerRecord,
-  ListedWorker,
-  ReportReply,
-  WorkerOrder,
-  WorkerOrderReply,
-} from '@rainrun/placement';
+import type { WorkerRecord, ReportReply, WorkerOrder, WorkerOrderReply } from '@rainrun/placement';
 import { Result } from 'true-myth';
-import { request } from 'undici';
+import { BoundedCalls } from './bounded-call.js';
 import { openAcceptor, waitForLastWrites } from './acceptor-disk.js';
 import type { Dialect, PlatformSettings } from './dialect.js';
 import type { Log } from './log.js';
 import { WORKER_CONNECTION_TIMES, workerTrafficCounts } from './worker-connections.js';
+import { ResponseExcessLog } from './response-excess-log.js';
 import { MONOTONIC_CLOCK, processUsage, SYSTEM_RANDOM, startTimer } from './process-environment.js';
-import { coreConnectionLimits, frameMemoryBytes } from './resource-limits.js';
+import { coreConnectionLimits, frameMemoryBytes, replyBudget } from './resource-limits.js';
 import { OperatorServer } from './operator-server.js';
 import { listenForPeers } from './peer-listener.js';
+import { readWorkerList } from './platform-list.js';
 import { splitAddress, PeerTransport } from './peer-transport.js';
 
 const TICK_MS = 25;
 /** A core that is not the coordinator acts on every second tick only. */
 const NON_COORDINATOR_TICK_DIVISOR = 2;
 const LIST_INTERVAL_MS = 500;
-const LIST_TIMEOUT_MS = 900;
-const ORDER_TIMEOUT_MS = 800;
+const ORDER_SILENCE_MS = 800;
+/** Bounds on the replies of workers to orders and requests for reports; a report has some hundred bytes a model. */
+const WORKER_CALL_BOUNDS = { maxBytes: 256 * 1024, timeoutMs: 900 } as const;
 const COUNTERS_INTERVAL_MS = 10_000;
 /** Interval at which a core without a coordinator logs what it waits for. */
 const WAIT_LOG_INTERVAL_MS = 1000;
@@ -42,12 +39,6 @@
  */
 const DISK_HANG_MAX_MS = 30_000;
 
-/** The complete HTTP response of a worker. */
-interface WorkerReply {
-  readonly status: number;
-  readonly body: string;
-}
-
 /**
  * A core node on a platform: a member of the group that replicates the deployment, with a disk. It answers
  * operators; while it is the coordinator it also polls the platform's worker list and sends orders to
@@ -65,6 +56,8 @@
   #transport: PeerTransport;
   #replica: CoreReplica;
   #workerLink = new PoolLink(WORKER_CONNECTION_TIMES, startTimer);
+  #calls: BoundedCalls;
+  #excessLog: ResponseExcessLog;
   #operators: OperatorService;
   #operatorServer: OperatorServer;
   #timers: NodeJS.Timeout[] = [];
@@ -86,12 +79,14 @@
     this.#settings = settings;
     this.#dialect = dialect;
     this.#log = log;
+    this.#excessLog = new ResponseExcessLog(log);
     this.#onFatal = onFatal;
     this.#acceptor = acceptor;
     this.#transport = new PeerTransport('system', (frame) => this.#replica.receive(frame), {
       connections: coreConnectionLimits(settings).peers,
       frameBytes: frameMemoryBytes(settings),
     });
+    this.#calls = this.#newCalls();
     const seeds = seedAddresses(settings);
     this.#replica = new CoreReplica({
       name: settings.name,
@@ -131,6 +126,15 @@
     });
   }
 
+  #newCalls(): BoundedCalls {
+    return new BoundedCalls({
+      link: this.#workerLink,
+      timer: startTimer,
+      memory: replyBudget(this.#settings, MONOTONIC_CLOCK),
+      onExcess: (address, excess) => this.#excessLog.record(address, excess),
+    });
+  }
+
   /**
    * Opens the disk; a fault says why it cannot be used. `onFatal` is called later with a fault after which
    * the process must exit: the disk fails or hangs (`disk`), or the peer port stays in use (`bad-setting`).
@@ -221,7 +225,7 @@
     if (this.#isPollingList) return;
     this.#isPollingList = true;
     this.#lastListPollMs = MONOTONIC_CLOCK.nowMs();
-    const list = await this.#readWorkerList();
+    const list = await readWorkerList(this.#settings.provider.address, this.#calls, this.#dialect);
     this.#isPollingList = false;
     if (list.isOk) {
       this.#listFailures = 0;
@@ -233,101 +237,37 @@
     }
   }
 
-  async #readWorkerList(): Promise<Result<ListedWorker[], Fault>> {
-    const workers: ListedWorker[] = [];
-    let next: string | undefined;
-    try {
-      do {
-        const { statusCode, body } = await request(
-          `http://${this.#settings.provider.address}${this.#dialect.listPath(next)}`,
-          { headersTimeout: LIST_TIMEOUT_MS, bodyTimeout: LIST_TIMEOUT_MS },
-        );
-        const text = await body.text();
-        if (statusCode !== 200)
-          return Result.err(fault('unreached', `the platform's worker list returned status ${statusCode}`));
-        const page = this.#dialect.readPage(text);
-        if (page.isErr) return Result.err(page.error);
-        workers.push(...page.value.workers);
-        next = page.value.next;
-      } while (next !== undefined);
-      return Result.ok(workers);
-    } catch (thrown) {
-      return Result.err(fault('unreached', String(thrown)));
-    }
-  }
-
   // Calls to workers.
 
   #sendOrder(row: WorkerRecord, order: WorkerOrder, done: (reply: WorkerOrderReply) => void): void {
     const body = this.#dialect.writeOrder(order, this.#replica.group.self.incarnation);
-    this.#callWorker(
-      row,
-      'POST',
-      this.#dialect.orderPath,
-      body,
-      () => this.#replica.group.singletonEpoch() === order.fence,
-      (reply) => {
-        done(reply === undefined ? 'no-answer' : this.#dialect.readOrderReply(reply.status));
-        this.#replica.tick();
-      },
-    );
+    const request = this.#workerRequest(row, 'POST', this.#dialect.orderPath, body);
+    const mayStart = (): boolean => this.#replica.group.singletonEpoch() === order.fence;
+    this.#calls.call(request, { ...WORKER_CALL_BOUNDS, mayStart }, (reply) => {
+      done(reply === undefined ? 'no-answer' : this.#dialect.readOrderReply(reply.status));
+      this.#replica.tick();
+    });
   }
 
   #requestReport(row: WorkerRecord, done: (reply: ReportReply) => void): void {
-    this.#callWorker(
-      row,
-      'GET',
-      this.#dialect.reportPath,
-      '',
-      () => true,
-      (reply) => {
-        done(reply?.status === 200 ? this.#dialect.readReport(reply.body) : 'no-answer');
-      },
-    );
+    const request = this.#workerRequest(row, 'GET', this.#dialect.reportPath, '');
+    this.#calls.call(request, WORKER_CALL_BOUNDS, (reply) => {
+      done(reply?.status === 200 ? this.#dialect.readReport(reply.body) : 'no-answer');
+    });
   }
 
-  /** Calls a worker; `done` is called exactly once, with `undefined` if no complete response arrived. */
-  #callWorker(
-    row: WorkerRecord,
-    method: string,
-    target: string,
-    body: string,
-    mayStart: () => boolean,
-    done: (reply: WorkerReply | undefined) => void,
-  ): void {
-    let isPending = true;
-    let status = 0;
-    const parts: Buffer[] = [];
-    function finish(reply: WorkerReply | undefined): void {
-      if (!isPending) return;
-      isPending = false;
-      clearTimeout(timer);
-      done(reply);
-    }
+  #workerRequest(row: WorkerRecord, method: string, target: string, body: string): LinkRequest {
     const headers: Header[] = [
       ['host', row.address],
       [this.#dialect.workerHeaderNames.expectInstance, row.id],
     ];
     if (body !== '') headers.push(['content-type', 'application/json']);
-    const send = this.#workerLink.send(
-      { address: row.address, method, target, headers, body: Buffer.from(body), stallMs: ORDER_TIMEOUT_MS },
-      {
-        mayStart: () => isPending && mayStart(),
-        head: (code) => {
-          status = code;
-        },
-        chunk: (bytes) => void parts.push(bytes),
-        end: () => finish({ status, body: Buffer.concat(parts).toString('utf8') }),
-        failed: () => finish(undefined),
-      },
-    );
-    const timer = setTimeout(() => {
-      send.abort();
-      finish(undefined);
-    }, ORDER_TIMEOUT_MS + 100);
+    const stallMs = ORDER_SILENCE_MS;
+    return { address: row.address, method, target, headers, body: Buffer.from(body), stallMs };
   }
 
   #logCounters(): void {
+    this.#excessLog.flush();
     const busiestWorker = this.#workerLink.traffic.takeBusiest();
     this.#log.info({ counters: this.#counters(), busiestWorker }, 'counters');
   }
@@ -353,6 +293,7 @@
       framesEvicted: this.#transport.counts.framesEvicted,
       ...this.#operatorServer.counts,
       ...workerTrafficCounts(this.#workerLink.traffic),
+      answersStopped: this.#excessLog.total,
       ...processUsage(),
     };
   }
--- a/packages/runtime/src/resource-limits.ts
+++ b/packages/runtime/src/resource-limits.ts
@@ -47,6 +47,15 @@
   return new MemoryBudget({ limitBytes, smallBytes: SMALL_BYTES, clock, eviction: 'largest-owner' });
 }
 
+/** Share of the memory of a core for the replies of workers and of the platform to its calls. */
+const REPLY_MEMORY_SHARE = 1 / 16;
+
+/** The budget for the replies to all calls of a core. */
+export function replyBudget({ memoryMb }: MachineLimits, clock: Clock): MemoryBudget {
+  const limitBytes = memoryMb * BYTES_PER_MB * REPLY_MEMORY_SHARE;
+  return new MemoryBudget({ limitBytes, smallBytes: SMALL_BYTES, clock, eviction: 'largest-owner' });
+}
+
 /** Bytes for the bodies of all requests of a process. */
 export function bodyMemoryBytes({ memoryMb }: MachineLimits, maxBodyBytes: number): number {
   return Math.max(memoryMb * BYTES_PER_MB * BODY_MEMORY_SHARE, LARGEST_BODIES * maxBodyBytes);
