Read connections to workers in parts, so that paused ones do not grow

Traced: when a response is paused, the parser puts back what it has not parsed, and the next read takes all of that together with what has come since, so the socket fetches as much again from the kernel. Each turn of a paused response added up to 64 KiB to its buffer, 9 MB an answer in 5 s; so it was before for streams whose clients read slowly.

At most 16 KiB are read at once, and dead buffers are counted as they are read, heads included.

--- a/packages/gateway/src/connection-meter.test.ts
+++ b/packages/gateway/src/connection-meter.test.ts
@@ -55,6 +55,18 @@
     expect(sentKilobytes).toEqual(129);
   });
 
+  it('lets a parser that puts back what it has not parsed read small parts, so that the rest does not grow', () => {
+    const stream = new Duplex({ read: () => undefined, write: (_bytes, _encoding, done) => done() });
+    new ConnectionMeter().watch(stream);
+    stream.push(Buffer.alloc(100_000));
+    const read = stream.read() as Buffer;
+    expect(read.length).toEqual(16_384);
+    stream.unshift(read.subarray(1000));
+    expect(stream.readableLength).toEqual(99_000);
+    while (stream.read() !== null);
+    expect(stream.readableLength).toEqual(0);
+  });
+
   it('lets bodies of any size pass', () => {
     const socket = new WatchedSocket();
     socket.take(`${HEAD}\r\n`);
--- a/packages/gateway/src/connection-meter.ts
+++ b/packages/gateway/src/connection-meter.ts
@@ -1,5 +1,6 @@
 /** Bounds what a worker sends outside of response bodies: heads, interim responses, chunk framing, trailers. */
 import type { Readable } from 'node:stream';
+import { recordShortLivedBuffer } from '@rainrun/common';
 
 /**
  * Bytes outside of bodies after which a connection is closed; several times the largest head that is accepted,
@@ -8,6 +9,11 @@
 const MAX_FRAMING_BYTES = 128 * 1024;
 /** Lines of one head: each takes two objects, however short it is. */
 const MAX_HEAD_LINES = 512;
+/**
+ * Bytes that are read at once. The parser puts back what it has not parsed when it is paused; read as a whole, that
+ * would be copied each time, and as much again be fetched from the kernel.
+ */
+const MAX_READ_BYTES = 16 * 1024;
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 
@@ -45,8 +51,10 @@
   /** Looks at all that is read from this socket from now on. */
   watch(socket: Readable): void {
     const read = socket.read.bind(socket);
-    socket.read = (size?: number): unknown => {
-      const chunk = read(size) as Buffer | null;
+    socket.read = (): unknown => {
+      const chunk = read(
+        socket.readableLength > MAX_READ_BYTES ? MAX_READ_BYTES : undefined,
+      ) as Buffer | null;
       const bound = chunk === null ? undefined : this.#take(chunk);
       if (bound === undefined) return chunk;
       socket.destroy(new FramingError(bound));
@@ -74,6 +82,7 @@
   }
 
   #take(chunk: Buffer): FramingBound | undefined {
+    recordShortLivedBuffer(chunk.length);
     if (this.#framingBytes > MAX_FRAMING_BYTES) return 'framing';
     this.#framingBytes += chunk.length;
     if (this.#isInHead) this.#countLines(chunk);
--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -1,4 +1,3 @@
-import { recordShortLivedBuffer } from '@rainrun/common';
 import type { Dispatcher } from 'undici';
 import { buildConnector, Client, Pool } from './undici-client.js';
 import type { LinkTimer } from './link-timer.js';
@@ -202,7 +201,6 @@
     this.#bytes += chunk.length;
     this.#pieces += 1;
     this.#meter?.bodyReceived();
-    recordShortLivedBuffer(chunk.length);
     this.#traffic.record(this.address, chunk.length, this.#discardableBytes === undefined);
     if (this.#ended || this.#aborted) return;
     if (this.#discardableBytes !== undefined) return this.#discardChunk(chunk);
