--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,4 +7,5 @@
 export * from './name-index.js';
 export * from './memory-budget.js';
 export * from './byte-collector.js';
+export * from './bounded-body.js';
 export * from './buffer-garbage.js';
--- a/packages/runtime/src/spec-platform-client.ts
+++ b/packages/runtime/src/spec-platform-client.ts
@@ -2,7 +2,7 @@
 import { readFile } from 'node:fs/promises';
 import { create } from '@bufbuild/protobuf';
 import { WorkerListSchema, type WorkerList } from '@rainrun/messages';
-import { fault, type Fault } from '@rainrun/common';
+import { fault, readBoundedBody, type Fault } from '@rainrun/common';
 import type { SpecOrder, SpecOrderReply } from '@rainrun/placement';
 import { Result } from 'true-myth';
 import { request } from 'undici';
@@ -32,15 +32,18 @@
 const INVENTORY_TIMEOUT_MS = 2000;
 const LOAD_TIMEOUT_MS = 60_000;
 
-async function readBody(body: AsyncIterable<Buffer>): Promise<string> {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of body) {
-    bytes += part.length;
-    if (bytes > RESPONSE_MAX_BYTES) return '';
-    parts.push(part);
-  }
-  return Buffer.concat(parts).toString('utf8');
+/** Gives a call up after a silence, and after twice that time whatever has come. */
+function timeouts(silenceMs: number): { headersTimeout: number; bodyTimeout: number; signal: AbortSignal } {
+  return {
+    headersTimeout: silenceMs,
+    bodyTimeout: silenceMs,
+    signal: AbortSignal.timeout(2 * silenceMs),
+  };
+}
+
+/** A reply as text; empty, which no caller accepts, if it is too large. */
+async function readText(body: AsyncIterable<Buffer>): Promise<string> {
+  return (await readBoundedBody(body, RESPONSE_MAX_BYTES))?.toString('utf8') ?? '';
 }
 
 /**
@@ -51,9 +54,7 @@
 export async function readSpecWorkerList(source: string): Promise<Result<WorkerList, Fault>> {
   try {
     const text = source.startsWith('http://')
-      ? await readBody(
-          (await request(source, { headersTimeout: LIST_TIMEOUT_MS, bodyTimeout: LIST_TIMEOUT_MS })).body,
-        )
+      ? await readText((await request(source, timeouts(LIST_TIMEOUT_MS))).body)
       : await readFile(source, 'utf8');
     const parsed = v.safeParse(ListSchema, JSON.parse(text));
     if (!parsed.success)
@@ -92,10 +93,9 @@
       method: 'POST',
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(order),
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
+      ...timeouts(timeoutMs),
     });
-    const text = await readBody(body);
+    const text = await readText(body);
     if (statusCode !== 200)
       return Result.err(fault('worker-nonsense', `the order was answered with status ${statusCode}`));
     const parsed = v.safeParse(ReplySchema, JSON.parse(text));
--- a/programs/rainrun/src/main.ts
+++ b/programs/rainrun/src/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** Command line for operators: sends one call to one node and prints the answer. */
+import { readBoundedBody } from '@rainrun/common';
 import meow from 'meow';
 import { request } from 'undici';
 import { callForCommand, UsageError, type NodeCall } from './commands.js';
@@ -8,6 +9,8 @@
 const EXIT_CODES = { success: 0, rejected: 1, usage: 2, unknown: 3, unreached: 4, notCurrent: 5 } as const;
 
 const ANSWER_TIMEOUT_MS = 10_000;
+/** Largest answer that is read; a whole specification has at most a few megabytes. */
+const ANSWER_MAX_BYTES = 32 * 1024 * 1024;
 
 const cli = meow(
   `
@@ -81,8 +84,11 @@
       body: call.body === undefined ? null : JSON.stringify(call.body),
       headersTimeout: ANSWER_TIMEOUT_MS,
       bodyTimeout: ANSWER_TIMEOUT_MS,
+      signal: AbortSignal.timeout(2 * ANSWER_TIMEOUT_MS),
     });
-    return { status: reply.statusCode, body: await reply.body.json() };
+    const body = await readBoundedBody(reply.body, ANSWER_MAX_BYTES);
+    if (body === undefined) throw new Error(`the answer is larger than ${ANSWER_MAX_BYTES} bytes`);
+    return { status: reply.statusCode, body: JSON.parse(body.toString('utf8')) as unknown };
   } catch (thrown) {
     const outcomeUnknown = call.method !== 'GET' && !/ECONNREFUSED|Connect Timeout/.test(String(thrown));
     const advice = outcomeUnknown ? '; the outcome is unknown, ask by id' : '';
