Bound the lines of trailers, and name the worker whose head the parser stops

The parser stops trailers at 16 KiB of names and values, but makes an error, with its stack, for each further field of the piece that it is at.

A head or trailers that the parser's own bound stops were counted as failures without a line. They are told now as bound framing.

--- a/packages/gateway/src/connection-meter.test.ts
+++ b/packages/gateway/src/connection-meter.test.ts
@@ -67,6 +67,20 @@
     expect(stream.readableLength).toEqual(0);
   });
 
+  it('does not let trailers without end pass, but bodies of any number of lines', async () => {
+    const socket = new WatchedSocket();
+    socket.take(`${HEAD}\r\n`);
+    socket.meter.headReceived();
+    for (let pieces = 0; pieces < 20; pieces += 1) {
+      expect(socket.take('\n'.repeat(1000))).toEqual(true);
+      socket.meter.bodyReceived();
+    }
+    expect(socket.take('a:b\r\n'.repeat(1000))).toEqual(true);
+    expect(socket.take('a:b\r\n')).toEqual(false);
+    await new Promise((resolve) => setImmediate(resolve));
+    expect((socket.error as FramingError).bound).toEqual('head-lines');
+  });
+
   it('lets bodies of any size pass', () => {
     const socket = new WatchedSocket();
     socket.take(`${HEAD}\r\n`);
--- a/packages/gateway/src/connection-meter.ts
+++ b/packages/gateway/src/connection-meter.ts
@@ -7,7 +7,7 @@
  * since tiny chunks have more framing than body.
  */
 const MAX_FRAMING_BYTES = 128 * 1024;
-/** Lines of one head: each takes two objects, however short it is. */
+/** Lines of one head, or of trailers: each takes two objects, however short it is. */
 const MAX_HEAD_LINES = 512;
 /**
  * Bytes that are read at once. The parser puts back what it has not parsed when it is paused; read as a whole, that
@@ -47,6 +47,8 @@
   /** Bytes of the last line of the head so far. */
   #lineBytes = 0;
   #lastByte: number | undefined;
+  /** Lines since the last piece of a body. */
+  #trailerLines = 0;
 
   /** Looks at all that is read from this socket from now on. */
   watch(socket: Readable): void {
@@ -74,21 +76,33 @@
   headReceived(): void {
     this.#isInHead = false;
     this.#framingBytes = 0;
+    this.#trailerLines = 0;
   }
 
   /** A piece of the body was parsed. */
   bodyReceived(): void {
     this.#framingBytes = 0;
+    this.#trailerLines = 0;
   }
 
   #take(chunk: Buffer): FramingBound | undefined {
     recordShortLivedBuffer(chunk.length);
     if (this.#framingBytes > MAX_FRAMING_BYTES) return 'framing';
+    // The lines of an earlier read: had they been part of a body, they would have been forgotten since.
+    if (this.#trailerLines > MAX_HEAD_LINES) return 'head-lines';
     this.#framingBytes += chunk.length;
     if (this.#isInHead) this.#countLines(chunk);
+    else this.#countTrailerLines(chunk);
     return this.#isInHead && this.#headLines > MAX_HEAD_LINES ? 'head-lines' : undefined;
   }
 
+  #countTrailerLines(chunk: Buffer): void {
+    for (let end = chunk.indexOf(LINE_FEED); end >= 0; end = chunk.indexOf(LINE_FEED, end + 1)) {
+      this.#trailerLines += 1;
+      if (this.#trailerLines > MAX_HEAD_LINES) return;
+    }
+  }
+
   /** Counts the lines of heads up to the first empty line, behind which a body may follow. */
   #countLines(chunk: Buffer): void {
     let from = 0;
--- a/packages/gateway/src/link.ts
+++ b/packages/gateway/src/link.ts
@@ -90,6 +90,9 @@
   };
 }
 
+/** Code of undici's error for a head, or trailers, of more than 16 KiB of names and values. */
+const HEAD_OVERFLOW = 'UND_ERR_HEADERS_OVERFLOW';
+
 /** What of a response may still come once nobody needs it any more. */
 const DISCARD_MAX_BYTES = 64 * 1024;
 const DISCARD_MIN_BYTES_PER_PIECE = 64;
@@ -230,7 +233,8 @@
   onResponseError(_controller: Dispatcher.DispatchController, thrown: Error): void {
     if (this.#ended) return;
     this.#finish();
-    if (thrown instanceof FramingError) this.#handler.exceeded?.({ bound: thrown.bound, ...this.received });
+    const bound = boundOf(thrown);
+    if (bound !== undefined) this.#handler.exceeded?.({ bound, ...this.received });
     this.#handler.failed(this.#sent, thrown.message);
   }
 
@@ -265,6 +269,12 @@
   }
 }
 
+/** Which bound an error says was reached; undefined for other errors. */
+function boundOf(thrown: Error): ResponseBound | undefined {
+  if (thrown instanceof FramingError) return thrown.bound;
+  return 'code' in thrown && thrown.code === HEAD_OVERFLOW ? 'framing' : undefined;
+}
+
 function headerPairs(raw: unknown): Header[] {
   const headers: Header[] = [];
   if (!Array.isArray(raw)) return headers;
