Let a test of the peer transport wait for the connection that it wants to stall

Traced: the test gave the listener 200 ms to accept the connection that is to stall. In a process that stood still for longer, the timer ran before the accept, the connection was forwarded as a healthy one, and nothing was to be replaced; a trial that blocks the loop for 300 ms after the send fails so each time.

The test now goes on once that connection was accepted and stalled; its checks and bounds are as before, and the case that it is about is now played in every run.

--- a/packages/runtime/src/peer-transport.test.ts
+++ b/packages/runtime/src/peer-transport.test.ts
@@ -8,6 +8,7 @@
 import { FrameSchema, GoodbyeSchema, WIRE_VERSION, type Frame } from '@rainrun/messages';
 import { expect } from 'earl';
 import { PeerTransport } from './peer-transport.js';
+import { AsyncQueue } from './testing/async-queue.js';
 
 const HOST = '127.0.0.1';
 const SEND_INTERVAL_MS = 50;
@@ -68,16 +69,18 @@
 describe('a peer transport', () => {
   it('replaces an open connection on which nothing was ever acknowledged', async () => {
     let isHealthy = false;
+    const stalled = new AsyncQueue<undefined>();
     const frames: Frame[] = [];
     const healthy = await transport((frame) => frames.push(frame));
     const peer = await listenPlain(0, (socket) => {
-      if (isHealthy) forward(socket, healthy.port);
-      else socket.pause();
+      if (isHealthy) return forward(socket, healthy.port);
+      socket.pause();
+      stalled.put(undefined);
     });
     const sender = await transport();
     const address = `${HOST}:${portOf(peer)}`;
     sender.send(address, FRAME);
-    await pause(200);
+    await stalled.next();
     isHealthy = true;
     const tookMs = await sendUntil(() => frames.length > 0, sender, address);
     expect(tookMs).toSatisfy((ms: number) => ms < RECOVERY_MAX_MS);
